Lay out the workspace, the design and the shared types

Cause: a new project; libraries that are written in parallel need the same names, messages and build.

Change: docs/design.md states the modules, the state with its owners and bounds, the messages and the mechanisms. src/ holds core, the message structs of each decision library, and the committed protobuf code.

Conclusion: the decision libraries and the edges can be written against these types.

--- /dev/null
+++ b/scripts/generate-protobuf.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Renews the committed protobuf code in src/wire/generated.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p src/wire/generated
+protoc --proto_path=proto --cpp_out=src/wire/generated proto/peer.proto
--- /dev/null
+++ b/src/core/rendezvous.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/name.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace comfreypass::core {
+
+/** Weight of a node for a key; the node with the highest weight owns the key. Thread-safe. */
+std::uint64_t rendezvousWeight(std::string_view key, const node_name &node) noexcept;
+
+/**
+ * Orders nodes by falling weight for a key and returns the first `count` of them (fewer if there
+ * are fewer nodes). Ties are broken by name, so equal sets give equal orders on every instance.
+ * Thread-safe.
+ */
+std::vector<node_name> rendezvousRank(std::string_view key, std::span<const node_name> nodes,
+                                      std::size_t count);
+
+} // namespace comfreypass::core
--- /dev/null
+++ b/src/idempotency/claim_reply.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/incarnation.h"
+
+#include <cstdint>
+
+namespace comfreypass::idempotency {
+
+enum class claim_verdict : std::uint8_t { Accepted, OwnedByOther, Refused };
+
+/** Answer of a witness. */
+struct claim_reply
+{
+    std::uint64_t sequence = 0;
+    claim_verdict verdict = claim_verdict::Refused;
+    /** The recorded owner; empty with Refused. */
+    core::node_identity owner;
+
+    bool operator==(const claim_reply &) const = default;
+};
+
+} // namespace comfreypass::idempotency
--- /dev/null
+++ b/src/idempotency/request_key.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/name.h"
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace comfreypass::idempotency {
+
+/** 128-bit hash of team, member and the caller's idempotency key. */
+struct request_key
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const request_key &) const = default;
+};
+
+/**
+ * Key of a request: callers of different teams or members never share a key, whatever text they
+ * choose. Thread-safe.
+ */
+request_key makeRequestKey(const core::team_name &team, std::string_view member,
+                           std::string_view callerKey);
+
+} // namespace comfreypass::idempotency
--- /dev/null
+++ b/src/membership/ping.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "membership/member.h"
+#include "sheet/sheet_key.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace comfreypass::membership {
+
+/** Probe of an overlay neighbour. */
+struct ping
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t viewDigest = 0;
+    sheet::sheet_key sheet;
+    std::vector<member> updates;
+
+    bool operator==(const ping &) const = default;
+};
+
+} // namespace comfreypass::membership
--- /dev/null
+++ b/src/scheduling/ramp_state.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/name.h"
+
+#include <cstdint>
+
+namespace comfreypass::scheduling {
+
+/** Ramp of one engine, as schedulers hand it on through the voters. */
+struct ramp_state
+{
+    core::engine_name engine;
+    /** Requests that the whole fleet may run on the engine at once. */
+    std::uint32_t limit = 1;
+    /** Answers completed in time since the limit last changed. */
+    std::uint32_t evidence = 0;
+    /** Process life of the engine that the state was learned from. */
+    std::uint64_t engineEpoch = 0;
+    /** Grows with each change; of two states the one with the greater version is newer. */
+    std::uint64_t version = 0;
+
+    bool operator==(const ramp_state &) const = default;
+};
+
+} // namespace comfreypass::scheduling
--- /dev/null
+++ b/src/scheduling/refusal_reason.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace comfreypass::scheduling {
+
+/** Why a scheduler gave no permit. All of them are true "not run" refusals. */
+enum class refusal_reason : std::uint8_t {
+    Capacity,
+    Displaced,
+    DeadlineUnreachable,
+    TeamLimit,
+    NoUsableEngine,
+    NotScheduler,
+    LeaseLost,
+};
+
+/** Stable lower-case word for a reason, as it appears in problem documents, logs and metrics. */
+std::string_view toString(refusal_reason reason) noexcept;
+
+} // namespace comfreypass::scheduling
--- /dev/null
+++ b/src/sheet/policy_facts.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace comfreypass::sheet {
+
+/** Fleet-wide policy values of the sheet. */
+struct policy_facts
+{
+    enum class unconfirmed : std::uint8_t { Refuse, Serve };
+
+    /** What a node does that cannot confirm that its sheet is the newest. */
+    unconfirmed whenUnconfirmed = unconfirmed::Refuse;
+    /** Requests with a lower estimated cost are small and have slots of their own. */
+    std::uint32_t smallRequestTokens = 600;
+    /** Deadline of a request that names none. */
+    std::chrono::milliseconds defaultDeadline{30'000};
+    /** First-token target that goodput is counted against. */
+    std::chrono::milliseconds firstTokenTarget{1'600};
+    /** Target between two tokens that goodput is counted against. */
+    std::chrono::milliseconds tokenGapTarget{29};
+};
+
+} // namespace comfreypass::sheet
--- /dev/null
+++ b/src/sheet/sheet.cpp
@@ -0,0 +1,11 @@
+#include "sheet/sheet.h"
+
+namespace comfreypass::sheet {
+
+bool sheet::domainInService(const core::domain_name &domain) const
+{
+    const auto found = domains.find(domain);
+    return found != domains.end() && found->second.inService;
+}
+
+} // namespace comfreypass::sheet
--- /dev/null
+++ b/src/sheet/upstream_facts.cpp
@@ -0,0 +1,13 @@
+#include "sheet/upstream_facts.h"
+
+#include <algorithm>
+
+namespace comfreypass::sheet {
+
+bool upstream_facts::usableBy(const core::half_name &half) const
+{
+    return owner == half
+           || std::find(sharedWith.begin(), sharedWith.end(), half) != sharedWith.end();
+}
+
+} // namespace comfreypass::sheet
--- /dev/null
+++ b/src/sheet/upstream_facts.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/name.h"
+#include "sheet/operation_facts.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace comfreypass::sheet {
+
+enum class upstream_kind : std::uint8_t { Model, Service };
+
+/** How the instances of an upstream treat an order with an old fencing number or from a stranger.
+ */
+enum class order_check : std::uint8_t { Refuses, Ignores };
+
+/** What the sheet says of one upstream. */
+struct upstream_facts
+{
+    core::half_name owner;
+    /** Halves besides the owner that may use the upstream. */
+    std::vector<core::half_name> sharedWith;
+    upstream_kind kind = upstream_kind::Model;
+    /** Models served; empty for plain services. */
+    std::vector<core::model_name> models;
+    /** Operations of a plain service; an operation that is not listed is not idempotent. */
+    std::vector<operation_facts> operations;
+    order_check fencing = order_check::Ignores;
+    order_check sender = order_check::Ignores;
+    /** Requests at once that an instance of a plain service bears when warm. */
+    std::uint32_t serviceSlots = 8;
+    /** Requests at once that an instance bears at the beginning of a cold start. */
+    std::uint32_t coldSlots = 1;
+
+    /** True if a team of this half may send requests to the upstream. Thread-safe. */
+    bool usableBy(const core::half_name &half) const;
+};
+
+} // namespace comfreypass::sheet
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,1 @@
+#include "wire/codec.h"
