Add the interfaces of the scheduling library

Cause: the entry node, the wire codec and the state pages build against these types while the implementation is written.

No implementation.

Measured: nothing; headers only, not compiled by a program yet.

--- /dev/null
+++ b/src/scheduling/lease_holder.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "core/incarnation.h"
+#include "core/name.h"
+#include "core/time_point.h"
+#include "scheduling/lease_vote.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace comfreypass::scheduling {
+
+/**
+ * The scheduler side of the vote leases of one upstream: poll rounds and votes held.
+ *
+ * A vote counts from the time its poll was sent, minus a clock drift of 1%, so that it ends here
+ * before the promise ends at the voter. Not thread-safe.
+ */
+class lease_holder
+{
+public:
+    /** What a vote changed. */
+    struct vote_change
+    {
+        bool gained = false;
+        /** Sequence of the poll that the vote answers, zero if the vote is not counted. */
+        std::uint64_t sequence = 0;
+    };
+
+    lease_holder(core::duration lease, core::duration longestColdDispatch);
+
+    /** Sets the live nodes, and the number of nodes that the shares are divided by. */
+    void setVoters(std::span<const core::node_identity> live, std::size_t total);
+
+    /**
+     * Starts polling. Sequences continue above those of an earlier lease holder of the same
+     * process, because they start at the time in milliseconds.
+     */
+    void start(core::time_point now);
+    /** Stops polling and gives all votes up. */
+    void stop();
+    bool active() const noexcept { return m_active; }
+
+    /** True if a third of a lease has passed since the last round. */
+    bool roundDue(core::time_point now) const;
+    /** Starts a poll round and returns its sequence; the caller sends it to all live nodes. */
+    std::uint64_t startRound(core::time_point now);
+
+    /** Counts a vote. Votes of unknown rounds are ignored. */
+    vote_change onVote(const core::node_identity &from, const lease_vote &vote,
+                       core::time_point now);
+    /** Drops the vote of a node; returns true if it was held. */
+    bool drop(const core::node_identity &node);
+    /** Drops the votes that have expired and returns their nodes. */
+    std::vector<core::node_identity> expire(core::time_point now);
+
+    bool holds(const core::node_identity &node) const { return m_votes.contains(node); }
+    /** Sequence of the last poll that the node answered. Precondition: its vote is held. */
+    std::uint64_t sequenceOf(const core::node_identity &node) const;
+    std::span<const core::node_identity> live() const noexcept { return m_live; }
+    std::uint64_t round() const noexcept { return m_sequence; }
+
+    std::size_t held() const noexcept { return m_votes.size(); }
+    std::size_t total() const noexcept { return m_total; }
+    std::size_t refused() const noexcept { return m_refused.size(); }
+    /** Votes under which no other scheduler's dispatch can still run unknown to this one. */
+    std::size_t settled(core::time_point now) const;
+
+    /** floor(limit x votes / total). Thread-safe. */
+    static std::uint32_t share(std::uint32_t limit, std::size_t votes, std::size_t total);
+
+private:
+    struct held_vote
+    {
+        core::time_point expires{};
+        /** Start of the uninterrupted holding. */
+        core::time_point since{};
+        std::uint64_t sequence = 0;
+        bool settled = false;
+    };
+
+    void settleIfComplete();
+
+    core::duration m_lease;
+    core::duration m_settleTime;
+    bool m_active = false;
+    std::uint64_t m_sequence = 0;
+    /** Send times of the recent rounds. */
+    std::deque<std::pair<std::uint64_t, core::time_point>> m_rounds;
+    std::vector<core::node_identity> m_live;
+    std::size_t m_total = 1;
+    std::map<core::node_identity, held_vote> m_votes;
+    std::map<core::node_identity, std::uint64_t> m_refused;
+};
+
+} // namespace comfreypass::scheduling
--- /dev/null
+++ b/src/scheduling/local_dispatches.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/incarnation.h"
+#include "core/name.h"
+#include "core/time_point.h"
+#include "scheduling/permit_grant.h"
+#include "scheduling/permit_request.h"
+#include "scheduling/running_dispatch.h"
+
+#include <cstddef>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace comfreypass::scheduling {
+
+/**
+ * The entry node's own permits and dispatches, from the receipt of a permit to its release.
+ * Not thread-safe.
+ */
+class local_dispatches
+{
+public:
+    /** A permit of this node. */
+    struct entry
+    {
+        permit_grant permit;
+        core::node_identity grantor;
+        running_dispatch dispatch;
+        core::time_point validUntil{};
+        /** True once bytes may have been sent to the engine. */
+        bool started = false;
+    };
+
+    explicit local_dispatches(std::size_t capacity = 1'024);
+
+    /**
+     * Records a permit for an own request. Returns false if the table is full or the request
+     * already has a permit; the permit must then be released as not dispatched, unless it is the
+     * one recorded.
+     */
+    bool onGrant(const core::node_identity &grantor, const permit_grant &permit,
+                 const permit_request &request, core::time_point now);
+
+    /** The permit of a request, or nothing. The pointer is valid until the next change. */
+    const entry *find(core::request_id request) const;
+
+    /**
+     * Marks a permit as used. Returns false if it is unknown, used or past its validity or its
+     * deadline. The caller must also ask `vote_ledger::mayUse` at the same time.
+     */
+    bool start(core::request_id request, core::time_point now);
+
+    /** Forgets a permit or an ended dispatch and returns it. */
+    std::optional<entry> finish(core::request_id request);
+
+    /** Removes and returns the unused permits whose validity or deadline has passed. */
+    std::vector<entry> dropExpired(core::time_point now);
+
+    /** What a vote lists: dispatches that run and permits that may still be used. */
+    std::vector<running_dispatch> running(const core::upstream_name &upstream) const;
+
+    std::size_t size() const noexcept { return m_entries.size(); }
+
+private:
+    std::size_t m_capacity;
+    std::unordered_map<core::request_id, entry> m_entries;
+};
+
+} // namespace comfreypass::scheduling
