Implement the scheduling decisions

Cause: the entry node needs grants, queueing, vote leases and ramps that are safe while two nodes both believe they schedule an upstream.

A vote gained from another scheduler counts for cold engines only after that scheduler's dispatches have ended, or once all votes are held, because the dispatches may run on nodes that report to someone else. A grant names the vote it relies on, so that a later vote without it proves that it will never be used.

Measured: compiles; no test yet.

--- /dev/null
+++ b/src/scheduling/dispatch_table.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/incarnation.h"
+#include "core/name.h"
+#include "core/tier.h"
+#include "core/time_point.h"
+#include "scheduling/prefix_table.h"
+#include "scheduling/request_ref.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace comfreypass::scheduling {
+
+/**
+ * Permits and running dispatches of a pool that count against its engines, the own grants as well
+ * as those that votes report. Not thread-safe.
+ */
+class dispatch_table
+{
+public:
+    struct record
+    {
+        request_ref ref;
+        core::node_name origin;
+        core::permit_id permit = 0;
+        prefix_table::engine_id engine = 0;
+        core::tier tier = core::lowestTier;
+        core::team_name team;
+        /** On the scheduler's clock; the dispatch counts at most until then. */
+        core::time_point deadline{};
+        core::time_point since{};
+        bool small = true;
+        bool preemptible = true;
+        /** Granted by another scheduler and learned from a vote. */
+        bool foreign = false;
+        bool preempting = false;
+
+        /** Vote under which the permit was granted, and the last vote that listed it. */
+        std::uint64_t leaseSequence = 0;
+        std::uint64_t listedSequence = 0;
+
+        std::int64_t work = 0;
+        std::uint32_t rampGeneration = 0;
+        std::uint32_t cachedPrefillTokens = 0;
+        core::duration estimatedFirstToken{};
+        double slowness = 1;
+        core::time_point preemptSent{};
+    };
+
+    std::size_t size() const noexcept { return m_records.size(); }
+    std::size_t size(core::tier tier) const { return m_byTier.at(tier); }
+    const record *find(const request_ref &ref) const;
+
+    /** Precondition: the request is not in the table. */
+    void add(record item);
+    std::optional<record> remove(const request_ref &ref);
+    /** Takes out the dispatches whose deadline has passed. */
+    std::vector<record> removeExpired(core::time_point now);
+    /** Notes that a vote of this sequence listed the dispatch. */
+    void noteListed(const request_ref &ref, std::uint64_t sequence);
+    /**
+     * Takes out the dispatches of a node that its promised vote proves to be over: those that an
+     * earlier vote listed, and own grants that are void by now, unless `listed` contains them.
+     */
+    std::vector<record> removeAbsent(core::incarnation life, std::uint64_t sequence,
+                                     const std::unordered_set<request_ref> &listed);
+
+    /** True if work of a tier below `tier` runs that may be preempted. */
+    bool preemptibleBelow(core::tier tier) const;
+    /**
+     * The newest preemptible dispatch of the lowest tier below `tier` that `fits`; the newest has
+     * generated the fewest tokens. Tries a bounded number of dispatches in each tier.
+     */
+    const record *victimBelow(core::tier tier,
+                              const std::function<bool(const record &)> &fits) const;
+    void markPreempting(const request_ref &ref, core::time_point now);
+    std::size_t preempting() const noexcept { return m_preempting.size(); }
+    /** Preempted dispatches whose order was last sent before `time`; notes `now` as sent. */
+    std::vector<const record *> preemptOrdersBefore(core::time_point time, core::time_point now);
+
+private:
+    using newest_first = std::set<std::pair<core::time_point, request_ref>, std::greater<>>;
+
+    std::unordered_map<request_ref, record> m_records;
+    std::set<std::pair<core::time_point, request_ref>> m_byDeadline;
+    std::unordered_map<core::incarnation, std::unordered_set<request_ref>> m_byNode;
+    std::array<newest_first, core::tierCount> m_preemptible;
+    std::array<std::size_t, core::tierCount> m_byTier{};
+    std::set<request_ref> m_preempting;
+};
+
+} // namespace comfreypass::scheduling
--- a/src/scheduling/engine_estimate.h
+++ b/src/scheduling/engine_estimate.h
@@ -20,10 +20,12 @@
 
     void setFacts(const sheet::generation_facts &facts) { m_facts = facts; }
 
-    /** Counts a granted request; `cost` holds only the prefill that is not cached. */
-    void add(const request_cost &cost, core::time_point now);
-    /** Takes a request out again; `cost` is the value that was added. */
-    void remove(const request_cost &cost);
+    /**
+     * Counts a granted request and returns its work for `remove`; `cost` holds only the prefill
+     * that is not cached.
+     */
+    std::int64_t add(const request_cost &cost, core::time_point now);
+    void remove(std::int64_t work) noexcept { m_outstandingMicros -= work; }
 
     /** Time from a dispatch now to the first token, with the prefill that is still queued. */
     core::duration firstToken(std::uint32_t uncachedPrefill, core::time_point now) const;
@@ -32,8 +34,11 @@
     /** As `service`, on the engine without other work. */
     core::duration idleService(const request_cost &cost) const;
 
-    /** Learns from a measured first-token time; both times cover the same dispatch. */
-    void learn(core::duration measured, core::duration estimated);
+    /**
+     * Learns from a measured first-token time; the estimate and the slowness are those of the time
+     * of the grant.
+     */
+    void learn(core::duration measured, core::duration estimated, double slownessThen);
     /** Forgets the learned slowness, for a new process life of the engine. */
     void forget() noexcept { m_slowness = 1; }
 
@@ -44,7 +49,9 @@
     /** Work granted and not released, in microseconds of an engine without other work. */
     std::int64_t outstanding() const noexcept { return m_outstandingMicros; }
 
-    static constexpr std::size_t slownessClasses = 13;
+    static constexpr std::size_t slownessClasses = 17;
+    /** Lowest slowness of a class. */
+    static double lowestOfClass(std::size_t slownessClass) noexcept;
 
 private:
     double prefillMicros(std::uint32_t tokens) const;
--- a/src/scheduling/lease_holder.h
+++ b/src/scheduling/lease_holder.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <span>
 #include <utility>
 #include <vector>
@@ -27,9 +28,10 @@
     /** What a vote changed. */
     struct vote_change
     {
+        /** The vote answers a recent round of a live node; others tell nothing. */
+        bool recent = false;
+        /** The vote was not held before. */
         bool gained = false;
-        /** Sequence of the poll that the vote answers, zero if the vote is not counted. */
-        std::uint64_t sequence = 0;
     };
 
     lease_holder(core::duration lease, core::duration longestColdDispatch);
@@ -59,14 +61,19 @@
     /** Drops the votes that have expired and returns their nodes. */
     std::vector<core::node_identity> expire(core::time_point now);
 
+    bool isLive(const core::node_identity &node) const;
     bool holds(const core::node_identity &node) const { return m_votes.contains(node); }
     /** Sequence of the last poll that the node answered. Precondition: its vote is held. */
     std::uint64_t sequenceOf(const core::node_identity &node) const;
     std::span<const core::node_identity> live() const noexcept { return m_live; }
+    /** True once a poll round was started. */
+    bool inRound() const noexcept { return m_active && !m_rounds.empty(); }
     std::uint64_t round() const noexcept { return m_sequence; }
 
     std::size_t held() const noexcept { return m_votes.size(); }
     std::size_t total() const noexcept { return m_total; }
+    /** True if the node, when it last answered, held or wanted another scheduler. */
+    bool refuses(const core::node_identity &node) const { return m_refused.contains(node); }
     std::size_t refused() const noexcept { return m_refused.size(); }
     /** Votes under which no other scheduler's dispatch can still run unknown to this one. */
     std::size_t settled(core::time_point now) const;
@@ -87,6 +94,7 @@
     void settleIfComplete();
 
     core::duration m_lease;
+    core::duration m_pollInterval;
     core::duration m_settleTime;
     bool m_active = false;
     std::uint64_t m_sequence = 0;
@@ -95,7 +103,9 @@
     std::vector<core::node_identity> m_live;
     std::size_t m_total = 1;
     std::map<core::node_identity, held_vote> m_votes;
-    std::map<core::node_identity, std::uint64_t> m_refused;
+    std::set<core::node_identity> m_refused;
+    /** No vote expires before this time. */
+    core::time_point m_earliestExpiry = core::time_point::max();
 };
 
 } // namespace comfreypass::scheduling
--- a/src/scheduling/pool_scheduler.h
+++ b/src/scheduling/pool_scheduler.h
@@ -3,26 +3,35 @@
 #include "core/incarnation.h"
 #include "core/name.h"
 #include "core/time_point.h"
+#include "scheduling/dispatch_table.h"
 #include "scheduling/engine_explanation.h"
+#include "scheduling/engine_table.h"
+#include "scheduling/lease_holder.h"
 #include "scheduling/lease_vote.h"
 #include "scheduling/load_report.h"
 #include "scheduling/outgoing.h"
 #include "scheduling/permit_release.h"
 #include "scheduling/permit_request.h"
 #include "scheduling/pool_snapshot.h"
+#include "scheduling/refusal_reason.h"
+#include "scheduling/request_ref.h"
 #include "scheduling/scheduler_options.h"
+#include "scheduling/tier_queue.h"
 #include "sheet/engine_info.h"
 #include "sheet/sheet.h"
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace comfreypass::scheduling {
 
-class pool_state;
-
 /**
  * Schedules one upstream: holds votes, queues requests, and grants permits within the vote share.
  *
@@ -35,16 +44,13 @@
 public:
     /** The scheduler is inactive, and refuses requests, until `start`. */
     explicit pool_scheduler(core::upstream_name upstream, scheduler_options options = {});
-    ~pool_scheduler();
-    pool_scheduler(pool_scheduler &&) noexcept;
-    pool_scheduler &operator=(pool_scheduler &&) noexcept;
 
     /** Begins to poll. Within one lease after `stepDown` it takes effect only when that has passed.
      */
     std::vector<outgoing> start(core::time_point now);
     /** Returns all votes, refuses what is queued and grants nothing more until `start`. */
     std::vector<outgoing> stepDown(core::time_point now);
-    bool active() const;
+    bool active() const noexcept { return m_lease.active(); }
 
     std::vector<outgoing> setSheet(std::shared_ptr<const sheet::sheet> sheet, core::time_point now);
     /** Sets the instances of the upstream; instances of others in the list are skipped. */
@@ -72,7 +78,67 @@
                                             core::time_point now) const;
 
 private:
-    std::unique_ptr<pool_state> m_state;
+    using outbox = std::vector<outgoing>;
+
+    void startIfDue(core::time_point now, outbox &out);
+    void pollLive(core::time_point now, outbox &out);
+    lease_poll makePoll(std::uint64_t sequence, std::vector<ramp_state> ramps) const;
+    std::size_t totalNodes() const;
+    void updateShares(core::time_point now);
+    /** Applies what has expired since the last step. */
+    void advance(core::time_point now, outbox &out);
+
+    std::optional<refusal_reason> refusalFor(const core::node_identity &from,
+                                             const permit_request &request) const;
+    engine_table::demand demandOf(const permit_request &request, core::time_point now) const;
+    bool isSmall(const request_cost &cost) const;
+    /** Makes room in a full queue; returns false if the request is refused for capacity. */
+    bool makeRoom(const permit_request &request, core::time_point now, outbox &out);
+    void enqueue(const core::node_identity &from, const permit_request &request,
+                 core::time_point latestStart);
+
+    void dispatchQueued(core::time_point now, outbox &out);
+    bool grantNext(core::tier tier, core::time_point now, outbox &out);
+    void grant(queued_request item, const engine_table::choice &choice, core::time_point now,
+               outbox &out);
+    permit_grant grantOf(const dispatch_table::record &item) const;
+    void refuse(const queued_request &item, refusal_reason reason, outbox &out);
+    /** Refuses a request that was queued. */
+    void dropQueued(const queued_request &item, refusal_reason reason, outbox &out);
+    void refuseAll(std::span<const queued_request> items, refusal_reason reason, outbox &out);
+
+    void preemptUrgent(core::time_point now, outbox &out);
+    void preempt(const dispatch_table::record &victim, core::time_point now, outbox &out);
+    preempt_order orderFor(const dispatch_table::record &victim) const;
+
+    void importRamps(std::span<const ramp_state> states);
+    void adoptRunning(const core::node_identity &from, const lease_vote &vote,
+                      core::time_point now);
+    void learn(const dispatch_table::record &item, const permit_release &release);
+    /** Frees the place of a dispatch that is over. */
+    void settle(const dispatch_table::record &item, core::time_point now, outbox &out);
+    void serveClaimant(const request_ref &claimant, core::time_point now, outbox &out);
+    void countInFlight(const core::team_name &team, core::tier tier, int change);
+
+    core::upstream_name m_upstream;
+    scheduler_options m_options;
+    std::shared_ptr<const sheet::sheet> m_sheet;
+    std::size_t m_listedNodes = 1;
+
+    lease_holder m_lease;
+    tier_queue m_queue;
+    engine_table m_engines;
+    dispatch_table m_dispatches;
+    /** Requests queued or running, by team and tier. */
+    std::unordered_map<core::team_name, std::array<std::uint32_t, core::tierCount>> m_inFlight;
+    /** Preempted dispatches and the waiting requests that are to get their places. */
+    std::unordered_map<request_ref, request_ref> m_claimants;
+    std::unordered_set<request_ref> m_claiming;
+
+    bool m_startWanted = false;
+    core::time_point m_mayStart{};
+    core::permit_id m_lastPermit = 0;
+    pool_snapshot m_counters;
 };
 
 } // namespace comfreypass::scheduling
--- a/src/scheduling/pool_snapshot.h
+++ b/src/scheduling/pool_snapshot.h
@@ -2,6 +2,7 @@
 
 #include "core/name.h"
 #include "core/tier.h"
+#include "scheduling/refusal_reason.h"
 
 #include <array>
 #include <cstddef>
@@ -31,6 +32,8 @@
     std::array<std::size_t, core::tierCount> running{};
     std::vector<engine> engines;
     std::size_t votesHeld = 0;
+    /** Votes of them that count for cold engines. */
+    std::size_t votesSettled = 0;
     /** Denominator of the vote shares. */
     std::size_t votesTotal = 0;
     /** Nodes that refused the last poll because they hold or want another scheduler. */
@@ -38,9 +41,8 @@
     bool active = false;
 
     std::uint64_t granted = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t displaced = 0;
-    std::uint64_t deadlineUnreachable = 0;
+    /** Refusals by `refusal_reason`. */
+    std::array<std::uint64_t, refusalReasonCount> refused{};
     std::uint64_t preempted = 0;
 };
 
--- /dev/null
+++ b/src/scheduling/prefix_table.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace comfreypass::scheduling {
+
+/**
+ * Bounded table of the engine that last got a prompt prefix. A newer prefix overwrites an older one
+ * of the same place. Entries are hints. Not thread-safe.
+ */
+class prefix_table
+{
+public:
+    using engine_id = std::uint32_t;
+
+    /** The longest known prefix of a request. */
+    struct match
+    {
+        engine_id engine = 0;
+        /** Hashes of the request that are covered, counted from the shortest prefix. */
+        std::size_t hashes = 0;
+    };
+
+    explicit prefix_table(std::size_t capacity = 32'768);
+
+    /** Finds the longest known prefix; `hashes` are ordered from the shortest prefix. */
+    std::optional<match> find(std::span<const std::uint64_t> hashes) const;
+    void insert(std::span<const std::uint64_t> hashes, engine_id engine);
+
+private:
+    struct place
+    {
+        std::uint64_t hash = 0;
+        engine_id engine = 0;
+    };
+
+    std::vector<place> m_places;
+};
+
+} // namespace comfreypass::scheduling
--- a/src/scheduling/ramp.h
+++ b/src/scheduling/ramp.h
@@ -29,7 +29,10 @@
     /** Number of resets; responses to dispatches from before a reset are no evidence. */
     std::uint32_t generation() const noexcept;
 
-    /** Takes new slots from the sheet; the limit never grows by this unless the engine was warm. */
+    /**
+     * Takes new slots from the sheet; the limit may fall by this but never grows,
+     * except to the cold slots before the first evidence.
+     */
     void setSlots(std::uint32_t slots, std::uint32_t coldSlots);
 
     /** A response completed in time; `generation` is the value at the time of the grant. */
@@ -54,6 +57,8 @@
     std::uint32_t m_slots;
     std::uint32_t m_coldSlots;
     std::uint32_t m_slowFirstTokens = 0;
+    /** Epoch and flag of the last load report; zero before the first. */
+    std::uint64_t m_reportedEpoch = 0;
     bool m_reportedCold = false;
 };
 
--- a/src/scheduling/refusal_reason.h
+++ b/src/scheduling/refusal_reason.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -16,6 +17,8 @@
     LeaseLost,
 };
 
+constexpr std::size_t refusalReasonCount = 7;
+
 /** Stable lower-case word for a reason, as it appears in problem documents, logs and metrics. */
 std::string_view toString(refusal_reason reason) noexcept;
 
--- a/src/scheduling/tier_queue.h
+++ b/src/scheduling/tier_queue.h
@@ -23,7 +23,7 @@
 struct queued_request
 {
     request_ref ref;
-    core::node_name origin;
+    core::node_identity origin;
     permit_request request;
     /** The deadline cannot be met by a start after this time. */
     core::time_point latestStart{};
@@ -48,7 +48,9 @@
     std::size_t size(core::tier tier) const { return m_newest.at(tier).size(); }
     bool contains(const request_ref &ref) const { return m_entries.contains(ref); }
 
-    /** Precondition: the queue is not full and does not contain the request; the weight is over 0.
+    /**
+     * Precondition: the queue does not contain the request, and the weight is over 0. The caller
+     * checks `full` first and may exceed the bound by requests whose place is being freed.
      */
     void push(queued_request request, double teamWeight);
 
@@ -57,7 +59,11 @@
     /** Takes the head out and charges its cost to its team. Precondition: there is a head. */
     queued_request pop(core::tier tier, lane which);
 
+    /** A request that is in its lane; null if it is absent or its node suspended. */
+    const queued_request *findOffered(const request_ref &ref) const;
     std::optional<queued_request> remove(const request_ref &ref);
+    /** The lowest tier that waits. */
+    std::optional<core::tier> lowestTier() const;
     /** Takes out the newest request of the lowest tier present, if that tier is below `above`. */
     std::optional<queued_request> displaceBelow(core::tier above);
     /** Takes out the requests whose latest start is before `now`. */
@@ -94,7 +100,8 @@
     struct lane_queue
     {
         std::unordered_map<core::team_name, team_queue> teams;
-        std::set<std::pair<double, core::team_name>> active;
+        /** Teams with requests by start tag; a map keeps its nodes in place. */
+        std::set<std::pair<double, team_queue *>> active;
         double virtualTime = 0;
     };
 
--- a/src/scheduling/vote_ledger.h
+++ b/src/scheduling/vote_ledger.h
@@ -29,10 +29,7 @@
 {
 public:
     /** `start` is when the process started: promises of an earlier life may last one lease more. */
-    vote_ledger(core::time_point start, core::duration longestLease = defaultLease);
-
-    /** Nodes that may be schedulers, for the ranking of pollers. */
-    void setNodes(std::span<const core::node_name> live);
+    explicit vote_ledger(core::time_point start, core::duration longestLease = defaultLease);
 
     /**
      * Answers a poll. `running` lists what the node runs or may still dispatch on the upstream.
@@ -77,18 +74,17 @@
         std::map<core::engine_name, ramp_state> ramps;
     };
 
-    bool ranksBefore(const core::upstream_name &upstream, const core::node_name &left,
-                     const core::node_name &right) const;
-    std::optional<core::node_name> refusalFor(const upstream_entry &entry,
+    std::optional<core::node_name> refusalFor(upstream_entry &entry,
                                               const core::node_identity &from,
                                               const lease_poll &poll, core::time_point now) const;
+    static std::uint64_t answeredSequence(const upstream_entry &entry,
+                                          const core::node_identity &from);
     static void promiseTo(upstream_entry &entry, const core::node_identity &from,
                           const lease_poll &poll, core::time_point now);
     static void keepRamps(upstream_entry &entry, std::span<const ramp_state> ramps);
 
     core::time_point m_firstVote;
     core::duration m_longestLease;
-    std::vector<core::node_name> m_nodes;
     std::unordered_map<core::upstream_name, upstream_entry> m_upstreams;
 };
 
