Declare the membership library's interface

Cause: other libraries build against it while it is being written.

Measured: headers compile on their own (g++ -fsyntax-only).

--- /dev/null
+++ b/src/membership/outgoing_message.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/name.h"
+#include "membership/ack.h"
+#include "membership/ping.h"
+#include "membership/sheet_chunk.h"
+#include "membership/sheet_patch.h"
+#include "membership/sheet_request.h"
+#include "membership/view_sync.h"
+
+#include <variant>
+
+namespace comfreypass::membership {
+
+/** Messages that the membership protocol sends. */
+using membership_message
+    = std::variant<ping, ack, view_sync, sheet_request, sheet_patch, sheet_chunk>;
+
+/** A message and the node it goes to. */
+struct outgoing_message
+{
+    core::node_name to;
+    membership_message message;
+};
+
+} // namespace comfreypass::membership
--- /dev/null
+++ b/src/membership/service_readers.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/name.h"
+#include "core/time_point.h"
+#include "membership/member.h"
+#include "membership/membership_settings.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace comfreypass::membership {
+
+/**
+ * Decides which nodes read the configuration service and when this node does. Not thread-safe.
+ *
+ * A constant number of readers reads regularly. Another node reads only when it has heard of no
+ * confirmation for a while; its pauses grow with the size of its component and with each failure,
+ * so the fleet's call rate stays bounded also when the service is down.
+ */
+class service_readers
+{
+public:
+    service_readers(core::node_name self, membership_settings settings);
+
+    /** Chooses the readers from the live members: first one of each failure domain, by rank. */
+    void choose(std::span<const member *const> live);
+    const std::vector<core::node_name> &readers() const noexcept { return m_readers; }
+    bool isReader() const;
+
+    /** True if the owner shall start a read now. */
+    bool shouldRead(core::time_point now, std::uint64_t random,
+                    std::optional<core::duration> confirmationAge, std::size_t liveNodes);
+    void onReadSucceeded(core::time_point now);
+    void onReadFailed(core::time_point now);
+
+private:
+    core::node_name m_self;
+    membership_settings m_settings;
+    std::vector<core::node_name> m_readers;
+    std::optional<core::time_point> m_startedAt;
+    core::time_point m_nextRead;
+    std::optional<core::time_point> m_selfReadAt;
+    std::uint32_t m_failures = 0;
+};
+
+} // namespace comfreypass::membership
--- /dev/null
+++ b/src/sheet/sheet_document.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/result.h"
+#include "sheet/sheet.h"
+#include "sheet/sheet_key.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace comfreypass::sheet {
+
+/** Parses and validates the text of a sheet. */
+using sheet_parser
+    = std::function<core::result<std::shared_ptr<const sheet>>(std::string_view text)>;
+
+/**
+ * An accepted sheet: canonical text, key and parsed model. Immutable and thread-safe to read.
+ *
+ * The canonical text has no comments, no optional spaces and sorted keys, so that documents with
+ * equal content have equal digests on every node, whichever way they arrived.
+ */
+class sheet_document
+{
+public:
+    /** Deepest nesting of a document that is accepted. */
+    static constexpr std::size_t maxDepth = 32;
+
+    /**
+     * Reads a document as operators write it (comments and trailing commas are allowed).
+     *
+     * Errors: TooLarge over maxSheetBytes, ParseFailed for text that is not JSON, and the errors of
+     * `parser`.
+     */
+    static core::result<sheet_document> create(std::string_view text, std::uint64_t serviceIndex,
+                                               const sheet_parser &parser);
+
+    /** Reads JSON as operators write it. Errors: TooLarge, ParseFailed. Thread-safe. */
+    static core::result<boost::json::value> parseJson(std::string_view text);
+
+    /** JSON text with sorted keys and without optional spaces. Thread-safe. */
+    static std::string canonicalText(const boost::json::value &value);
+
+    const std::string &text() const noexcept { return m_text; }
+    const sheet_key &key() const noexcept { return m_key; }
+    const std::shared_ptr<const sheet> &model() const noexcept { return m_model; }
+
+    /** The same document under a later index of the service. */
+    sheet_document withServiceIndex(std::uint64_t serviceIndex) const;
+
+private:
+    sheet_document(std::string text, sheet_key key, std::shared_ptr<const sheet> model);
+
+    std::string m_text;
+    sheet_key m_key;
+    std::shared_ptr<const sheet> m_model;
+};
+
+} // namespace comfreypass::sheet
