--- /dev/null
+++ b/src/membership/confirmation.cpp
@@ -0,0 +1,45 @@
+#include "membership/confirmation.h"
+
+#include <algorithm>
+
+namespace comfreypass::membership {
+
+void confirmation::onServiceRead(const sheet::sheet_key &newest, const sheet::sheet_key &own,
+                                 core::time_point asOf)
+{
+    // A smaller key means that the service is stale: it says nothing about newer sheets. A greater
+    // one that is not in force here means that this node is behind.
+    if (newest == own)
+        raise(asOf);
+}
+
+void confirmation::onAck(const sheet::sheet_key &theirs, const sheet::sheet_key &own,
+                         std::optional<core::duration> theirAge, core::time_point pingSentAt)
+{
+    if (!theirAge || *theirAge < core::duration::zero() || theirs > own)
+        return;
+    raise(pingSentAt - *theirAge);
+}
+
+void confirmation::expire(core::time_point now)
+{
+    m_knownAt.reset();
+    m_notBefore = now;
+}
+
+std::optional<core::duration> confirmation::age(core::time_point now) const
+{
+    if (!m_knownAt)
+        return std::nullopt;
+    return std::max(now - *m_knownAt, core::duration::zero());
+}
+
+void confirmation::raise(core::time_point knownAt)
+{
+    if (m_notBefore && knownAt < *m_notBefore)
+        return;
+    if (!m_knownAt || knownAt > *m_knownAt)
+        m_knownAt = knownAt;
+}
+
+} // namespace comfreypass::membership
--- a/src/membership/membership_agent.h
+++ b/src/membership/membership_agent.h
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -126,16 +127,23 @@
                                         core::time_point now) const;
 
 private:
+    /** False for a message of a past incarnation or of this node's own name. */
     bool acceptSender(const core::node_identity &from) const;
+    bool isKnown(const core::node_identity &from) const;
     void mergeUpdates(std::span<const member> updates, bool fromSync, core::time_point now,
                       agent_actions &actions);
     void mergeOne(const member &update, bool fromSync, core::time_point now,
                   agent_actions &actions);
     void onSuperseded(const member &update, core::time_point now, agent_actions &actions);
+    void onStateChange(const member &record, member_state before, core::time_point now,
+                       agent_actions &actions);
+    void suspect(std::span<const core::node_name> names, core::time_point now,
+                 agent_actions &actions);
     void expireSuspicions(std::span<const core::node_name> names, core::time_point now,
                           agent_actions &actions);
     std::vector<member> updatesFor(const core::node_name &to, std::uint64_t theirDigest,
                                    core::time_point now);
+    void pingNeighbours(core::time_point now, agent_actions &actions);
     void sendPing(const core::node_name &to, core::time_point now, agent_actions &actions);
     void sendView(const core::node_name &to, bool answerWanted, core::time_point now,
                   agent_actions &actions);
@@ -146,6 +154,7 @@
                   core::time_point now, agent_actions &actions);
     void reportOffer(const sheet_store::offer_result &result, const core::node_identity &from,
                      core::time_point now, agent_actions &actions);
+    bool majorityReachable(core::time_point now) const;
     void queueUpdate(const core::node_name &name);
     bool inService(const core::domain_name &domain) const;
 
@@ -165,8 +174,13 @@
     core::time_point m_nextViewSync;
     core::time_point m_nextDeadProbe;
     core::time_point m_nextEpochRefresh;
-    bool m_peerAnswered = false;
+    core::time_point m_nextRemoval;
+    std::uint64_t m_readersDigest = 0;
+    /** Hash of the service's value that was last rejected; it is not parsed and reported again. */
+    std::optional<std::uint64_t> m_rejectedValue;
+    std::optional<core::time_point> m_firstAnswerAt;
     bool m_synced = false;
+    bool m_wasReady = false;
     bool m_superseded = false;
 };
 
--- /dev/null
+++ b/src/membership/overlay.cpp
@@ -0,0 +1,77 @@
+#include "membership/overlay.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace comfreypass::membership {
+
+namespace {
+
+void sortUnique(std::vector<core::node_name> &names)
+{
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+}
+
+} // namespace
+
+overlay::overlay(core::node_name self) : m_self(std::move(self)) { }
+
+void overlay::rebuild(std::span<const core::node_name> nodes)
+{
+    m_neighbours.clear();
+    m_successors.clear();
+    m_predecessors.clear();
+    std::vector<const core::node_name *> others;
+    others.reserve(nodes.size());
+    for (const core::node_name &node : nodes) {
+        if (node != m_self)
+            others.push_back(&node);
+    }
+    if (others.empty())
+        return;
+
+    // A place on a ring is (hash, name); the name separates equal hashes.
+    using place = std::pair<std::uint64_t, const core::node_name *>;
+    const auto before = [](const place &left, const place &right) {
+        return std::tie(left.first, *left.second) < std::tie(right.first, *right.second);
+    };
+    for (std::size_t ring = 0; ring < ringCount; ++ring) {
+        const place own{core::hash64(m_self.text(), ring), &m_self};
+        std::optional<place> lowest;
+        std::optional<place> highest;
+        std::optional<place> next;
+        std::optional<place> previous;
+        for (const core::node_name *other : others) {
+            const place there{core::hash64(other->text(), ring), other};
+            if (!lowest || before(there, *lowest))
+                lowest = there;
+            if (!highest || before(*highest, there))
+                highest = there;
+            if (before(own, there) && (!next || before(there, *next)))
+                next = there;
+            if (before(there, own) && (!previous || before(*previous, there)))
+                previous = there;
+        }
+        m_successors.push_back(*next.value_or(*lowest).second);
+        m_predecessors.push_back(*previous.value_or(*highest).second);
+    }
+    sortUnique(m_successors);
+    sortUnique(m_predecessors);
+
+    if (others.size() < fullMeshNodes) {
+        for (const core::node_name *other : others)
+            m_neighbours.push_back(*other);
+    } else {
+        m_neighbours = m_successors;
+        m_neighbours.insert(m_neighbours.end(), m_predecessors.begin(), m_predecessors.end());
+    }
+    sortUnique(m_neighbours);
+}
+
+} // namespace comfreypass::membership
--- a/src/membership/sheet_dissemination.h
+++ b/src/membership/sheet_dissemination.h
@@ -26,6 +26,9 @@
     static constexpr std::size_t chunkBytes = 16 * 1'024;
     /** Larger patches are replaced by chunks, which bound the size of a message. */
     static constexpr std::size_t maxPatchBytes = 64 * 1'024;
+    /** A neighbour whose document was not usable is not asked for the same one again before this.
+     */
+    static constexpr core::duration unusablePause = std::chrono::seconds(10);
 
     struct step
     {
@@ -62,6 +65,12 @@
         core::time_point lastProgress;
     };
 
+    struct unusable_document
+    {
+        sheet::sheet_key key;
+        core::time_point until;
+    };
+
     step request(core::time_point now);
     step finish(sheet_store::offer_result result, const core::node_name &from,
                 const sheet::sheet_key &target, core::time_point now);
@@ -70,9 +79,11 @@
     membership_settings m_settings;
     /** Keys of neighbours that are ahead. */
     std::map<core::node_name, sheet::sheet_key> m_ahead;
-    /** Neighbours that did not answer or whose document was not usable since the last new sheet. */
+    /** Neighbours that did not answer since the last new sheet. */
     std::set<core::node_name> m_tried;
-    /** Neighbours whose patch did not give the announced sheet. */
+    /** Neighbours whose whole document was not the announced sheet or not valid. */
+    std::map<core::node_name, unusable_document> m_unusable;
+    /** True after a patch did not give the announced sheet. */
     bool m_wholeNext = false;
     std::optional<transfer> m_transfer;
 };
