Declare the claim, witness and peer transport interfaces

Cause: the entry node is written against these interfaces while their code is being written.

Change: headers of src/idempotency and src/transport; empty sources. cppzmq-dev is added to the packages for its socket and message types.

Conclusion: names and signatures can be used from now on.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
 packages=(
     g++ cmake ninja-build ccache pkg-config git
     clang-format clang-tidy
-    libace-dev libzmq3-dev libprotobuf-dev protobuf-compiler
+    libace-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler
     libboost1.81-dev libboost-json1.81-dev libboost-log1.81-dev
     libcli11-dev libmicrohttpd-dev libcurl4-openssl-dev
     libcppunit-dev librapidcheck-dev libclang-rt-14-dev
--- /dev/null
+++ b/src/idempotency/claim_round.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/claim_round.h"
--- /dev/null
+++ b/src/idempotency/claim_round.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/incarnation.h"
+#include "core/time_point.h"
+#include "idempotency/claim_outcome.h"
+#include "idempotency/claim_reply.h"
+#include "idempotency/claim_settings.h"
+#include "idempotency/outgoing_claim.h"
+#include "idempotency/request_key.h"
+#include "idempotency/witness_token.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace comfreypass::idempotency {
+
+/** One attempt of one node to own one request. Not thread-safe. */
+class claim_round
+{
+public:
+    /**
+     * Ends at `now` plus the round's timeout or at `deadline`, whichever is earlier. The round has
+     * failed from the beginning if the token names fewer witnesses than a majority. `sequence`
+     * must differ from that of every other round of this incarnation.
+     */
+    claim_round(core::node_identity self, const request_key &key, const witness_token &token,
+                std::uint64_t sequence, const claim_settings &settings, core::time_point now,
+                core::time_point deadline);
+
+    /** Messages that are due at `now`: the first claims, then repeats to silent witnesses. */
+    std::vector<outgoing_claim> due(core::time_point now);
+
+    /** Takes the reply of a witness. Replies of strangers and to other rounds change nothing. */
+    void onReply(const core::node_identity &sender, const claim_reply &reply);
+
+    /** Fails the round if its time is over. */
+    void onTime(core::time_point now);
+
+    /** When due() or onTime() must be called next. */
+    core::time_point nextTime() const noexcept;
+
+    claim_outcome outcome() const;
+
+private:
+    struct ballot
+    {
+        witness_ref witness;
+        std::optional<claim_verdict> verdict;
+        core::node_identity owner;
+    };
+
+    bool isAnswer(const ballot &entry, const core::node_identity &sender,
+                  const claim_reply &reply) const;
+    void decide();
+
+    core::node_identity m_self;
+    request_key m_key;
+    std::uint64_t m_sequence;
+    core::duration m_repeatAfter;
+    core::time_point m_end;
+    core::time_point m_nextSend;
+    std::vector<ballot> m_ballots;
+    claim_decision m_decision = claim_decision::Open;
+};
+
+} // namespace comfreypass::idempotency
--- /dev/null
+++ b/src/idempotency/claim_table.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/claim_table.h"
--- /dev/null
+++ b/src/idempotency/outgoing_claim.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/name.h"
+#include "idempotency/claim.h"
+
+namespace comfreypass::idempotency {
+
+/** A claim to be sent. The receiver may be the sending node itself, which is then its own witness.
+ */
+struct outgoing_claim
+{
+    core::node_name to;
+    claim message;
+
+    bool operator==(const outgoing_claim &) const = default;
+};
+
+} // namespace comfreypass::idempotency
--- a/src/idempotency/request_key.h
+++ b/src/idempotency/request_key.h
@@ -3,7 +3,9 @@
 #include "core/name.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string_view>
 
 namespace comfreypass::idempotency {
@@ -25,3 +27,13 @@
                            std::string_view callerKey);
 
 } // namespace comfreypass::idempotency
+
+template<>
+struct std::hash<comfreypass::idempotency::request_key>
+{
+    /** Keys are uniform already, as they are cut from a cryptographic hash. */
+    std::size_t operator()(const comfreypass::idempotency::request_key &key) const noexcept
+    {
+        return key.high ^ key.low;
+    }
+};
--- /dev/null
+++ b/src/idempotency/response_store.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/response_store.h"
--- /dev/null
+++ b/src/idempotency/witness_ref.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/incarnation.h"
+
+#include <cstdint>
+
+namespace comfreypass::idempotency {
+
+/** A witness as a token names it. A claim is valid at this incarnation and for this epoch only. */
+struct witness_ref
+{
+    core::node_identity node;
+    std::uint64_t epoch = 0;
+
+    bool operator==(const witness_ref &) const = default;
+};
+
+} // namespace comfreypass::idempotency
--- /dev/null
+++ b/src/idempotency/witness_settings.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/time_point.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace comfreypass::idempotency {
+
+/** Bounds of a witness; equal on all nodes of a fleet. */
+struct witness_settings
+{
+    core::duration epochLength = std::chrono::seconds{60};
+    /** Epochs before the present one whose claims are still accepted. */
+    std::uint64_t earlierEpochs = 9;
+    std::size_t maxRecords = 65'536;
+};
+
+} // namespace comfreypass::idempotency
--- /dev/null
+++ b/src/idempotency/witness_store.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/witness_store.h"
--- /dev/null
+++ b/src/transport/peer_transport.cpp
@@ -0,0 +1,1 @@
+#include "transport/peer_transport.h"
--- /dev/null
+++ b/src/transport/peer_transport.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/name.h"
+#include "core/result.h"
+#include "transport/peer_counters.h"
+#include "transport/peer_handler.h"
+#include "transport/peer_transport_settings.h"
+#include "wire/peer_message.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+class ACE_Reactor;
+
+namespace comfreypass::transport {
+
+/** Largest encoded message; a connection that sends a larger one is closed. */
+constexpr std::size_t maxMessageBytes = 65'536;
+
+/**
+ * Messages between nodes over ZeroMQ, driven by an ACE reactor.
+ *
+ * Messages may be lost, and messages of different connections may overtake each other. Incarnations
+ * are random numbers without an order, so the transport cannot tell which of two is past: it drops
+ * only those that the receiver has retired, and leaves the rest to the receiver. All methods must
+ * be called in the reactor's thread.
+ */
+class peer_transport
+{
+public:
+    /** Reactor and handler must outlive the object. */
+    peer_transport(ACE_Reactor &reactor, peer_transport_settings settings, peer_handler &handler);
+    ~peer_transport();
+
+    peer_transport(const peer_transport &) = delete;
+    peer_transport &operator=(const peer_transport &) = delete;
+
+    /** Binds the address and begins to receive. Errors: Io if the address cannot be bound. */
+    core::result<void> open();
+
+    /** Sends what is queued for at most the linger time, and closes all sockets. */
+    void close();
+
+    /** The bound ip:port; empty unless open. */
+    const std::string &address() const noexcept;
+
+    /** Sets the ip:port of a peer; a connection to another address of it is closed. */
+    void setPeer(const core::node_name &name, std::string_view address);
+
+    /** Forgets a peer; what is queued for it is dropped. */
+    void removePeer(const core::node_name &name);
+
+    /** Drops and counts all further messages of a past incarnation. The latest 1,024 are kept. */
+    void retire(const core::node_identity &past);
+
+    /**
+     * Queues a message; connects first if needed. Absolute deadlines become remaining times when
+     * the message is handed to ZeroMQ, at `now` if the peer is connected. False if the message was
+     * dropped, which is counted: no address, queue full, or too large.
+     */
+    bool send(const core::node_name &to, const wire::peer_message &message, core::time_point now);
+
+    const peer_counters &counters() const noexcept;
+
+    /** Outgoing connections, made or being made. */
+    std::size_t connections() const noexcept;
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace comfreypass::transport
