--- a/src/transport/peer_transport.h
+++ b/src/transport/peer_transport.h
@@ -16,9 +16,6 @@
 
 namespace comfreypass::transport {
 
-/** Largest encoded message; a connection that sends a larger one is closed. */
-constexpr std::size_t maxMessageBytes = 65'536;
-
 /**
  * Messages between nodes over ZeroMQ, driven by an ACE reactor.
  *
