Record claims at witnesses and decide claim rounds

Cause: the at-most-once rule had messages but no code.

A Failed round that saw another owner reports it, and claim_outcome::notRun() is then false: that owner may still win at the witness that did not answer. A record lives until the latest epoch named in any claim for its key is out of the window, so a newer token cannot let a second owner in. claim_table keeps dispatched keys for 660 s: a witness accepts the same owner again, so a node that forgot the dispatch could win twice.

--- a/src/idempotency/claim_settings.h
+++ b/src/idempotency/claim_settings.h
@@ -20,6 +20,8 @@
      * One epoch more allows for clocks that differ by 10% in rate.
      */
     core::duration retention = std::chrono::seconds{660};
+    /** A dispatch that still runs after its retention is looked at again after this time. */
+    core::duration runningRecheck = std::chrono::seconds{60};
     std::size_t maxOpenRounds = 1'024;
     /** Keys in all states together; at 660 s of retention this is 99 requests/s. */
     std::size_t maxKeys = 65'536;
--- a/src/idempotency/claim_table.h
+++ b/src/idempotency/claim_table.h
@@ -38,7 +38,7 @@
 
     /** Takes a reply; returns the outcome if it ends a round. */
     std::optional<claim_outcome> onReply(const core::node_identity &sender,
-                                         const claim_reply &reply, core::time_point now);
+                                         const claim_reply &reply);
 
     /** Repeats lost messages, ends rounds whose time is over and forgets old keys. */
     claim_step onTime(core::time_point now);
@@ -63,7 +63,7 @@
     void abandon(const request_key &key);
 
     /** Dispatched -> Finished. */
-    void finish(const request_key &key, core::time_point now);
+    void finish(const request_key &key);
 
     std::size_t openRounds() const noexcept { return m_keyOfRound.size(); }
     std::size_t size() const noexcept { return m_keys.size(); }
--- /dev/null
+++ b/tests/idempotency/claim_round_test.cpp
@@ -0,0 +1,150 @@
+#include "idempotency/claim_round.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace comfreypass::core;
+using namespace comfreypass::idempotency;
+using namespace std::chrono_literals;
+
+class claim_round_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(claim_round_test);
+    CPPUNIT_TEST(twoAcceptancesWin);
+    CPPUNIT_TEST(oneWitnessAnsweringTwiceIsNoMajority);
+    CPPUNIT_TEST(repliesThatProveNothingAreIgnored);
+    CPPUNIT_TEST(sameOwnerTwiceLoses);
+    CPPUNIT_TEST(splitVotesAreNeverNotRun);
+    CPPUNIT_TEST(silentWitnessesAreAskedAgainUntilTheEnd);
+    CPPUNIT_TEST(deadlineEndsTheRound);
+    CPPUNIT_TEST(tooFewWitnessesFailAtOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a round that waits for a third witness that is down.
+    void twoAcceptancesWin()
+    {
+        claim_round round = makeRound(3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, round.due(start).size());
+        round.onReply(witness(0), accepted());
+        assertDecision(claim_decision::Open, round);
+        round.onReply(witness(2), accepted());
+        assertDecision(claim_decision::Won, round);
+        CPPUNIT_ASSERT(!round.outcome().notRun());
+    }
+
+    // Guards against a duplicated reply that counts as a second vote.
+    void oneWitnessAnsweringTwiceIsNoMajority()
+    {
+        claim_round round = makeRound(3);
+        round.onReply(witness(0), accepted());
+        round.onReply(witness(0), accepted());
+        assertDecision(claim_decision::Open, round);
+    }
+
+    // Guards against votes of strangers, of other rounds and of restarted witnesses.
+    void repliesThatProveNothingAreIgnored()
+    {
+        claim_round round = makeRound(3);
+        round.onReply(witness(0), accepted());
+        round.onReply({node_name{"stranger"}, 1}, accepted());
+        round.onReply({witness(1).name, witness(1).life + 1}, accepted());
+        round.onReply(witness(1), {sequence + 1, claim_verdict::Accepted, self});
+        round.onReply(witness(1), {sequence, claim_verdict::Accepted, other});
+        round.onReply(witness(1), {sequence, claim_verdict::OwnedByOther, self});
+        assertDecision(claim_decision::Open, round);
+    }
+
+    // Guards against a loser that waits for its timeout or does not know the owner.
+    void sameOwnerTwiceLoses()
+    {
+        claim_round round = makeRound(3);
+        round.onReply(witness(0), ownedBy(other));
+        round.onReply(witness(1), ownedBy(other));
+        assertDecision(claim_decision::Lost, round);
+        CPPUNIT_ASSERT(round.outcome().otherOwner == other);
+        CPPUNIT_ASSERT(!round.outcome().notRun());
+    }
+
+    // Guards against `not_run` for a request that the other owner may win at the silent witness.
+    void splitVotesAreNeverNotRun()
+    {
+        claim_round round = makeRound(3);
+        round.onReply(witness(0), accepted());
+        round.onReply(witness(1), ownedBy(other));
+        round.onTime(start + 250ms);
+        assertDecision(claim_decision::Failed, round);
+        CPPUNIT_ASSERT(round.outcome().otherOwner == other);
+        CPPUNIT_ASSERT(!round.outcome().notRun());
+    }
+
+    // Guards against a lost message that costs the request, and against endless repeats.
+    void silentWitnessesAreAskedAgainUntilTheEnd()
+    {
+        claim_round round = makeRound(3);
+        round.due(start);
+        CPPUNIT_ASSERT(round.due(start + 59ms).empty());
+        round.onReply(witness(1), accepted());
+        CPPUNIT_ASSERT(round.nextTime() == start + 60ms);
+        const auto repeated = round.due(start + 60ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, repeated.size());
+        CPPUNIT_ASSERT(repeated[0].to == witness(0).name && repeated[1].to == witness(2).name);
+        round.onTime(start + 250ms);
+        assertDecision(claim_decision::Failed, round);
+        CPPUNIT_ASSERT(round.outcome().notRun());
+        CPPUNIT_ASSERT(round.due(start + 300ms).empty());
+        round.onReply(witness(2), accepted());
+        assertDecision(claim_decision::Failed, round);
+    }
+
+    // Guards against a claim that goes on after the request's deadline.
+    void deadlineEndsTheRound()
+    {
+        claim_round round = makeRound(3, start + 100ms);
+        round.onTime(start + 100ms);
+        assertDecision(claim_decision::Failed, round);
+    }
+
+    // Guards against a win without a majority, and against a wait that cannot succeed.
+    void tooFewWitnessesFailAtOnce()
+    {
+        assertDecision(claim_decision::Failed, makeRound(1));
+        claim_round round = makeRound(3);
+        round.onReply({witness(0).name, 999}, {sequence, claim_verdict::Refused, {}});
+        assertDecision(claim_decision::Open, round);
+        round.onReply(witness(1), {sequence, claim_verdict::Refused, {}});
+        assertDecision(claim_decision::Failed, round);
+    }
+
+private:
+    static node_identity witness(std::size_t index)
+    {
+        return {node_name{"witness-" + std::to_string(index)}, 100 + index};
+    }
+
+    static claim_round makeRound(std::size_t witnesses, time_point deadline = start + 1h)
+    {
+        witness_token token;
+        for (std::size_t i = 0; i < witnesses; ++i)
+            token.witnesses.push_back({witness(i), 4});
+        return {self, {1, 1}, token, sequence, {}, start, deadline};
+    }
+
+    static claim_reply accepted() { return {sequence, claim_verdict::Accepted, self}; }
+    static claim_reply ownedBy(const node_identity &owner)
+    {
+        return {sequence, claim_verdict::OwnedByOther, owner};
+    }
+
+    static void assertDecision(claim_decision expected, const claim_round &round)
+    {
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(expected),
+                             static_cast<int>(round.outcome().decision));
+    }
+
+    static constexpr time_point start{5h};
+    static constexpr std::uint64_t sequence = 42;
+    inline static const node_identity self{node_name{"entry-1"}, 1};
+    inline static const node_identity other{node_name{"entry-2"}, 2};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(claim_round_test);
