--- /dev/null
+++ b/src/sheet/validated.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/error.h"
+
+#include <boost/outcome/result.hpp>
+
+#include <vector>
+
+namespace comfreypass::sheet {
+
+/** A value that passed validation, or every error that was found in its document. */
+template<class T>
+using validated
+    = boost::outcome_v2::result<T, std::vector<core::error>, boost::outcome_v2::policy::terminate>;
+
+} // namespace comfreypass::sheet
