--- /dev/null
+++ b/tests/sheet/parse_json_test.cpp
@@ -0,0 +1,78 @@
+#include "sheet/error_list.h"
+#include "sheet/parse_json.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace comfreypass::sheet;
+
+class parse_json_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(parse_json_test);
+    CPPUNIT_TEST(acceptsCommentsAndTrailingCommas);
+    CPPUNIT_TEST(findsEveryDuplicateKey);
+    CPPUNIT_TEST(duplicateKeysAreComparedAfterEscapes);
+    CPPUNIT_TEST(refusesEveryTruncation);
+    CPPUNIT_TEST(namesLineAndPointerOfSyntaxErrors);
+    CPPUNIT_TEST(boundsSizeAndDepth);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against refusing the comments that planners write into sheets.
+    void acceptsCommentsAndTrailingCommas()
+    {
+        CPPUNIT_ASSERT(parseJson("// a\n{\"a\": [1, 2,], /* b */ }\n// c\n", 100).has_value());
+    }
+
+    // Guards against Boost.JSON silently keeping the last of two equal keys.
+    void findsEveryDuplicateKey()
+    {
+        const auto parsed
+            = parseJson(R"({"a": {"0": 1, "0": 2}, "b": [{}, {"x/y": 1, "x/y": 2}], "a": 3})", 100);
+        CPPUNIT_ASSERT(!parsed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, parsed.error().size());
+        CPPUNIT_ASSERT(hasError(parsed.error(), "/a/0", "given twice"));
+        CPPUNIT_ASSERT(hasError(parsed.error(), "/b/1/x~1y", "given twice"));
+        CPPUNIT_ASSERT(hasError(parsed.error(), "/a", "given twice"));
+    }
+
+    // Guards against a duplicate that is hidden by an escape sequence.
+    void duplicateKeysAreComparedAfterEscapes()
+    {
+        const auto parsed = parseJson(R"({"ab": 1, "\u0061b": 2})", 100);
+        CPPUNIT_ASSERT(!parsed);
+        CPPUNIT_ASSERT(hasError(parsed.error(), "/ab", "given twice"));
+    }
+
+    // Guards against a partly written document that parses as a smaller one.
+    void refusesEveryTruncation()
+    {
+        const std::string whole = R"({"a": {"b": [1, true, "x"]}, "c": -1.5e3})";
+        for (std::size_t size = 0; size < whole.size(); ++size)
+            CPPUNIT_ASSERT(!parseJson(whole.substr(0, size), 100));
+        CPPUNIT_ASSERT(!parseJson(whole + "}", 100));
+        CPPUNIT_ASSERT(!parseJson(whole + whole, 100));
+    }
+
+    // Guards against an error message that leaves the operator searching through a long sheet.
+    void namesLineAndPointerOfSyntaxErrors()
+    {
+        const auto parsed = parseJson("{\n  \"a\": {\n    \"b\": [1, oops]\n}}", 100);
+        CPPUNIT_ASSERT(!parsed);
+        CPPUNIT_ASSERT(hasError(parsed.error(), "/a/b/0", "line 3, column 14"));
+    }
+
+    // Guards against documents that exhaust the memory or the stack of a node.
+    void boundsSizeAndDepth()
+    {
+        CPPUNIT_ASSERT(!parseJson("[1, 2, 3]", 8));
+        CPPUNIT_ASSERT(parseJson("[1, 2, 3]", 9).has_value());
+        const std::string deep = std::string(50, '[') + std::string(50, ']');
+        const auto parsed = parseJson(deep, 1'000);
+        CPPUNIT_ASSERT(!parsed);
+        CPPUNIT_ASSERT(parsed.error().front().detail.find("nested") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(parse_json_test);
