--- a/src/sheet/parse_settings.cpp
+++ b/src/sheet/parse_settings.cpp
@@ -17,9 +17,9 @@
 constexpr std::int64_t mostConnections = 65'536;
 // A request line and a few headers need at least this much.
 constexpr std::int64_t leastHeaderBytes = 1'024;
-constexpr std::int64_t mostHeaderBytes = 1'024 * 1'024;
-constexpr std::int64_t mostBodyBytes = 64 * 1'024 * 1'024;
-constexpr std::int64_t mostRelayBytes = 16 * 1'024 * 1'024;
+constexpr std::int64_t mostHeaderBytes = 1'048'576;
+constexpr std::int64_t mostBodyBytes = 67'108'864;
+constexpr std::int64_t mostRelayBytes = 16'777'216;
 constexpr std::int64_t longestIdleSeconds = 3'600;
 constexpr std::int64_t longestTimeMs = 600'000;
 // A timer of the reactor that fires more often costs more than the control budget of a node.
--- a/src/sheet/settings.h
+++ b/src/sheet/settings.h
@@ -12,7 +12,7 @@
 namespace comfreypass::sheet {
 
 /** Largest settings document that is accepted. */
-constexpr std::size_t maxSettingsBytes = 256 * 1024;
+constexpr std::size_t maxSettingsBytes = 262'144;
 
 /** Settings of one node, validated. Addresses have the form ip:port, or [ip]:port for IPv6. */
 struct settings
--- a/tests/sheet/parse_sheet_test.cpp
+++ b/tests/sheet/parse_sheet_test.cpp
@@ -110,7 +110,7 @@
     {
         const auto parsed = parseSheet(smallest);
         CPPUNIT_ASSERT(parsed.has_value());
-        const sheet::sheet &value = parsed.value();
+        const auto &value = parsed.value();
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, value.entryNodes);
         CPPUNIT_ASSERT(value.domainInService(core::domain_name("d1")));
         CPPUNIT_ASSERT(!value.domainInService(core::domain_name("d2")));
