Add the interfaces of the HTTP transport and the stand-ins

Cause: the entry node is written at the same time and needs the types to build against.

Change: headers of the reactor timer, clock, epoll reactor with monotonic timers, HTTP server, HTTP client, server-sent-events parser, problem documents, and of the four stand-ins.

Conclusion: users can compile against the interfaces; they do not link yet.

--- /dev/null
+++ b/src/standin/configuration_service_settings.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "transport/http_server_settings.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace comfreypass::standin {
+
+/** Settings of a configuration_service. */
+struct configuration_service_settings
+{
+    transport::http_server_settings http;
+    std::size_t valueBytes = 1'000'000;
+    /** Bound on wait_ms of a long poll. */
+    core::duration longestWait = std::chrono::minutes(1);
+};
+
+} // namespace comfreypass::standin
--- /dev/null
+++ b/src/transport/epoll_reactor.cpp
@@ -0,0 +1,42 @@
+#include "transport/epoll_reactor.h"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
+#include <ace/Monotonic_Time_Policy.h>
+#include <ace/Recursive_Thread_Mutex.h>
+#include <ace/Time_Value.h>
+#include <ace/Timer_Heap_T.h>
+#include <ace/Timer_Queue.h>
+
+namespace comfreypass::transport {
+
+namespace {
+
+using monotonic_timers
+    = ACE_Timer_Heap_T<ACE_Event_Handler *, ACE_Event_Handler_Handle_Timeout_Upcall,
+                       ACE_SYNCH_RECURSIVE_MUTEX, ACE_Monotonic_Time_Policy>;
+
+/** Longest time between two questions whether a loop is done. */
+constexpr suseconds_t longestTurnMicroseconds = 20'000;
+
+} // namespace
+
+epoll_reactor::epoll_reactor(std::size_t descriptors)
+    : m_timers(std::make_unique<monotonic_timers>())
+{
+    auto implementation
+        = std::make_unique<ACE_Dev_Poll_Reactor>(descriptors, false, nullptr, m_timers.get());
+    m_reactor = std::make_unique<ACE_Reactor>(implementation.release(), true);
+}
+
+epoll_reactor::~epoll_reactor() = default;
+
+void epoll_reactor::runUntil(const std::function<bool()> &done)
+{
+    while (!done()) {
+        ACE_Time_Value longest(0, longestTurnMicroseconds);
+        m_reactor->handle_events(longest);
+    }
+}
+
+} // namespace comfreypass::transport
