--- /dev/null
+++ b/src/demo/demonstration.cpp
@@ -0,0 +1,298 @@
+#include "demo/demonstration.h"
+
+#include "idempotency/request_key.h"
+#include "transport/clock.h"
+#include "transport/reactor_timer.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ostream>
+#include <random>
+#include <utility>
+
+namespace comfreypass::demo {
+
+namespace {
+
+constexpr core::duration startLimit = std::chrono::seconds(30);
+constexpr core::duration lastAnswerLimit = std::chrono::seconds(40);
+constexpr core::duration watchInterval = std::chrono::milliseconds(20);
+/** A failure domain that is out, or an engine that leaves, gets nothing new after this time. */
+constexpr core::duration closeGrace = std::chrono::milliseconds(3'000);
+constexpr core::duration spreadLimit = std::chrono::seconds(4);
+
+} // namespace
+
+demonstration::demonstration(demo_options options, demo_sheet document, std::ostream &progress)
+    : m_options(options), m_progress(progress),
+      m_fleet(m_reactor.get(), options, std::move(document)), m_client(m_reactor.get()),
+      m_workload(options.seed)
+{ }
+
+core::result<demo_report> demonstration::run()
+{
+    if (core::result<void> started = startFleet(); !started)
+        return started.error();
+    transport::reactor_timer watchTimer(m_reactor.get(), [this] { watch(); });
+    watchTimer.startRepeating(watchInterval);
+    runFor(startLimit, [this] { return m_members->hasAddresses(); });
+
+    planSteps();
+    offerLoad();
+    runFor(lastAnswerLimit, [this] { return m_members->open() == 0; });
+    runFor(startLimit, [this] { return m_drained; });
+    judge();
+    return std::move(m_report);
+}
+
+core::result<void> demonstration::startFleet()
+{
+    if (core::result<void> started = m_fleet.start(); !started)
+        return started.error();
+    std::vector<std::string> addresses;
+    for (const auto &node : m_fleet.nodes()) {
+        addresses.push_back(node->settings().listen.callers);
+        node->onRecord([this](const node::request_record &record) {
+            m_prefill += record.prefillTokens;
+            m_wastedPrefill += record.wastedPrefillTokens;
+            const bool shed = record.reason == "capacity" || record.reason == "displaced";
+            if (!shed)
+                return;
+            for (const auto &scheduler : m_fleet.nodes()) {
+                const scheduling::pool_scheduler *pool
+                    = scheduler->schedulers().find(record.upstream);
+                if (!pool || !pool->active())
+                    continue;
+                const scheduling::pool_snapshot snapshot
+                    = pool->snapshot(transport::monotonicNow());
+                for (std::size_t lower = record.tier + 1U; lower < core::tierCount; ++lower)
+                    m_tierViolations += snapshot.queued.at(lower);
+            }
+        });
+    }
+    m_members = std::make_unique<member_client>(
+        m_client, std::move(addresses),
+        [this](const member_answer &answer) { m_report.add(answer); });
+
+    m_progress << "starting " << m_options.nodes << " nodes and " << m_fleet.engines().size()
+               << " upstream instances\n";
+    runFor(startLimit, [this] { return m_fleet.ready(); });
+    if (!m_fleet.ready())
+        return core::error{core::errc::Unavailable, "", "the nodes did not become ready", ""};
+    return boost::outcome_v2::success();
+}
+
+void demonstration::planSteps()
+{
+    const core::domain_name domain = m_fleet.engines().front().info.domain;
+    const core::engine_name leaving = m_fleet.engines().at(1).info.name;
+    m_steps = {
+        {0.25, "taking failure domain " + domain.text() + " out",
+         [this, domain] {
+             m_fleet.setDomain(domain, false);
+             m_sheetChangedAt = transport::monotonicNow();
+             for (const demo_fleet::engine &engine : m_fleet.engines()) {
+                 if (engine.info.domain == domain)
+                     m_closed[engine.info.name] = {m_sheetChangedAt + closeGrace, {}, 0};
+             }
+         }},
+        {0.4, "engine " + leaving.text() + " leaves",
+         [this, leaving] {
+             m_fleet.setLeaving(leaving);
+             m_closed[leaving] = {transport::monotonicNow() + closeGrace, {}, 0};
+         }},
+        {0.65, "bringing failure domain " + domain.text() + " back",
+         [this, domain, leaving] {
+             checkClosedEngines();
+             for (auto &[name, engine] : m_closed)
+                 m_lateDispatches += std::exchange(engine.late, 0);
+             std::erase_if(m_closed, [&](const auto &entry) { return entry.first != leaving; });
+             m_fleet.setDomain(domain, true);
+             m_sheetChangedAt = transport::monotonicNow();
+         }},
+        {0.75, "stopping node " + m_fleet.nodes().back()->identity().name.text() + " gracefully",
+         [this] {
+             m_fleet.nodes().back()->beginDrain();
+         }},
+    };
+}
+
+void demonstration::offerLoad()
+{
+    std::mt19937_64 random(m_options.seed);
+    std::exponential_distribution<double> gap(m_options.requestsPerSecond);
+    const core::time_point begin = transport::monotonicNow();
+    const core::duration length = m_options.load;
+    core::duration nextRequest{};
+    std::size_t nextStep = 0;
+
+    runFor(length, [&] {
+        const core::duration elapsed = transport::monotonicNow() - begin;
+        while (nextRequest <= elapsed && elapsed < length) {
+            m_members->send(m_workload.next());
+            nextRequest += std::chrono::duration_cast<core::duration>(
+                std::chrono::duration<double>(gap(random)));
+        }
+        if (nextStep < m_steps.size() && elapsed >= length * m_steps[nextStep].at) {
+            m_progress << m_steps[nextStep].announcement << std::endl;
+            m_steps[nextStep++].action();
+        }
+        return false;
+    });
+}
+
+void demonstration::runFor(core::duration time, const std::function<bool()> &done)
+{
+    const core::time_point end = transport::monotonicNow() + time;
+    // Wakes the reactor, so that `done` is asked even when nothing else happens.
+    transport::reactor_timer wakeUp(m_reactor.get(), [] {});
+    wakeUp.startRepeating(std::chrono::milliseconds(2));
+    m_reactor.runUntil([&] { return done() || transport::monotonicNow() >= end; });
+}
+
+void demonstration::watch()
+{
+    m_members->tick(transport::monotonicNow());
+    watchSheets();
+    checkClosedEngines();
+    drainNode();
+}
+
+void demonstration::drainNode()
+{
+    const auto &nodes = m_fleet.nodes();
+    if (!nodes.empty() && nodes.back()->draining() && nodes.back()->drained()) {
+        m_progress << "node " << nodes.back()->identity().name.text() << " has drained\n";
+        m_fleet.removeNode(nodes.size() - 1);
+        m_drained = true;
+    }
+}
+
+void demonstration::watchSheets()
+{
+    const std::uint64_t newest = m_fleet.document().revision();
+    bool everywhere = true;
+    for (const auto &node : m_fleet.nodes()) {
+        const auto sheet = node->membership().currentSheet();
+        const std::uint64_t revision = sheet ? sheet->revision : 0;
+        std::uint64_t &last = m_revisions[node->identity().name];
+        if (revision < last)
+            ++m_reverted;
+        last = revision;
+        everywhere = everywhere && revision == newest;
+    }
+    if (m_sheetChangedAt == core::time_point{})
+        return;
+    m_longestSpread = std::max(m_longestSpread, transport::monotonicNow() - m_sheetChangedAt);
+    if (everywhere)
+        m_sheetChangedAt = core::time_point{};
+}
+
+void demonstration::checkClosedEngines()
+{
+    const core::time_point now = transport::monotonicNow();
+    for (const demo_fleet::engine &engine : m_fleet.engines()) {
+        const auto found = m_closed.find(engine.info.name);
+        if (found == m_closed.end() || now < found->second.from)
+            continue;
+        if (!found->second.received)
+            found->second.received = engine.received();
+        found->second.late = engine.received() - *found->second.received;
+    }
+}
+
+std::string demonstration::upstreamId(const member_answer &answer) const
+{
+    const idempotency::request_key key
+        = idempotency::makeRequestKey(core::team_name(answer.request.team), "member-1", answer.key);
+    std::array<char, sizeof(key) * 2 + 1> text{};
+    std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(key.high),
+                  static_cast<unsigned long long>(key.low));
+    return text.data();
+}
+
+void demonstration::judge()
+{
+    m_report.setPrefill(m_prefill, m_wastedPrefill);
+    judgeRequests();
+    judgeEngines();
+    m_report.add({"a higher tier is not shed while a lower one waits", m_tierViolations == 0,
+                  std::to_string(m_tierViolations) + " lower-tier requests seen at a refusal"});
+    const auto spreadMs
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_longestSpread).count();
+    m_report.add({"an accepted sheet is in force everywhere and never reverts",
+                  m_reverted == 0 && m_longestSpread < spreadLimit,
+                  "longest spread " + std::to_string(spreadMs) + " ms, "
+                      + std::to_string(m_reverted) + " reversals"});
+}
+
+void demonstration::judgeRequests()
+{
+    std::map<std::string, std::uint32_t> dispatches;
+    for (const demo_fleet::engine &engine : m_fleet.engines()) {
+        const auto &ids = engine.model ? engine.model->counters().requestIds
+                                       : engine.service->counters().requestIds;
+        for (const auto &[id, count] : ids)
+            dispatches[id] += count;
+    }
+    std::uint64_t repeated = 0;
+    std::uint64_t untrue = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t wrong = 0;
+    std::uint64_t cut = 0;
+    for (const member_answer &answer : m_report.answers()) {
+        const auto found = dispatches.find(upstreamId(answer));
+        const std::uint32_t count = found == dispatches.end() ? 0 : found->second;
+        repeated += count > 1 ? 1 : 0;
+        if (answer.result == member_answer::outcome::NotRun) {
+            ++notRun;
+            untrue += count > 0 ? 1 : 0;
+        }
+        if (answer.result == member_answer::outcome::Answered) {
+            ++answered;
+            wrong += answer.whole ? 0 : 1;
+        }
+        cut += answer.brokenConnections;
+    }
+    m_report.add({"a request is dispatched at most once", repeated == 0,
+                  std::to_string(dispatches.size()) + " ids at upstreams, "
+                      + std::to_string(repeated) + " repeated"});
+    m_report.add({"a refusal that says not_run is true", untrue == 0,
+                  std::to_string(notRun) + " refusals, " + std::to_string(untrue) + " untrue"});
+    m_report.add({"a caller gets the whole answer to its own request", wrong == 0,
+                  std::to_string(answered) + " answers, " + std::to_string(wrong) + " wrong"});
+    m_report.add({"a graceful shutdown cuts off no request", cut == 0 && m_drained,
+                  std::to_string(cut) + " broken connections, node "
+                      + (m_drained ? "drained" : "not drained")});
+}
+
+void demonstration::judgeEngines()
+{
+    std::uint64_t collapses = 0;
+    std::uint64_t repeatedBookings = 0;
+    std::uint64_t bookings = 0;
+    for (const demo_fleet::engine &engine : m_fleet.engines()) {
+        if (engine.model) {
+            collapses += engine.model->counters().collapses;
+            continue;
+        }
+        for (const auto &[key, runs] : engine.service->counters().bookingRuns) {
+            ++bookings;
+            repeatedBookings += runs > 1 ? 1 : 0;
+        }
+    }
+    checkClosedEngines();
+    for (const auto &[name, engine] : m_closed)
+        m_lateDispatches += engine.late;
+    m_report.add({"an engine in cold start gets no more than it bears", collapses == 0,
+                  std::to_string(collapses) + " collapses"});
+    m_report.add({"a domain that is out and an engine that leaves get nothing new",
+                  m_lateDispatches == 0, std::to_string(m_lateDispatches) + " late dispatches"});
+    m_report.add({"a booking runs at most once", repeatedBookings == 0,
+                  std::to_string(bookings) + " bookings, " + std::to_string(repeatedBookings)
+                      + " repeated"});
+}
+
+} // namespace comfreypass::demo
--- /dev/null
+++ b/src/demo/demonstration.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "core/name.h"
+#include "core/time_point.h"
+#include "demo/demo_fleet.h"
+#include "demo/demo_options.h"
+#include "demo/demo_report.h"
+#include "demo/member_client.h"
+#include "demo/workload.h"
+#include "transport/epoll_reactor.h"
+#include "transport/http_client.h"
+
+#include <cstdint>
+#include <functional>
+#include <iosfwd>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace comfreypass::demo {
+
+/**
+ * Runs a fleet with simulated members: mixed load, a failure domain out and back, an engine that
+ * leaves, a graceful stop of one node; then checks what must always hold. Not thread-safe.
+ */
+class demonstration
+{
+public:
+    demonstration(demo_options options, demo_sheet document, std::ostream &progress);
+
+    /** Runs to the end. Errors: Io, Unavailable if the fleet does not become ready. */
+    core::result<demo_report> run();
+
+private:
+    struct step
+    {
+        /** Share of the load time at which the step is due. */
+        double at;
+        std::string announcement;
+        std::function<void()> action;
+    };
+
+    core::result<void> startFleet();
+    void offerLoad();
+    void planSteps();
+    void drainNode();
+    void watch();
+    void watchSheets();
+    void checkClosedEngines();
+    void runFor(core::duration time, const std::function<bool()> &done);
+    void judge();
+    void judgeRequests();
+    void judgeEngines();
+    std::string upstreamId(const member_answer &answer) const;
+
+    demo_options m_options;
+    std::ostream &m_progress;
+    transport::epoll_reactor m_reactor;
+    demo_fleet m_fleet;
+    transport::http_client m_client;
+    workload m_workload;
+    std::unique_ptr<member_client> m_members;
+    demo_report m_report;
+    std::vector<step> m_steps;
+
+    /** Engines that must get no new request, with the count that they had when the grace time
+     * ended. */
+    struct closed_engine
+    {
+        core::time_point from;
+        std::optional<std::uint64_t> received;
+        std::uint64_t late = 0;
+    };
+    std::map<core::engine_name, closed_engine> m_closed;
+    std::uint64_t m_lateDispatches = 0;
+    std::uint64_t m_tierViolations = 0;
+    std::uint64_t m_reverted = 0;
+    core::duration m_longestSpread{};
+    core::time_point m_sheetChangedAt;
+    std::uint64_t m_prefill = 0;
+    std::uint64_t m_wastedPrefill = 0;
+    std::map<core::node_name, std::uint64_t> m_revisions;
+    bool m_drained = false;
+};
+
+} // namespace comfreypass::demo
--- /dev/null
+++ b/src/demo/member_answer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "demo/workload.h"
+
+#include <cstdint>
+#include <string>
+
+namespace comfreypass::demo {
+
+/** What a simulated member saw of one request. */
+struct member_answer
+{
+    enum class outcome : std::uint8_t { Answered, NotRun, Unknown };
+
+    member_request request;
+    std::string key;
+    outcome result = outcome::Unknown;
+    /** Reason of a refusal. */
+    std::string reason;
+    /** The answer was complete and belongs to this request. */
+    bool whole = false;
+    bool inTime = false;
+    /** Connections that broke or were refused on the way. */
+    std::uint32_t brokenConnections = 0;
+    core::duration firstToken{};
+    core::duration total{};
+};
+
+} // namespace comfreypass::demo
--- /dev/null
+++ b/src/demo/member_client.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "demo/member_answer.h"
+#include "demo/workload.h"
+#include "transport/http_client.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace comfreypass::demo {
+
+/**
+ * Simulated members: ask a node which addresses to use, keep the answer, send requests there, and
+ * fall back to the next address with the same key and witness token. Not thread-safe.
+ */
+class member_client
+{
+public:
+    using answer_function = std::function<void(const member_answer &)>;
+
+    /** `bootstrap` are the caller addresses that members know from outside. The client must outlive
+     * this. */
+    member_client(transport::http_client &client, std::vector<std::string> bootstrap,
+                  answer_function answered);
+    ~member_client();
+    member_client(const member_client &) = delete;
+    member_client &operator=(const member_client &) = delete;
+
+    /** Sends a request; the answer function is called once for it. */
+    void send(member_request request);
+
+    /** Requests without an answer. */
+    std::size_t open() const noexcept { return m_open; }
+
+    /** Asks again for addresses when the kept answer is too old. */
+    void tick(core::time_point now);
+
+    /** True once addresses are known. */
+    bool hasAddresses() const noexcept { return !m_addresses.empty(); }
+
+private:
+    class attempt;
+
+    void askAddresses(core::time_point now);
+    void takeAddresses(const std::string &body, core::time_point askedAt);
+    void finish(const member_answer &answer);
+
+    transport::http_client &m_client;
+    std::vector<std::string> m_bootstrap;
+    answer_function m_answered;
+    std::vector<std::string> m_addresses;
+    std::string m_witnesses;
+    core::time_point m_keepUntil;
+    core::time_point m_nextAsk;
+    std::size_t m_bootstrapIndex = 0;
+    std::uint64_t m_sent = 0;
+    std::size_t m_open = 0;
+};
+
+} // namespace comfreypass::demo
--- /dev/null
+++ b/src/demo/workload.cpp
@@ -0,0 +1,96 @@
+#include "demo/workload.h"
+
+#include <boost/json.hpp>
+
+#include <array>
+#include <string_view>
+
+namespace comfreypass::demo {
+
+namespace json = boost::json;
+
+/** Shape of one kind of request. */
+struct workload::kind
+{
+    std::string_view name;
+    std::string_view team;
+    core::tier tier;
+    std::string_view model;
+    std::size_t promptCharacters;
+    std::uint32_t answerTokens;
+    bool stream;
+    std::chrono::milliseconds deadline;
+    double share;
+};
+
+namespace {
+
+constexpr std::string_view systemPrompt
+    = "You help crews who install bicycle racks outside schools, clinics and markets. ";
+
+} // namespace
+
+workload::workload(std::uint64_t seed) : m_random(seed) { }
+
+member_request workload::next()
+{
+    using namespace std::chrono_literals;
+    // An empty model name is a booking or a look-up at the plain service.
+    static constexpr std::array<kind, 6> kinds = {{
+        {"booking", "cuadrillas", 0, "", 0, 0, false, 5s, 0.10},
+        {"slot look-up", "cuadrillas", 1, "", 0, 0, false, 5s, 0.10},
+        {"permit wording", "permisos", 1, "asesor-14b", 1'200, 40, true, 8s, 0.25},
+        {"photo tag", "fotos", 2, "asesor-fotos-3b", 200, 8, false, 6s, 0.35},
+        {"survey draft", "levantamientos", 2, "asesor-14b", 3'000, 80, true, 12s, 0.15},
+        {"archive summary", "archivo", 4, "asesor-14b", 16'000, 120, false, 30s, 0.05},
+    }};
+    std::uniform_real_distribution<double> unit(0, 1);
+    double point = unit(m_random);
+    const kind *chosen = &kinds.back();
+    for (const kind &candidate : kinds) {
+        if (point < candidate.share) {
+            chosen = &candidate;
+            break;
+        }
+        point -= candidate.share;
+    }
+
+    ++m_count;
+    member_request request;
+    request.name = chosen->name;
+    request.team = chosen->team;
+    request.tier = chosen->tier;
+    request.deadline = chosen->deadline;
+    if (chosen->model.empty()) {
+        const bool booking = chosen->tier == 0;
+        request.method = booking ? "POST" : "GET";
+        request.path = booking ? "/services/agenda-cuadrillas/bookings"
+                               : "/services/agenda-cuadrillas/slots";
+        if (booking)
+            request.body
+                = json::serialize(json::object{{"key", "slot-" + std::to_string(m_count)}});
+        return request;
+    }
+    const std::string content = std::string(systemPrompt) + words(chosen->promptCharacters);
+    request.path = "/v1/chat/completions";
+    request.stream = chosen->stream;
+    request.answerTokens = chosen->answerTokens;
+    request.prompt = "user\n" + content + "\n";
+    request.body = json::serialize(
+        json::object{{"model", json::string_view(chosen->model.data(), chosen->model.size())},
+                     {"stream", chosen->stream},
+                     {"max_tokens", chosen->answerTokens},
+                     {"messages", json::array{{{"role", "user"}, {"content", content}}}}});
+    return request;
+}
+
+std::string workload::words(std::size_t characters)
+{
+    std::uniform_int_distribution<int> letter('a', 'z');
+    std::string text = std::to_string(m_count) + " ";
+    while (text.size() < characters)
+        text += static_cast<char>(letter(m_random));
+    return text;
+}
+
+} // namespace comfreypass::demo
--- /dev/null
+++ b/src/node/claim_client.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/incarnation.h"
+#include "core/time_point.h"
+#include "idempotency/claim_settings.h"
+#include "idempotency/claim_table.h"
+#include "idempotency/response_store.h"
+#include "idempotency/witness_store.h"
+#include "node/claim_events.h"
+#include "node/message_sender.h"
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace comfreypass::node {
+
+/** Claims of this node, its record as a witness, and the answers it can replay. Not thread-safe. */
+class claim_client
+{
+public:
+    /** The sender must outlive the client. */
+    claim_client(message_sender &sender, core::node_identity self, core::time_point start,
+                 idempotency::claim_settings settings);
+
+    /**
+     * Claims a key. With `Started` the end of the round is told to `events`; with every other
+     * status nothing follows.
+     */
+    idempotency::claim_start begin(const idempotency::request_key &key,
+                                   const idempotency::witness_token &token,
+                                   core::time_point deadline, std::weak_ptr<claim_events> events,
+                                   core::time_point now);
+
+    /** The idempotency part of the dispatch gate: true once for each round won. */
+    bool dispatch(const idempotency::request_key &key, core::time_point now);
+
+    /** The request will not be dispatched; ends a round or gives a won one up. */
+    void giveUp(const idempotency::request_key &key);
+
+    /** The dispatch ended; a small complete response is kept for repeats. */
+    void finish(const idempotency::request_key &key,
+                std::optional<idempotency::stored_response> response);
+
+    idempotency::key_state state(const idempotency::request_key &key) const;
+
+    /** Response to a finished request; null if it is not kept. Valid until the next finish. */
+    const idempotency::stored_response *response(const idempotency::request_key &key);
+
+    void onClaim(const core::node_identity &from, const idempotency::claim &message,
+                 core::time_point now);
+    void onReply(const core::node_identity &from, const idempotency::claim_reply &reply);
+    void tick(core::time_point now);
+
+    /** The epoch that tokens name for this node as a witness. */
+    std::uint64_t witnessEpoch(core::time_point now) const { return m_witness.epoch(now); }
+    std::size_t witnessRecords() const noexcept { return m_witness.size(); }
+    std::size_t openRounds() const noexcept { return m_table.openRounds(); }
+
+private:
+    void send(const std::vector<idempotency::outgoing_claim> &messages);
+    void report(const idempotency::claim_outcome &outcome);
+
+    message_sender &m_sender;
+    idempotency::claim_table m_table;
+    idempotency::witness_store m_witness;
+    idempotency::response_store m_responses;
+    std::unordered_map<idempotency::request_key, std::weak_ptr<claim_events>> m_events;
+};
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/node/dispatch_gate.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/time_point.h"
+
+#include <functional>
+#include <string_view>
+
+namespace comfreypass::node {
+
+/** Whether this node as a whole may send requests to upstreams. */
+struct node_verdict
+{
+    bool allowed = false;
+    /** Stable word for the reason if not allowed. */
+    std::string_view reason;
+};
+
+/** Asked at the start of a request and again directly before its first byte is written. */
+using dispatch_gate = std::function<node_verdict(core::time_point now)>;
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/node/entry_node.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "core/incarnation.h"
+#include "core/result.h"
+#include "membership/membership_agent.h"
+#include "node/claim_client.h"
+#include "node/configuration_reader.h"
+#include "node/engine_directory.h"
+#include "node/instance_list_reader.h"
+#include "node/load_poller.h"
+#include "node/local_mailbox.h"
+#include "node/message_sender.h"
+#include "node/node_totals.h"
+#include "node/permit_client.h"
+#include "node/request_reader.h"
+#include "node/request_record.h"
+#include "node/routing_table.h"
+#include "node/scheduler_host.h"
+#include "node/session_services.h"
+#include "sheet/settings.h"
+#include "transport/http_client.h"
+#include "transport/http_handler.h"
+#include "transport/http_server.h"
+#include "transport/peer_handler.h"
+#include "transport/peer_transport.h"
+#include "transport/reactor_timer.h"
+
+#include <ace/Reactor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace comfreypass::node {
+
+/**
+ * One entry node: connects the decision libraries to callers, upstreams, the platform and other
+ * nodes. All of it runs on the reactor's thread. Not thread-safe.
+ */
+class entry_node : private transport::http_handler,
+                   private transport::peer_handler,
+                   private message_sender
+{
+public:
+    /** Receives changes of state, for logs. */
+    using event_function = std::function<void(const membership::membership_event &)>;
+    using record_function = std::function<void(const request_record &)>;
+
+    /** Why the node cannot go on in this process. */
+    enum class defect : std::uint8_t {
+        None,
+        /** Another process runs under this node's name. */
+        Superseded,
+        /** An earlier life of this node had a greater incarnation; start again above it. */
+        IncarnationTooLow,
+    };
+
+    /** The reactor must outlive the node. `seed` starts the node's random numbers. */
+    entry_node(ACE_Reactor &reactor, sheet::settings settings, core::incarnation life,
+               std::uint64_t seed);
+    ~entry_node() override;
+
+    /** Opens the sockets and begins to take part. Errors: Io, InvalidArgument. */
+    core::result<void> start();
+
+    /** Called for each change of state and for each ended request; may be empty. Set before start.
+     */
+    void onEvent(event_function function) { m_onEvent = std::move(function); }
+    void onRecord(record_function function) { m_onRecord = std::move(function); }
+
+    /** Begins to leave: the node is named in no new answer, but serves on until it is drained. */
+    void beginDrain();
+    bool draining() const noexcept { return m_drainBegan.has_value(); }
+    /** True when no answer that names this node can be in use and no request is open. */
+    bool drained() const;
+
+    defect foundDefect() const noexcept { return m_defect; }
+
+    membership::membership_agent::readiness ready() const;
+    const membership::membership_agent &membership() const noexcept { return m_membership; }
+    const scheduler_host &schedulers() const noexcept { return m_schedulers; }
+    const permit_client &permits() const noexcept { return m_permits; }
+    const claim_client &claims() const noexcept { return m_claims; }
+    const engine_directory &engines() const noexcept { return m_engines; }
+    const transport::peer_counters &peerCounters() const { return m_peers.counters(); }
+    const node_totals &totals() const noexcept { return m_totals; }
+    const core::node_identity &identity() const noexcept { return m_self; }
+    std::size_t openSessions() const noexcept { return m_openSessions; }
+    std::size_t openConnections() const noexcept { return m_callers.openConnections(); }
+    std::uint64_t configurationReads() const noexcept { return m_configuration.reads(); }
+    const sheet::settings &settings() const noexcept { return m_settings; }
+
+private:
+    void onRequest(std::shared_ptr<transport::http_exchange> exchange) override;
+    void onPeerMessage(wire::received_message &&message) override;
+    void send(const core::node_name &to, wire::peer_message message) override;
+
+    void dispatchMessage(const core::node_identity &from, wire::peer_message &&body);
+    void apply(membership::agent_actions actions);
+    void applyEvent(const membership::membership_event &event);
+    void tick();
+    void updateView();
+    void takeSheet();
+    void onConfiguration(const configuration_reader::reading &reading);
+    void onInstances(const instance_listing &listing);
+    void pingSeeds(core::time_point now);
+    void pollLoad(core::time_point now);
+
+    void answerAddresses(transport::http_exchange &exchange);
+    void startSession(std::shared_ptr<transport::http_exchange> exchange);
+    idempotency::witness_token witnessToken();
+    node_verdict verdict(core::time_point now) const;
+    void onSessionEnded(const request_record &record);
+
+    ACE_Reactor &m_reactor;
+    sheet::settings m_settings;
+    core::node_identity m_self;
+    std::mt19937_64 m_random;
+    core::time_point m_startedAt;
+
+    local_mailbox m_mailbox;
+    transport::http_client m_client;
+    transport::peer_transport m_peers;
+    membership::membership_agent m_membership;
+    permit_client m_permits;
+    claim_client m_claims;
+    scheduler_host m_schedulers;
+    engine_directory m_engines;
+    std::shared_ptr<const sheet::sheet> m_sheet;
+    std::shared_ptr<const routing_table> m_routes;
+    configuration_reader m_configuration;
+    instance_list_reader m_instances;
+    load_poller m_load;
+    session_services m_services;
+    transport::http_server m_callers;
+    transport::reactor_timer m_tick;
+
+    event_function m_onEvent;
+    record_function m_onRecord;
+    std::optional<std::uint64_t> m_viewDigest;
+    std::size_t m_listedCount = 0;
+    core::time_point m_nextSeedPing;
+    std::optional<core::time_point> m_drainBegan;
+    std::size_t m_openSessions = 0;
+    defect m_defect = defect::None;
+    node_totals m_totals;
+};
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/node/instance_listing.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/result.h"
+#include "membership/listed_node.h"
+#include "sheet/engine_info.h"
+
+#include <string_view>
+#include <vector>
+
+namespace comfreypass::node {
+
+/** One answer of the platform's instance list. */
+struct instance_listing
+{
+    std::vector<membership::listed_node> nodes;
+    std::vector<sheet::engine_info> engines;
+};
+
+/**
+ * Reads the instance list's document. Entries that lack a member are an error of the whole
+ * document, so that a truncated list never removes instances. Thread-safe.
+ *
+ * Errors: ParseFailed, ValidationFailed with the JSON pointer.
+ */
+core::result<instance_listing> parseInstanceListing(std::string_view text);
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/node/node_totals.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace comfreypass::node {
+
+/** Requests of one node since its start, by how they ended. */
+struct node_totals
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t callerGone = 0;
+    std::uint64_t prefillTokens = 0;
+    std::uint64_t wastedPrefillTokens = 0;
+};
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/node/operator_api.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/result.h"
+#include "node/decision_log.h"
+#include "node/entry_node.h"
+#include "transport/http_handler.h"
+#include "transport/http_server.h"
+
+#include <ace/Reactor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace comfreypass::node {
+
+/** Pages for operators, on a port apart from the callers'. Not thread-safe. */
+class operator_api : private transport::http_handler
+{
+public:
+    using text_function = std::function<std::string()>;
+
+    /** All references must outlive the object. `metrics` gives the Prometheus text; it may be
+     * empty. */
+    operator_api(ACE_Reactor &reactor, const entry_node &node, const decision_log &decisions,
+                 text_function metrics);
+    ~operator_api() override;
+
+    /** Opens the port of the node's settings. Errors: Io, InvalidArgument. */
+    core::result<std::uint16_t> listen();
+
+private:
+    using page_function = void (operator_api::*)(transport::http_exchange &) const;
+
+    struct page_row
+    {
+        const char *path;
+        page_function answer;
+        /** False for pages that probes read without credentials. */
+        bool needsToken;
+    };
+
+    void onRequest(std::shared_ptr<transport::http_exchange> exchange) override;
+    bool mayRead(const transport::http_request &request) const;
+    void answerHealth(transport::http_exchange &exchange) const;
+    void answerReady(transport::http_exchange &exchange) const;
+    void answerMetrics(transport::http_exchange &exchange) const;
+    void answerState(transport::http_exchange &exchange) const;
+    void answerExplain(transport::http_exchange &exchange) const;
+
+    const entry_node &m_node;
+    const decision_log &m_decisions;
+    text_function m_metrics;
+    transport::http_server m_server;
+};
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/node/request_session.cpp
@@ -0,0 +1,446 @@
+#include "node/request_session.h"
+
+#include "node/problems.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace comfreypass::node {
+
+namespace {
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusBadGateway = 502;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusGatewayTimeout = 504;
+constexpr std::string_view eventStreamType = "text/event-stream";
+
+using call_error = transport::http_call_result::error_kind;
+
+std::string hexadecimal(std::uint64_t number)
+{
+    constexpr int base = 16;
+    std::array<char, sizeof(number) * 2> digits{};
+    const auto [end, code]
+        = std::to_chars(digits.data(), digits.data() + digits.size(), number, base);
+    std::string text(digits.size() - static_cast<std::size_t>(end - digits.data()), '0');
+    return text.append(digits.data(), end);
+}
+
+// A keyed request has the same id at every node, so that an upstream's log shows repeats as such.
+std::string requestIdText(const caller_request &request, core::request_id id)
+{
+    if (!request.identity)
+        return hexadecimal(id);
+    return hexadecimal(request.identity->key.high) + hexadecimal(request.identity->key.low);
+}
+
+} // namespace
+
+request_session::request_session(const session_services &services,
+                                 std::shared_ptr<transport::http_exchange> exchange,
+                                 caller_request request, std::string key)
+    : m_services(services), m_exchange(std::move(exchange)), m_request(std::move(request)),
+      m_arrived(services.clock())
+{
+    m_record.team = m_request.where.team;
+    m_record.half = m_request.where.half;
+    m_record.tier = m_request.where.tier;
+    m_record.upstream = m_request.where.upstreams.front();
+    m_record.key = std::move(key);
+}
+
+void request_session::start()
+{
+    auto self = shared_from_this();
+    m_exchange->setEvents(
+        [this] {
+            if (m_call != 0)
+                m_services.client.resume(m_call);
+        },
+        [self](bool complete) { self->onCallerClosed(complete); });
+    if (m_stage == stage::Ended || answerRepeat())
+        return;
+    const node_verdict verdict = m_services.gate(m_arrived);
+    if (!verdict.allowed) {
+        refuse(problems::unavailable(std::string(verdict.reason),
+                                     "this node must not send requests to upstreams now"));
+        return;
+    }
+    askForPermit();
+}
+
+bool request_session::answerRepeat()
+{
+    if (!m_request.identity)
+        return false;
+    const idempotency::request_key &key = m_request.identity->key;
+    const idempotency::key_state state = m_services.claims.state(key);
+    if (state == idempotency::key_state::Free)
+        return false;
+    const idempotency::stored_response *stored = m_services.claims.response(key);
+    if (!stored) {
+        refuse(problems::unknownOutcome(statusConflict, "already_dispatched",
+                                        "a request with this key runs, or has run, on this node"));
+        return true;
+    }
+    m_exchange->respond(stored->status,
+                        {{"Content-Type", stored->contentType}, {"Comfreypass-Replayed", "true"}},
+                        stored->body);
+    m_record.inTime = true;
+    end(request_record::outcome::Answered, "");
+    return true;
+}
+
+void request_session::askForPermit()
+{
+    m_stage = stage::WaitingForPermit;
+    m_id = m_services.nextRequestId();
+    m_record.upstream = m_request.where.upstreams.at(m_upstreamIndex);
+
+    scheduling::permit_request wanted;
+    wanted.request = m_id;
+    wanted.upstream = m_record.upstream;
+    wanted.model = m_request.model;
+    wanted.tier = m_request.where.tier;
+    wanted.team = m_request.where.team;
+    wanted.cost = m_request.cost;
+    wanted.prefixHashes = m_request.prefixHashes;
+    wanted.deadline = m_request.deadline;
+    wanted.preemptible = m_request.where.idempotent;
+    if (!m_services.permits.request(wanted, weak_from_this(), m_services.clock()))
+        refuse(problems::unavailable("node_full", "this node holds as many requests as it can"));
+}
+
+void request_session::onPermit(const scheduling::permit_grant &permit)
+{
+    if (m_stage != stage::WaitingForPermit)
+        return;
+    m_permit = permit;
+    ++m_permits;
+    m_record.engine = permit.engine;
+    claimOrDispatch();
+}
+
+void request_session::onPermitRefused(const scheduling::permit_refusal &refusal)
+{
+    if (m_stage != stage::WaitingForPermit)
+        return;
+    if (m_upstreamIndex + 1 < m_request.where.upstreams.size()) {
+        ++m_upstreamIndex;
+        askForPermit();
+        return;
+    }
+    refuse(problems::refusedByScheduler(refusal.reason, refusal.retryAfter));
+}
+
+void request_session::claimOrDispatch()
+{
+    if (!m_request.identity || m_claimWon) {
+        dispatch();
+        return;
+    }
+    m_stage = stage::Claiming;
+    const idempotency::claim_start started
+        = m_services.claims.begin(m_request.identity->key, m_request.identity->witnesses,
+                                  m_request.deadline, weak_from_this(), m_services.clock());
+    switch (started.result) {
+    case idempotency::claim_start::status::Started:
+        m_claimIsOurs = true;
+        return;
+    case idempotency::claim_start::status::Known:
+        refuse(problems::unknownOutcome(statusConflict, "already_dispatched",
+                                        "a request with this key runs, or has run, on this node"));
+        return;
+    case idempotency::claim_start::status::Impossible:
+    case idempotency::claim_start::status::Full:
+        refuse(problems::unavailable("claim_impossible",
+                                     "the witnesses of the request cannot be asked"));
+        return;
+    }
+}
+
+void request_session::onClaimEnded(const idempotency::claim_outcome &outcome)
+{
+    if (m_stage != stage::Claiming) {
+        m_services.claims.giveUp(outcome.key);
+        return;
+    }
+    if (outcome.decision == idempotency::claim_decision::Won) {
+        m_claimWon = true;
+        dispatch();
+        return;
+    }
+    m_claimIsOurs = false;
+    if (outcome.notRun()) {
+        refuse(problems::unavailable("witnesses_unavailable",
+                                     "too few witnesses of the request answered"));
+        return;
+    }
+    refuse(problems::unknownOutcome(
+        statusConflict, "owned_by_other",
+        "node '" + (outcome.otherOwner ? outcome.otherOwner->name.text() : std::string())
+            + "' may have run a request with this key"));
+}
+
+void request_session::dispatch()
+{
+    const sheet::engine_info *engine = m_services.engines.find(m_permit.engine);
+    if (!engine) {
+        retryBeforeDispatch("engine_unknown");
+        return;
+    }
+    m_stage = stage::Dispatching;
+    const core::time_point now = m_services.clock();
+    m_record.queued = now - m_arrived;
+
+    transport::http_call call;
+    call.method = m_request.method;
+    call.url = "http://" + engine->address + m_request.path;
+    call.headers.add("X-Request-Id", requestIdText(m_request, m_id));
+    if (!m_request.contentType.empty())
+        call.headers.add("Content-Type", m_request.contentType);
+    if (!m_record.key.empty())
+        call.headers.add("Idempotency-Key", m_record.key);
+    call.body = m_exchange->request().body;
+    call.deadline = m_request.deadline;
+    call.beforeSend = [weak = weak_from_this()] {
+        const std::shared_ptr<request_session> session = weak.lock();
+        return session && session->maySend();
+    };
+    m_call = m_services.client.start(std::move(call), shared_from_this());
+}
+
+// The process may have been paused since the permit came, so everything is checked again here,
+// directly before the first byte is written.
+bool request_session::maySend()
+{
+    const core::time_point now = m_services.clock();
+    if (m_stage != stage::Dispatching || now >= m_request.deadline)
+        return false;
+    if (!m_services.gate(now).allowed || !m_services.engines.acceptsNewWork(m_permit.engine))
+        return false;
+    if (!m_services.permits.startDispatch(m_id, now))
+        return false;
+    if (m_request.identity && !m_services.claims.dispatch(m_request.identity->key, now))
+        return false;
+    m_sent = true;
+    m_record.dispatched = true;
+    m_dispatched = now;
+    return true;
+}
+
+void request_session::onPreempted()
+{
+    if (m_stage != stage::Dispatching && m_stage != stage::Relaying)
+        return;
+    m_preempted = true;
+    m_services.client.cancel(m_call);
+}
+
+void request_session::onHeaders(unsigned status, const transport::http_headers &headers)
+{
+    m_status = status;
+    m_contentType = headers.find("Content-Type").value_or("application/octet-stream");
+    m_eventStream = m_contentType.starts_with(eventStreamType);
+    if (m_stage != stage::Dispatching)
+        return;
+    m_stage = stage::Relaying;
+    if (status == statusOk && m_eventStream)
+        beginStreaming();
+}
+
+bool request_session::onData(std::string_view bytes)
+{
+    if (m_stage != stage::Relaying)
+        return true;
+    if (m_record.firstToken == core::duration::zero())
+        m_record.firstToken = m_services.clock() - m_arrived;
+    if (m_eventStream)
+        m_events.feed(bytes);
+    if (streamsToCaller())
+        return m_exchange->write(bytes);
+
+    m_answer += bytes;
+    if (m_answer.size() <= maxBufferedAnswer)
+        return true;
+    beginStreaming();
+    return m_exchange->write(std::exchange(m_answer, {}));
+}
+
+void request_session::beginStreaming()
+{
+    m_streaming = true;
+    m_exchange->beginStream(m_status, {{"Content-Type", m_contentType},
+                                       {"Comfreypass-Upstream", m_record.upstream.text()},
+                                       {"Comfreypass-Engine", m_record.engine.text()}});
+}
+
+void request_session::onDone(const transport::http_call_result &result)
+{
+    m_call = 0;
+    if (m_stage == stage::Ended)
+        return;
+    if (!m_sent) {
+        if (m_cancelledByCaller) {
+            releasePermit(scheduling::dispatch_result::NotDispatched, false);
+            end(request_record::outcome::CallerGone, "caller_gone");
+            return;
+        }
+        retryBeforeDispatch(std::string(toString(result.error)));
+        return;
+    }
+    const bool endedProperly = !m_eventStream || m_events.done() || m_status != statusOk;
+    if (result.complete && endedProperly)
+        completeAnswer();
+    else
+        breakAnswer(result);
+}
+
+void request_session::completeAnswer()
+{
+    const core::time_point now = m_services.clock();
+    m_record.inTime = now <= m_request.deadline && m_status < statusBadGateway;
+    releasePermit(m_status < statusBadGateway ? scheduling::dispatch_result::Completed
+                                              : scheduling::dispatch_result::Failed,
+                  m_record.inTime);
+    if (m_request.identity) {
+        std::optional<idempotency::stored_response> stored;
+        if (!m_streaming && m_answer.size() <= maxStoredAnswer)
+            stored = {static_cast<std::uint16_t>(m_status), m_contentType, m_answer};
+        m_services.claims.finish(m_request.identity->key, std::move(stored));
+    }
+    if (streamsToCaller()) {
+        m_exchange->finish();
+    } else {
+        m_exchange->respond(m_status,
+                            {{"Content-Type", m_contentType},
+                             {"Comfreypass-Upstream", m_record.upstream.text()},
+                             {"Comfreypass-Engine", m_record.engine.text()}},
+                            std::move(m_answer));
+    }
+    end(request_record::outcome::Answered, "");
+}
+
+void request_session::breakAnswer(const transport::http_call_result &result)
+{
+    const bool cancelled = m_preempted || m_cancelledByCaller;
+    releasePermit(cancelled ? scheduling::dispatch_result::Cancelled
+                            : scheduling::dispatch_result::Failed,
+                  false);
+    if (m_request.identity)
+        m_services.claims.finish(m_request.identity->key, std::nullopt);
+    if (m_cancelledByCaller) {
+        end(request_record::outcome::CallerGone, "caller_gone");
+        return;
+    }
+
+    std::string reason = "upstream_failed";
+    unsigned status = statusBadGateway;
+    if (m_preempted) {
+        reason = "preempted";
+        status = statusUnavailable;
+    } else if (result.error == call_error::Timeout) {
+        reason = "deadline_passed";
+        status = statusGatewayTimeout;
+    }
+    const transport::problem problem
+        = problems::unknownOutcome(status, reason, "the upstream's answer is not complete");
+    if (streamsToCaller()) {
+        // The caller sees the reason, and by the missing end of the stream that the answer is not
+        // whole.
+        if (m_eventStream)
+            m_exchange->write("\nevent: error\ndata: " + problem.body() + "\n\n");
+        m_exchange->abort();
+    } else {
+        problem.respondTo(*m_exchange);
+    }
+    end(request_record::outcome::Unknown, std::move(reason));
+}
+
+void request_session::retryBeforeDispatch(std::string reason)
+{
+    const core::time_point now = m_services.clock();
+    // The scheduler learns of a refused connection as a failure of the engine.
+    releasePermit(reason == toString(call_error::ConnectFailed)
+                      ? scheduling::dispatch_result::Failed
+                      : scheduling::dispatch_result::NotDispatched,
+                  false);
+    if (now >= m_request.deadline) {
+        refuse(problems::unavailable("deadline_passed", "the deadline passed before the dispatch"));
+        return;
+    }
+    const node_verdict verdict = m_services.gate(now);
+    if (!verdict.allowed) {
+        refuse(problems::unavailable(std::string(verdict.reason),
+                                     "this node must not send requests to upstreams now"));
+        return;
+    }
+    if (m_permits >= maxPermits) {
+        refuse(problems::unavailable("dispatch_failed",
+                                     "no engine could be reached; last attempt: " + reason));
+        return;
+    }
+    askForPermit();
+}
+
+void request_session::releasePermit(scheduling::dispatch_result result, bool inTime)
+{
+    scheduling::permit_release report;
+    report.result = result;
+    report.inTime = inTime;
+    if (m_sent) {
+        const auto &usage = m_events.usage();
+        m_record.prefillTokens = usage ? static_cast<std::uint32_t>(usage->promptTokens)
+                                       : m_request.cost.prefillTokens;
+        m_record.decodeTokens = static_cast<std::uint32_t>(m_events.tokens());
+        if (!inTime)
+            m_record.wastedPrefillTokens = m_record.prefillTokens;
+        report.actual = {m_record.prefillTokens, m_record.decodeTokens};
+        if (m_record.firstToken != core::duration::zero())
+            report.firstToken = m_arrived + m_record.firstToken - m_dispatched;
+    }
+    m_services.permits.finish(m_id, report, m_services.clock());
+}
+
+void request_session::onCallerClosed(bool)
+{
+    switch (m_stage) {
+    case stage::WaitingForPermit:
+    case stage::Claiming:
+        m_services.permits.cancel(m_id, m_services.clock());
+        end(request_record::outcome::CallerGone, "caller_gone");
+        return;
+    case stage::Dispatching:
+    case stage::Relaying:
+        m_cancelledByCaller = true;
+        m_services.client.cancel(m_call);
+        return;
+    case stage::Ended:
+        return;
+    }
+}
+
+void request_session::refuse(const transport::problem &problem)
+{
+    m_services.permits.cancel(m_id, m_services.clock());
+    problem.respondTo(*m_exchange);
+    end(problem.outcome == "unknown" ? request_record::outcome::Unknown
+                                     : request_record::outcome::NotRun,
+        problem.reason);
+}
+
+void request_session::end(request_record::outcome result, std::string reason)
+{
+    m_stage = stage::Ended;
+    if (m_claimIsOurs && !m_sent)
+        m_services.claims.giveUp(m_request.identity->key);
+    m_record.result = result;
+    m_record.reason = std::move(reason);
+    m_record.total = m_services.clock() - m_arrived;
+    m_services.ended(m_record);
+}
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/node/route.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/name.h"
+#include "core/tier.h"
+
+#include <vector>
+
+namespace comfreypass::node {
+
+/** Where a request may go, and for whom. */
+struct route
+{
+    core::team_name team;
+    core::half_name half;
+    core::tier tier = core::lowestTier;
+    /** Upstreams that the team's half may use for the request, in the order in which they are
+     * tried. */
+    std::vector<core::upstream_name> upstreams;
+    bool idempotent = true;
+};
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/node/routing_table.cpp
@@ -0,0 +1,121 @@
+#include "node/routing_table.h"
+
+#include "node/token_hash.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace comfreypass::node {
+
+namespace {
+
+bool matches(const sheet::operation_facts &operation, std::string_view method,
+             std::string_view path)
+{
+    if (operation.method != method)
+        return false;
+    std::string_view pattern = operation.path;
+    if (!pattern.ends_with('*'))
+        return pattern == path;
+    pattern.remove_suffix(1);
+    return path.starts_with(pattern);
+}
+
+} // namespace
+
+routing_table::routing_table(std::shared_ptr<const sheet::sheet> sheet) : m_sheet(std::move(sheet))
+{
+    m_teamByTokenHash.reserve(m_sheet->teams.size());
+    for (const auto &[name, facts] : m_sheet->teams)
+        m_teamByTokenHash.emplace(facts.tokenSha256, name);
+    for (const auto &[name, facts] : m_sheet->upstreams) {
+        for (const core::model_name &model : facts.models)
+            m_upstreamsByModel[model].push_back(name);
+    }
+}
+
+std::optional<core::team_name> routing_table::authenticate(std::string_view bearerToken) const
+{
+    // The look-up compares hashes, so its time tells nothing about the token itself.
+    const auto found = m_teamByTokenHash.find(tokenHash(bearerToken));
+    if (found == m_teamByTokenHash.end())
+        return std::nullopt;
+    return found->second;
+}
+
+core::result<route> routing_table::routeModel(const core::team_name &team,
+                                              std::optional<core::tier> wanted,
+                                              const core::model_name &model) const
+{
+    core::result<route> routed = beginRoute(team, wanted);
+    if (!routed)
+        return routed;
+
+    route &value = routed.value();
+    const auto found = m_upstreamsByModel.find(model);
+    if (found != m_upstreamsByModel.end()) {
+        for (const core::upstream_name &upstream : found->second) {
+            if (m_sheet->upstreams.at(upstream).usableBy(value.half))
+                value.upstreams.push_back(upstream);
+        }
+    }
+    if (value.upstreams.empty())
+        return core::error{core::errc::NotFound, "/model",
+                           "no upstream that half '" + value.half.text()
+                               + "' may use serves model '" + model.text() + "'",
+                           ""};
+    // A half's own upstreams come before those that the other half shares with it.
+    std::stable_partition(value.upstreams.begin(), value.upstreams.end(),
+                          [&](const core::upstream_name &upstream) {
+                              return m_sheet->upstreams.at(upstream).owner == value.half;
+                          });
+    return routed;
+}
+
+core::result<route> routing_table::routeService(const core::team_name &team,
+                                                std::optional<core::tier> wanted,
+                                                const core::upstream_name &upstream,
+                                                std::string_view method,
+                                                std::string_view path) const
+{
+    core::result<route> routed = beginRoute(team, wanted);
+    if (!routed)
+        return routed;
+
+    route &value = routed.value();
+    const auto found = m_sheet->upstreams.find(upstream);
+    if (found == m_sheet->upstreams.end() || found->second.kind != sheet::upstream_kind::Service
+        || !found->second.usableBy(value.half))
+        return core::error{core::errc::NotFound, "",
+                           "half '" + value.half.text() + "' may use no service named '"
+                               + upstream.text() + "'",
+                           ""};
+
+    const auto &operations = found->second.operations;
+    const auto operation = std::find_if(
+        operations.begin(), operations.end(),
+        [&](const sheet::operation_facts &facts) { return matches(facts, method, path); });
+    // An operation that the sheet does not list may have effects, so it counts as not idempotent.
+    value.idempotent = operation != operations.end() && operation->idempotent;
+    value.upstreams.push_back(upstream);
+    return routed;
+}
+
+core::result<route> routing_table::beginRoute(const core::team_name &team,
+                                              std::optional<core::tier> wanted) const
+{
+    const sheet::team_facts &facts = m_sheet->teams.at(team);
+    const core::tier tier = wanted.value_or(facts.highestTier());
+    if (tier >= core::tierCount || !facts.tiers.at(tier).has_value())
+        return core::error{core::errc::Refused, "",
+                           "team '" + team.text() + "' does not hold tier " + std::to_string(tier),
+                           "ask for a tier that the sheet gives the team"};
+    route value;
+    value.team = team;
+    value.half = facts.half;
+    value.tier = tier;
+    return value;
+}
+
+} // namespace comfreypass::node
--- /dev/null
+++ b/src/sheet/socket_address.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace comfreypass::sheet {
+
+/** Numeric IP address and port. */
+struct socket_address
+{
+    /** Without the brackets of an IPv6 address. */
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/**
+ * Splits ip:port or [ip]:port. Precondition: the text was validated, as in settings; otherwise host
+ * or port may be empty. Thread-safe.
+ */
+socket_address splitAddress(std::string_view text);
+
+} // namespace comfreypass::sheet
