--- a/src/scheduling/pool_scheduler.cpp
+++ b/src/scheduling/pool_scheduler.cpp
@@ -16,6 +16,12 @@
 /** Permits of one start are numbered from its time in microseconds, times this value. */
 constexpr std::uint64_t permitsPerMicrosecond = 4'096;
 
+/** Latest time at which a node whose clock is 1% slower reaches the deadline. */
+core::time_point withDrift(core::time_point deadline, core::time_point now)
+{
+    return deadline + (deadline - now) / 100;
+}
+
 } // namespace
 
 pool_scheduler::pool_scheduler(core::upstream_name upstream, scheduler_options options)
@@ -199,7 +205,7 @@
     advance(now, out);
     m_lease.drop(node);
     for (const queued_request &item : m_queue.removeNode(node.life))
-        countInFlight(item.request.team, item.request.tier, -1);
+        forgetQueued(item);
     updateShares(now);
     return out;
 }
@@ -430,7 +436,7 @@
                                   .engine = choice.engine,
                                   .tier = item.request.tier,
                                   .team = item.request.team,
-                                  .deadline = item.request.deadline,
+                                  .deadline = withDrift(item.request.deadline, now),
                                   .since = now,
                                   .small = item.small,
                                   .preemptible = item.request.preemptible,
@@ -473,11 +479,18 @@
 
 void pool_scheduler::dropQueued(const queued_request &item, refusal_reason reason, outbox &out)
 {
-    countInFlight(item.request.team, item.request.tier, -1);
-    m_claiming.erase(item.ref);
+    forgetQueued(item);
     refuse(item, reason, out);
 }
 
+void pool_scheduler::forgetQueued(const std::optional<queued_request> &item)
+{
+    if (!item)
+        return;
+    countInFlight(item->request.team, item->request.tier, -1);
+    m_claiming.erase(item->ref);
+}
+
 void pool_scheduler::refuseAll(std::span<const queued_request> items, refusal_reason reason,
                                outbox &out)
 {
@@ -522,7 +535,8 @@
 {
     for (const ramp_state &state : states) {
         const auto id = m_engines.find(state.engine);
-        if (id && m_engines.rampOf(*id).import(state))
+        const bool listed = id && m_engines.at(*id).listed;
+        if (listed && m_engines.rampOf(*id).import(state))
             m_engines.refresh(*id);
     }
 }
@@ -534,6 +548,8 @@
         const request_ref ref{from.life, item.request};
         const bool overdue = item.deadline <= now || item.tier >= core::tierCount;
         if (m_dispatches.find(ref) == nullptr && !overdue) {
+            // The node got a permit from another scheduler in the meantime.
+            forgetQueued(m_queue.remove(ref));
             const auto engine = m_engines.ensure(item.engine);
             dispatch_table::record record{.ref = ref,
                                           .origin = from.name,
@@ -541,7 +557,7 @@
                                           .engine = engine,
                                           .tier = item.tier,
                                           .team = item.team,
-                                          .deadline = item.deadline,
+                                          .deadline = withDrift(item.deadline, now),
                                           .since = now,
                                           .small = isSmall(item.cost),
                                           .preemptible = item.preemptible,
--- a/src/scheduling/pool_scheduler.h
+++ b/src/scheduling/pool_scheduler.h
@@ -103,6 +103,8 @@
                outbox &out);
     permit_grant grantOf(const dispatch_table::record &item) const;
     void refuse(const queued_request &item, refusal_reason reason, outbox &out);
+    /** Ends the accounting of a request that left the queue without a grant. */
+    void forgetQueued(const std::optional<queued_request> &item);
     /** Refuses a request that was queued. */
     void dropQueued(const queued_request &item, refusal_reason reason, outbox &out);
     void refuseAll(std::span<const queued_request> items, refusal_reason reason, outbox &out);
