Carry messages between nodes over ZeroMQ in an ACE reactor

Cause: peer_transport was declared without code.

Change: ROUTER for receiving, one DEALER per peer made on demand and closed when idle, both driven by ZMQ_FD in the reactor.

--- /dev/null
+++ b/src/transport/peer_connection.cpp
@@ -0,0 +1,110 @@
+#include "transport/peer_connection.h"
+
+#include "transport/zmq_io.h"
+#include "wire/codec.h"
+#include "wire/limits.h"
+
+#include <chrono>
+
+namespace comfreypass::transport {
+
+namespace {
+
+// A peer that vanished without closing its connections is noticed after these times.
+constexpr std::chrono::milliseconds connectTimeout{1'000};
+constexpr std::chrono::milliseconds unacknowledgedTimeout{5'000};
+
+int toMs(std::chrono::milliseconds value)
+{
+    return static_cast<int>(value.count());
+}
+
+zmq::socket_t connectTo(zmq::context_t &context, const peer_transport_settings &settings,
+                        std::string_view address)
+{
+    using namespace zmq;
+    socket_t socket{context, socket_type::dealer};
+    socket.set(sockopt::linger, 0);
+    socket.set(sockopt::ipv6, true);
+    socket.set(sockopt::immediate, true);
+    socket.set(sockopt::sndhwm, settings.queuedMessages);
+    socket.set(sockopt::maxmsgsize, static_cast<std::int64_t>(wire::maxMessageBytes));
+    socket.set(sockopt::reconnect_ivl, toMs(settings.reconnectFirst));
+    socket.set(sockopt::reconnect_ivl_max, toMs(settings.reconnectMost));
+    socket.set(sockopt::connect_timeout, toMs(connectTimeout));
+    socket.set(sockopt::tcp_maxrt, toMs(unacknowledgedTimeout));
+    if (settings.curve.has_value()) {
+        socket.set(sockopt::curve_serverkey, settings.curve->serverPublicKey);
+        socket.set(sockopt::curve_publickey, settings.curve->clientPublicKey);
+        socket.set(sockopt::curve_secretkey, settings.curve->clientSecretKey);
+    }
+    socket.connect("tcp://" + std::string{address});
+    return socket;
+}
+
+} // namespace
+
+peer_connection::peer_connection(zmq::context_t &context, ACE_Reactor &reactor,
+                                 const peer_transport_settings &settings, peer_counters &counters,
+                                 std::string_view address, core::time_point now)
+    : m_settings(settings), m_counters(counters), m_lastUse(now),
+      m_socket(connectTo(context, settings, address)),
+      m_watch(reactor, m_socket, [this] { flush(m_settings.clock()); })
+{ }
+
+bool peer_connection::send(const wire::peer_message &message, core::time_point now)
+{
+    m_lastUse = now;
+    flush(now);
+    const attempt tried = m_waiting.empty() ? trySend(message, now) : attempt::WouldBlock;
+    if (tried != attempt::WouldBlock)
+        return tried == attempt::Sent;
+    if (m_waiting.size() >= m_settings.waitingMessages) {
+        ++m_counters.queueFull;
+        return false;
+    }
+    m_waiting.push_back({now, message});
+    return true;
+}
+
+void peer_connection::flush(core::time_point now)
+{
+    // Reading the events makes ZeroMQ process what its descriptor signalled.
+    const bool writable = (m_socket.get(zmq::sockopt::events) & ZMQ_POLLOUT) != 0;
+    while (!m_waiting.empty()) {
+        const waiting_message &next = m_waiting.front();
+        if (now - next.since > m_settings.waitingTimeout)
+            ++m_counters.queueFull;
+        else if (!writable || trySend(next.message, now) == attempt::WouldBlock)
+            return;
+        m_waiting.pop_front();
+    }
+}
+
+bool peer_connection::idle(core::time_point now) const
+{
+    return m_waiting.empty() && now - m_lastUse > m_settings.idleTimeout;
+}
+
+void peer_connection::lingerOnClose()
+{
+    m_socket.set(zmq::sockopt::linger, toMs(m_settings.closeLinger));
+}
+
+peer_connection::attempt peer_connection::trySend(const wire::peer_message &message,
+                                                  core::time_point now)
+{
+    const std::string bytes = wire::encode(m_settings.self, message, now);
+    if (bytes.size() > wire::maxMessageBytes) {
+        ++m_counters.tooLarge;
+        return attempt::TooLarge;
+    }
+    if (!sendNow(m_socket, bytes))
+        return attempt::WouldBlock;
+    peer_counters::traffic &sent = m_counters.sent.at(message.index());
+    ++sent.messages;
+    sent.bytes += bytes.size();
+    return attempt::Sent;
+}
+
+} // namespace comfreypass::transport
--- a/src/transport/peer_transport.h
+++ b/src/transport/peer_transport.h
@@ -34,10 +34,14 @@
     peer_transport(const peer_transport &) = delete;
     peer_transport &operator=(const peer_transport &) = delete;
 
-    /** Binds the address and begins to receive. Errors: Io if the address cannot be bound. */
+    /** Binds the address and begins to receive. Errors: Io if the address cannot be bound,
+     * InvalidArgument for a malformed CURVE key. */
     core::result<void> open();
 
-    /** Sends what is queued for at most the linger time, and closes all sockets. */
+    /**
+     * Sends what is queued for at most the linger time, and closes all sockets. Must not be called
+     * from onPeerMessage().
+     */
     void close();
 
     /** The bound ip:port; empty unless open. */
--- /dev/null
+++ b/src/transport/zmq_io.cpp
@@ -0,0 +1,54 @@
+#include "transport/zmq_io.h"
+
+#include <zmq.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace comfreypass::transport {
+
+namespace {
+
+/** Repeats a call that a signal interrupted. */
+template<class Call>
+int uninterrupted(Call call)
+{
+    int result = call();
+    while (result == -1 && zmq_errno() == EINTR)
+        result = call();
+    return result;
+}
+
+bool receiveFrame(zmq::socket_t &socket, zmq::message_t &frame)
+{
+    return uninterrupted(
+               [&] { return zmq_msg_recv(frame.handle(), socket.handle(), ZMQ_DONTWAIT); })
+           >= 0;
+}
+
+} // namespace
+
+std::optional<std::size_t> receiveNow(zmq::socket_t &socket, zmq_frames &frames, std::size_t most)
+{
+    frames.resize(most + 1);
+    std::size_t count = 0;
+    bool more = true;
+    while (more) {
+        zmq::message_t &frame = frames[std::min(count, most)];
+        if (!receiveFrame(socket, frame))
+            return std::nullopt;
+        more = frame.more();
+        ++count;
+    }
+    return count;
+}
+
+bool sendNow(zmq::socket_t &socket, std::string_view frame, bool more)
+{
+    const int flags = ZMQ_DONTWAIT | (more ? ZMQ_SNDMORE : 0);
+    return uninterrupted(
+               [&] { return zmq_send(socket.handle(), frame.data(), frame.size(), flags); })
+           >= 0;
+}
+
+} // namespace comfreypass::transport
