Add the binary with check, diff and version

Cause: operators need every error of a sheet or settings file with its place and remedy, and the effects of a change, before they load it.

Change: each subcommand is a `command` with a file of its own and a row in `command_table.cpp`. `check` also compares settings with the sheets given and with each other. Exit codes are documented in each help: 2 for invalid input, 3 for a dangerous change, 64 for wrong arguments. Colours are used only on a terminal. Examples are sheets of both organisations, a change and the settings of one node.

--- /dev/null
+++ b/src/app/check_command.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "app/command.h"
+#include "app/document_check.h"
+#include "app/output_format.h"
+
+#include <string>
+#include <vector>
+
+namespace comfreypass::app {
+
+/** Checks sheets and settings. */
+class check_command final : public command
+{
+public:
+    static constexpr const char *footer
+        = "Settings that are given together with a sheet are checked against it and against each\n"
+          "other.\n"
+          "Examples:\n"
+          "  comfreypass check examples/acib-rutas.sheet.json examples/entry-1.settings.json\n"
+          "  comfreypass check --kind settings --output json entry-1.json\n"
+          "Exit codes:\n"
+          "  0  no error (there may be warnings)\n"
+          "  2  at least one error, or a file that cannot be read";
+
+    void addOptions(CLI::App &options) override;
+    int run(console &terminal) override;
+
+private:
+    std::vector<std::string> m_paths;
+    document_kind m_kind = document_kind::Auto;
+    output_format m_format = output_format::Table;
+};
+
+} // namespace comfreypass::app
--- /dev/null
+++ b/src/app/command_table.cpp
@@ -0,0 +1,34 @@
+#include "app/command_table.h"
+
+#include "app/check_command.h"
+#include "app/diff_command.h"
+#include "app/version_command.h"
+
+#include <array>
+
+namespace comfreypass::app {
+
+namespace {
+
+template<class Command>
+std::unique_ptr<command> make()
+{
+    return std::make_unique<Command>();
+}
+
+constexpr std::array rows = {
+    command_row{"check", "Check sheets and settings; shows every error with its JSON pointer",
+                check_command::footer, make<check_command>},
+    command_row{"diff", "Show what replacing one sheet by another does", diff_command::footer,
+                make<diff_command>},
+    command_row{"version", "Print the version", version_command::footer, make<version_command>},
+};
+
+} // namespace
+
+std::span<const command_row> commandTable()
+{
+    return rows;
+}
+
+} // namespace comfreypass::app
--- /dev/null
+++ b/src/app/document_check.cpp
@@ -0,0 +1,148 @@
+#include "app/document_check.h"
+
+#include "app/text_file.h"
+#include "sheet/parse_json.h"
+#include "sheet/parse_settings.h"
+#include "sheet/parse_sheet.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace comfreypass::app {
+
+namespace {
+
+/** Decides by keys that only one kind of document has. */
+document_kind detectKind(const boost::json::value &document)
+{
+    const boost::json::object *object = document.if_object();
+    if (object == nullptr)
+        return document_kind::Auto;
+    const auto count = [&](const auto &keys) {
+        return std::count_if(keys.begin(), keys.end(),
+                             [&](const char *key) { return object->contains(key); });
+    };
+    constexpr std::array sheetKeys
+        = {"revision", "fleet", "halves", "failure_domains", "upstreams", "teams"};
+    constexpr std::array settingsKeys
+        = {"name", "failure_domain", "listen", "peers", "timing", "instance_list"};
+    const auto sheetCount = count(sheetKeys);
+    const auto settingsCount = count(settingsKeys);
+    if (sheetCount == settingsCount)
+        return document_kind::Auto;
+    return sheetCount > settingsCount ? document_kind::Sheet : document_kind::Settings;
+}
+
+void checkSheet(document_check &check, std::string_view text)
+{
+    auto parsed = sheet::parseSheet(text);
+    if (parsed)
+        check.asSheet = std::move(parsed).value();
+    else
+        check.errors = std::move(parsed).error();
+}
+
+void checkSettings(document_check &check, std::string_view text)
+{
+    auto parsed = sheet::parseSettings(text);
+    if (!parsed) {
+        check.errors = std::move(parsed).error();
+        return;
+    }
+    check.warnings = std::move(parsed.value().warnings);
+    check.asSettings = std::move(parsed.value().value);
+}
+
+/** Reports a value that a settings file has in common with an earlier one. */
+class uniqueness
+{
+public:
+    void check(document_check &document, const char *where, const std::string &value)
+    {
+        const auto [other, isNew] = m_owner.emplace(value, document.path);
+        if (isNew)
+            return;
+        document.errors.push_back({core::errc::Conflict, where,
+                                   "\"" + value + "\" is used by " + other->second + " too",
+                                   "give every node a value of its own"});
+    }
+
+private:
+    std::map<std::string, std::string> m_owner;
+};
+
+} // namespace
+
+std::string_view toString(document_kind kind) noexcept
+{
+    static constexpr std::array<std::string_view, 3> names = {"document", "sheet", "settings"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+document_check checkDocument(const std::string &path, document_kind kind)
+{
+    document_check check;
+    check.path = path;
+    check.kind = kind;
+    const auto text = readTextFile(path, sheet::maxSheetBytes);
+    if (!text) {
+        check.errors.push_back(text.error());
+        check.errors.back().where.clear(); // The path is shown already.
+        return check;
+    }
+    if (kind == document_kind::Auto) {
+        auto document = sheet::parseJson(text.value(), sheet::maxSheetBytes);
+        if (!document) {
+            check.errors = std::move(document).error();
+            return check;
+        }
+        check.kind = detectKind(document.value());
+    }
+    if (check.kind == document_kind::Sheet) {
+        checkSheet(check, text.value());
+    } else if (check.kind == document_kind::Settings) {
+        checkSettings(check, text.value());
+    } else {
+        check.errors.push_back({core::errc::ParseFailed,
+                                {},
+                                "has the keys of neither a sheet nor settings",
+                                "say which it is with --kind"});
+    }
+    return check;
+}
+
+void checkTogether(std::vector<document_check> &documents)
+{
+    std::string sheetPaths;
+    std::set<core::domain_name> domains;
+    for (const document_check &each : documents) {
+        if (!each.asSheet)
+            continue;
+        sheetPaths += (sheetPaths.empty() ? "" : " or ") + each.path;
+        for (const auto &[name, facts] : each.asSheet->domains)
+            domains.insert(name);
+    }
+
+    uniqueness names;
+    uniqueness addresses;
+    for (document_check &each : documents) {
+        if (!each.asSettings)
+            continue;
+        const sheet::settings &value = *each.asSettings;
+        names.check(each, "/name", value.name.text());
+        addresses.check(each, "/listen/callers", value.listen.callers);
+        addresses.check(each, "/listen/peers", value.listen.peers);
+        addresses.check(each, "/listen/operators", value.listen.operators);
+        if (!sheetPaths.empty() && !domains.contains(value.failureDomain)) {
+            each.errors.push_back({core::errc::NotFound, "/failure_domain",
+                                   "\"" + value.failureDomain.text() + "\" is not in " + sheetPaths,
+                                   "use a name of its failure_domains, or add it there"});
+        }
+    }
+}
+
+} // namespace comfreypass::app
--- /dev/null
+++ b/src/app/output_format.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <CLI/App.hpp>
+
+#include <cstdint>
+
+namespace comfreypass::app {
+
+enum class output_format : std::uint8_t { Table, Json };
+
+/** Adds the option --output, which writes its value into `target`. */
+void addOutputOption(CLI::App &options, output_format &target);
+
+} // namespace comfreypass::app
--- /dev/null
+++ b/tests/app/command_line_test.cpp
@@ -0,0 +1,184 @@
+#include "app/command_line.h"
+#include "app/command_table.h"
+#include "app/exit_code.h"
+
+#include <boost/json/parse.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace comfreypass::app;
+
+namespace {
+
+const std::string examples = COMFREYPASS_SOURCE_DIR "/examples/";
+const std::string acib = examples + "acib-rutas.sheet.json";
+const std::string splitDay = examples + "split-day.sheet.json";
+const std::string retorno = examples + "retorno-norte.sheet.json";
+const std::string entry1 = examples + "entry-1.settings.json";
+
+struct run_result
+{
+    int code;
+    std::string out;
+    std::string err;
+
+    bool prints(const std::string &text) const { return out.find(text) != std::string::npos; }
+};
+
+run_result runWith(std::vector<std::string> arguments, bool useColours = false)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    console terminal(out, err, useColours);
+    const int code = runCommandLine(std::move(arguments), terminal);
+    return {code, out.str(), err.str()};
+}
+
+/** A file in the temporary folder that is removed at the end of the scope. */
+class temporary_file
+{
+public:
+    explicit temporary_file(const std::string &content)
+        : m_path(std::filesystem::temp_directory_path()
+                 / ("comfreypass-app-test-" + std::to_string(++created) + "-"
+                    + std::to_string(std::filesystem::hash_value(content)) + ".json"))
+    {
+        std::ofstream(m_path) << content;
+    }
+    ~temporary_file() { std::filesystem::remove(m_path); }
+    temporary_file(const temporary_file &) = delete;
+    temporary_file &operator=(const temporary_file &) = delete;
+
+    std::string path() const { return m_path.string(); }
+
+private:
+    static inline int created = 0;
+    std::filesystem::path m_path;
+};
+
+std::string readExample(const std::string &path)
+{
+    std::ostringstream content;
+    content << std::ifstream(path).rdbuf();
+    return content.str();
+}
+
+} // namespace
+
+class command_line_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(command_line_test);
+    CPPUNIT_TEST(everyExampleIsValid);
+    CPPUNIT_TEST(checkShowsEveryErrorAndExitsWithTwo);
+    CPPUNIT_TEST(checkReportsUnreadableAndUndecidableFiles);
+    CPPUNIT_TEST(checkComparesSettingsWithSheetAndEachOther);
+    CPPUNIT_TEST(diffExitCodeTellsDanger);
+    CPPUNIT_TEST(jsonOutputIsOneDocument);
+    CPPUNIT_TEST(everyCommandDocumentsItsExitCodes);
+    CPPUNIT_TEST(wrongArgumentsAreUsageErrors);
+    CPPUNIT_TEST(coloursOnlyWhereAskedFor);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against examples that users copy and that do not load.
+    void everyExampleIsValid()
+    {
+        std::vector<std::string> arguments = {"check"};
+        for (const auto &entry : std::filesystem::directory_iterator(examples))
+            arguments.push_back(entry.path().string());
+        CPPUNIT_ASSERT(arguments.size() >= 5);
+        const run_result result = runWith(arguments);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(result.out, int{Success}, result.code);
+        CPPUNIT_ASSERT_MESSAGE(result.out, !result.prints("warning"));
+    }
+
+    // Guards against a check that stops at the first error or passes in a script.
+    void checkShowsEveryErrorAndExitsWithTwo()
+    {
+        const temporary_file file(R"({"revision": -1, "halves": [], "x": 1})");
+        const run_result result = runWith({"check", "--kind", "sheet", file.path(), acib});
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, result.code);
+        for (const char *text : {"/revision", "/fleet", "/halves", "/failure_domains", "/x",
+                                 "5 errors", "remove it or use one of"})
+            CPPUNIT_ASSERT_MESSAGE(text, result.prints(text));
+    }
+
+    // Guards against counting a file that was not checked as valid.
+    void checkReportsUnreadableAndUndecidableFiles()
+    {
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, runWith({"check", examples + "none"}).code);
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, runWith({"check", examples}).code);
+        const temporary_file file("{}");
+        const run_result result = runWith({"check", file.path()});
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, result.code);
+        CPPUNIT_ASSERT(result.prints("--kind"));
+    }
+
+    // Guards against a node in a failure domain that the sheet does not know, and against copied
+    // settings with the same name and ports.
+    void checkComparesSettingsWithSheetAndEachOther()
+    {
+        CPPUNIT_ASSERT(runWith({"check", retorno, entry1}).prints("\"sanjose-a\" is not in"));
+        const temporary_file copy(readExample(entry1));
+        const run_result result = runWith({"check", entry1, copy.path()});
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, result.code);
+        CPPUNIT_ASSERT(result.prints("4 errors"));
+    }
+
+    // Guards against a dangerous change that a script loads, and a safe one that it does not.
+    void diffExitCodeTellsDanger()
+    {
+        const run_result dangerous = runWith({"diff", acib, splitDay});
+        CPPUNIT_ASSERT_EQUAL(int{DangerousChange}, dangerous.code);
+        CPPUNIT_ASSERT(dangerous.prints("/teams/cuadrillas"));
+        CPPUNIT_ASSERT_EQUAL(int{Success}, runWith({"diff", acib, acib}).code);
+        const run_result unreadable = runWith({"diff", acib, entry1});
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, unreadable.code);
+        CPPUNIT_ASSERT(unreadable.err.find("/revision") != std::string::npos);
+    }
+
+    // Guards against output that other programs cannot parse.
+    void jsonOutputIsOneDocument()
+    {
+        const auto check
+            = boost::json::parse(runWith({"check", "--output", "json", acib, entry1}).out);
+        CPPUNIT_ASSERT(check.at_pointer("/files/1/kind") == "settings");
+        const auto diff
+            = boost::json::parse(runWith({"diff", "--output", "json", acib, splitDay}).out);
+        CPPUNIT_ASSERT(diff.at_pointer("/changes/0/severity") == "dangerous");
+    }
+
+    // Guards against a new command without a documented outcome.
+    void everyCommandDocumentsItsExitCodes()
+    {
+        for (const command_row &row : commandTable()) {
+            const run_result result = runWith({row.name, "--help"});
+            CPPUNIT_ASSERT_EQUAL(int{Success}, result.code);
+            CPPUNIT_ASSERT_MESSAGE(row.name, result.prints("Exit codes:"));
+        }
+    }
+
+    // Guards against a mistyped option that looks like an invalid sheet to a script.
+    void wrongArgumentsAreUsageErrors()
+    {
+        CPPUNIT_ASSERT_EQUAL(int{Usage}, runWith({}).code);
+        CPPUNIT_ASSERT_EQUAL(int{Usage}, runWith({"chekc", acib}).code);
+        CPPUNIT_ASSERT_EQUAL(int{Usage}, runWith({"check"}).code);
+        CPPUNIT_ASSERT_EQUAL(int{Usage}, runWith({"check", "--output", "xml", acib}).code);
+        CPPUNIT_ASSERT_EQUAL(int{Usage}, runWith({"diff", acib}).code);
+    }
+
+    // Guards against escape sequences in files and pipes.
+    void coloursOnlyWhereAskedFor()
+    {
+        CPPUNIT_ASSERT(!runWith({"check", acib}).prints("\x1b["));
+        CPPUNIT_ASSERT(runWith({"check", acib}, true).prints("\x1b["));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(command_line_test);
