Add the HTTP server and client on the reactor

Cause: callers, upstreams and the stand-ins speak HTTP, and a node has one thread.

Every call but a plain GET gets a connection of its own, because libcurl repeats a request on a dead reused connection. The epoll reactor rounds timer waits up to milliseconds: ACE cuts them off and spins through the rest.

--- /dev/null
+++ b/src/transport/curl_transfer.cpp
@@ -0,0 +1,285 @@
+#include "transport/curl_transfer.h"
+
+#include "transport/callback_guard.h"
+#include "transport/clock.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace comfreypass::transport {
+
+namespace {
+
+using error_kind = http_call_result::error_kind;
+
+/** Bound on the header of an answer. */
+constexpr std::size_t answerHeaderBytes = 64 * 1'024;
+
+/** Most bytes in one onData; also the most that libcurl holds back while reading is paused. */
+constexpr long readBlockBytes = 16 * 1'024;
+
+long toMilliseconds(core::duration time)
+{
+    const auto whole = std::chrono::ceil<std::chrono::milliseconds>(time);
+    // 0 means "no limit" or "default" to libcurl.
+    return std::max<long>(1, static_cast<long>(whole.count()));
+}
+
+/** A line break in a field would let its value add fields to the request. */
+bool isSafeField(const http_headers::field &field)
+{
+    const auto unsafe = [](char c) {
+        return c == '\r' || c == '\n' || c == '\0';
+    };
+    return std::ranges::none_of(field.first, unsafe) && std::ranges::none_of(field.second, unsafe);
+}
+
+std::string_view trim(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+} // namespace
+
+curl_transfer::curl_transfer(std::uint64_t id, http_call call,
+                             std::shared_ptr<http_call_events> events)
+    : m_id(id), m_call(std::move(call)), m_events(std::move(events)), m_easy(curl_easy_init())
+{ }
+
+curl_transfer &curl_transfer::of(CURL *easy)
+{
+    void *self = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &self);
+    return *static_cast<curl_transfer *>(self);
+}
+
+bool curl_transfer::prepare()
+{
+    const core::time_point now = monotonicNow();
+    if (m_call.deadline <= now) {
+        m_deadlinePassed = true;
+        return false;
+    }
+    CURL *easy = m_easy.get();
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(easy, CURLOPT_URL, m_call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, readBlockBytes);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, toMilliseconds(m_call.connectTimeout));
+    if (m_call.deadline != core::time_point::max())
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMilliseconds(m_call.deadline - now));
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &curl_transfer::onBeforeSend);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &curl_transfer::onHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &curl_transfer::onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+    // libcurl repeats a request by itself if a reused connection turns out to be dead.
+    const bool repeatable = m_call.method == "GET" && !m_call.beforeSend;
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, repeatable ? 0L : 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, repeatable ? 0L : 1L);
+    setMethod();
+    setHeaders();
+    return true;
+}
+
+void curl_transfer::setMethod()
+{
+    CURL *easy = m_easy.get();
+    if (m_call.method == "GET" && m_call.body.empty())
+        return;
+    if (m_call.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    const bool takesBody
+        = m_call.method == "POST" || m_call.method == "PUT" || m_call.method == "PATCH";
+    if (takesBody || !m_call.body.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(m_call.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, m_call.body.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, m_call.method.c_str());
+}
+
+void curl_transfer::setHeaders()
+{
+    const auto append = [this](const std::string &line) {
+        curl_slist *grown = curl_slist_append(m_fields.get(), line.c_str());
+        if (grown != nullptr) {
+            static_cast<void>(m_fields.release());
+            m_fields.reset(grown);
+        }
+    };
+    // libcurl adds both by itself: a wait for "100 Continue" and the type of a web form.
+    append("Expect:");
+    if (!m_call.headers.find("Content-Type"))
+        append("Content-Type:");
+    for (const auto &field : m_call.headers) {
+        // "Name:" alone removes a field, "Name;" sends an empty one.
+        if (isSafeField(field))
+            append(field.second.empty() ? field.first + ";" : field.first + ": " + field.second);
+    }
+    curl_easy_setopt(m_easy.get(), CURLOPT_HTTPHEADER, m_fields.get());
+}
+
+int curl_transfer::onBeforeSend(void *self, char * /*remoteIp*/, char * /*localIp*/,
+                                int /*remotePort*/, int /*localPort*/) noexcept
+{
+    bool allowed = false;
+    guarded("beforeSend", [&] { allowed = static_cast<curl_transfer *>(self)->mayBeginToSend(); });
+    return allowed ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+bool curl_transfer::mayBeginToSend()
+{
+    if (m_cancelled)
+        return false;
+    if (m_call.deadline <= monotonicNow()) {
+        m_deadlinePassed = true;
+        return false;
+    }
+    if (m_call.beforeSend) {
+        if (m_result.requestBytesMayHaveLeft) {
+            m_fault = "the request would have been sent a second time";
+            return false;
+        }
+        // Stays set if the function throws.
+        m_refused = true;
+        m_refused = !m_call.beforeSend();
+    }
+    if (m_refused)
+        return false;
+    m_result.requestBytesMayHaveLeft = true;
+    return true;
+}
+
+std::size_t curl_transfer::onHeaderLine(char *data, std::size_t size, std::size_t count,
+                                        void *self) noexcept
+{
+    bool taken = false;
+    guarded("onHeaders", [&] {
+        taken = static_cast<curl_transfer *>(self)->takeHeaderLine({data, size * count});
+    });
+    return taken ? size * count : 0;
+}
+
+bool curl_transfer::takeHeaderLine(std::string_view line)
+{
+    if (m_cancelled)
+        return false;
+    // Fields after the last chunk.
+    if (m_headerEnded)
+        return true;
+    m_headerBytes += line.size();
+    if (m_headerBytes > answerHeaderBytes) {
+        m_fault = "header of the answer is larger than 64 KiB";
+        return false;
+    }
+    const std::string_view text = trim(line);
+    if (text.empty())
+        return endHeader();
+    if (text.starts_with("HTTP/")) {
+        m_answerHeaders = {};
+        return true;
+    }
+    const std::size_t colon = text.find(':');
+    if (colon != std::string_view::npos)
+        m_answerHeaders.add(std::string(text.substr(0, colon)),
+                            std::string(trim(text.substr(colon + 1))));
+    return true;
+}
+
+bool curl_transfer::endHeader()
+{
+    long status = 0;
+    curl_easy_getinfo(m_easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    // An interim answer; the final one follows.
+    if (status < 200)
+        return true;
+    m_headerEnded = true;
+    m_result.status = static_cast<unsigned>(status);
+    m_events->onHeaders(m_result.status, m_answerHeaders);
+    return !m_cancelled;
+}
+
+std::size_t curl_transfer::onBody(char *data, std::size_t size, std::size_t count,
+                                  void *self) noexcept
+{
+    auto *transfer = static_cast<curl_transfer *>(self);
+    if (transfer->m_cancelled)
+        return 0;
+    // libcurl keeps these bytes and delivers them again after unpause.
+    if (transfer->m_paused)
+        return CURL_WRITEFUNC_PAUSE;
+    const std::size_t bytes = size * count;
+    const bool returned = guarded("onData", [&] {
+        transfer->m_paused = !transfer->m_events->onData({data, bytes});
+    });
+    return returned && !transfer->m_cancelled ? bytes : 0;
+}
+
+bool curl_transfer::takePause() noexcept
+{
+    return std::exchange(m_paused, false);
+}
+
+CURLcode curl_transfer::unpause()
+{
+    return curl_easy_pause(m_easy.get(), CURLPAUSE_CONT);
+}
+
+bool curl_transfer::answerIsFramed() const
+{
+    if (!m_headerEnded)
+        return false;
+    if (m_call.method == "HEAD" || m_result.status == 204 || m_result.status == 304)
+        return true;
+    const auto coding = m_answerHeaders.find("Transfer-Encoding");
+    if (coding)
+        return boost::algorithm::icontains(*coding, "chunked");
+    return m_answerHeaders.find("Content-Length").has_value();
+}
+
+error_kind curl_transfer::classify(CURLcode code) const
+{
+    if (m_cancelled)
+        return error_kind::Cancelled;
+    if (m_deadlinePassed)
+        return error_kind::Timeout;
+    if (code == CURLE_OK)
+        return error_kind::None;
+    if (m_refused)
+        return error_kind::RefusedBeforeSend;
+    if (code == CURLE_OPERATION_TIMEDOUT
+        && (m_result.requestBytesMayHaveLeft || m_call.deadline <= monotonicNow()))
+        return error_kind::Timeout;
+    return m_result.requestBytesMayHaveLeft ? error_kind::Broken : error_kind::ConnectFailed;
+}
+
+void curl_transfer::end(CURLcode code)
+{
+    m_result.error = classify(code);
+    m_result.complete = m_result.error == error_kind::None && answerIsFramed();
+    if (m_fault)
+        m_result.detail = *m_fault;
+    else if (m_result.error != error_kind::None && code != CURLE_OK)
+        m_result.detail = curl_easy_strerror(code);
+}
+
+void curl_transfer::reportDone()
+{
+    const auto events = std::exchange(m_events, nullptr);
+    guarded("onDone", [&] { events->onDone(m_result); });
+}
+
+} // namespace comfreypass::transport
--- /dev/null
+++ b/src/transport/curl_transfer.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "transport/http_call.h"
+#include "transport/http_call_events.h"
+
+#include <curl/curl.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace comfreypass::transport {
+
+/** One call of the HTTP client with its libcurl handle. Not thread-safe. */
+class curl_transfer
+{
+public:
+    curl_transfer(std::uint64_t id, http_call call, std::shared_ptr<http_call_events> events);
+    ~curl_transfer() = default;
+    curl_transfer(const curl_transfer &) = delete;
+    curl_transfer &operator=(const curl_transfer &) = delete;
+
+    /** The transfer that owns a handle. */
+    static curl_transfer &of(CURL *easy);
+
+    /** Sets the options of the handle. False if the deadline has passed; the result says so. */
+    bool prepare();
+
+    std::uint64_t id() const noexcept { return m_id; }
+    CURL *easy() const noexcept { return m_easy.get(); }
+    bool cancelled() const noexcept { return m_cancelled; }
+
+    /** No event but onDone follows. */
+    void cancel() noexcept { m_cancelled = true; }
+
+    /** True if reading was paused; it is not from then on. */
+    bool takePause() noexcept;
+
+    /** Lets libcurl deliver the bytes that it holds back; an error ends the transfer. */
+    CURLcode unpause();
+
+    /** Fills the result after libcurl has ended the transfer. */
+    void end(CURLcode code);
+
+    /** Calls onDone. */
+    void reportDone();
+
+private:
+    struct easy_deleter
+    {
+        void operator()(CURL *easy) const noexcept { curl_easy_cleanup(easy); }
+    };
+    struct list_deleter
+    {
+        void operator()(curl_slist *list) const noexcept { curl_slist_free_all(list); }
+    };
+
+    static int onBeforeSend(void *self, char *remoteIp, char *localIp, int remotePort,
+                            int localPort) noexcept;
+    static std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count,
+                                    void *self) noexcept;
+    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self) noexcept;
+
+    void setMethod();
+    void setHeaders();
+    bool mayBeginToSend();
+    bool takeHeaderLine(std::string_view line);
+    bool endHeader();
+    bool answerIsFramed() const;
+    http_call_result::error_kind classify(CURLcode code) const;
+
+    std::uint64_t m_id;
+    http_call m_call;
+    std::shared_ptr<http_call_events> m_events;
+    std::unique_ptr<CURL, easy_deleter> m_easy;
+    std::unique_ptr<curl_slist, list_deleter> m_fields;
+    http_headers m_answerHeaders;
+    std::size_t m_headerBytes = 0;
+    bool m_headerEnded = false;
+    bool m_cancelled = false;
+    bool m_paused = false;
+    bool m_refused = false;
+    bool m_deadlinePassed = false;
+    std::optional<std::string> m_fault;
+    http_call_result m_result;
+};
+
+} // namespace comfreypass::transport
--- a/src/transport/epoll_reactor.cpp
+++ b/src/transport/epoll_reactor.cpp
@@ -12,10 +12,39 @@
 
 namespace {
 
-using monotonic_timers
+using monotonic_heap
     = ACE_Timer_Heap_T<ACE_Event_Handler *, ACE_Event_Handler_Handle_Timeout_Upcall,
                        ACE_SYNCH_RECURSIVE_MUTEX, ACE_Monotonic_Time_Policy>;
 
+/**
+ * Rounds waiting times up to whole milliseconds. The reactor cuts them off for epoll_wait and would
+ * otherwise spin through the last millisecond before each timer.
+ */
+class monotonic_timers : public monotonic_heap
+{
+public:
+    ACE_Time_Value *calculate_timeout(ACE_Time_Value *longest) override
+    {
+        return calculate_timeout(longest, &m_timeout);
+    }
+
+    ACE_Time_Value *calculate_timeout(ACE_Time_Value *longest, ACE_Time_Value *result) override
+    {
+        const ACE_Time_Value *timeout = monotonic_heap::calculate_timeout(longest, result);
+        if (timeout == nullptr)
+            return nullptr;
+        const suseconds_t beyond = timeout->usec() % microsecondsPerMillisecond;
+        *result = *timeout;
+        if (beyond != 0)
+            *result += ACE_Time_Value(0, microsecondsPerMillisecond - beyond);
+        return result;
+    }
+
+private:
+    static constexpr suseconds_t microsecondsPerMillisecond = 1'000;
+    ACE_Time_Value m_timeout;
+};
+
 /** Longest time between two questions whether a loop is done. */
 constexpr suseconds_t longestTurnMicroseconds = 20'000;
 
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,423 @@
+#include "transport/http_server.h"
+
+#include "transport/callback_guard.h"
+#include "transport/mhd_exchange.h"
+#include "transport/problem.h"
+#include "transport/reactor_timer.h"
+
+#include <ace/Event_Handler.h>
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace comfreypass::transport {
+
+namespace {
+
+/** Room for the answer's header and for chunks, in addition to the request's header. */
+constexpr std::size_t answerPoolBytes = 32 * 1'024;
+
+/** A caller's disconnect is noticed within twice this time even on a busy process. */
+constexpr auto disconnectCheckInterval = std::chrono::milliseconds(100);
+
+/** Body bytes beyond the bound that are read and dropped, so that the caller can read the 413. */
+constexpr std::size_t droppedBodyBytes = 8 * 1'024 * 1'024;
+
+struct daemon_deleter
+{
+    void operator()(MHD_Daemon *daemon) const noexcept { MHD_stop_daemon(daemon); }
+};
+
+std::string describeAddress(const sockaddr *address)
+{
+    if (address == nullptr)
+        return {};
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    if (address->sa_family == AF_INET) {
+        const auto *v4 = reinterpret_cast<const sockaddr_in *>(address);
+        inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
+        return std::string(text.data()) + ":" + std::to_string(ntohs(v4->sin_port));
+    }
+    if (address->sa_family == AF_INET6) {
+        const auto *v6 = reinterpret_cast<const sockaddr_in6 *>(address);
+        inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
+        return "[" + std::string(text.data()) + "]:" + std::to_string(ntohs(v6->sin6_port));
+    }
+    return {};
+}
+
+MHD_Result addHeader(void *request, MHD_ValueKind /*kind*/, const char *key, std::size_t keySize,
+                     const char *value, std::size_t valueSize) noexcept
+{
+    const bool added = guarded("request header", [&] {
+        static_cast<http_request *>(request)->headers.add(
+            std::string(key, keySize), std::string(value == nullptr ? "" : value, valueSize));
+    });
+    return added ? MHD_YES : MHD_NO;
+}
+
+MHD_Result addArgument(void *request, MHD_ValueKind /*kind*/, const char *key, std::size_t keySize,
+                       const char *value, std::size_t valueSize) noexcept
+{
+    const bool added = guarded("query argument", [&] {
+        static_cast<http_request *>(request)->arguments.try_emplace(
+            std::string(key, keySize), std::string(value == nullptr ? "" : value, valueSize));
+    });
+    return added ? MHD_YES : MHD_NO;
+}
+
+std::size_t announcedBodyBytes(const http_request &request)
+{
+    const std::string_view text = request.headers.find("Content-Length").value_or("");
+    std::size_t size = 0;
+    std::from_chars(text.data(), text.data() + text.size(), size);
+    return size;
+}
+
+problem makeProblem(unsigned status, std::string title, std::string reason)
+{
+    problem document;
+    document.status = status;
+    document.title = std::move(title);
+    document.reason = std::move(reason);
+    document.outcome = "not_run";
+    return document;
+}
+
+} // namespace
+
+class http_server::implementation : private ACE_Event_Handler
+{
+public:
+    implementation(ACE_Reactor &reactor, http_server_settings settings, http_handler &handler)
+        : m_reactor(reactor), m_settings(std::move(settings)), m_handler(handler),
+          m_turn(reactor, [this] { run(); }), m_disconnectCheck(reactor, [this] { checkCallers(); })
+    { }
+
+    ~implementation() override
+    {
+        if (m_daemon == nullptr)
+            return;
+        m_reactor.remove_handler(m_epoll, ALL_EVENTS_MASK | DONT_CALL);
+        for (const auto &exchange : std::set(m_exchanges))
+            exchange->callerGone();
+        m_daemon.reset();
+    }
+
+    implementation(const implementation &) = delete;
+    implementation &operator=(const implementation &) = delete;
+
+    core::result<std::uint16_t> listen();
+    void stopListening();
+    std::size_t openConnections() const noexcept;
+    std::uint16_t port() const noexcept { return m_port; }
+    std::size_t openExchanges() const noexcept { return m_exchanges.size(); }
+
+private:
+    /** A request from its header until libmicrohttpd has ended it. */
+    struct pending_request
+    {
+        std::shared_ptr<mhd_exchange> exchange;
+        bool tooLarge = false;
+        bool handedOver = false;
+        std::size_t receivedBytes = 0;
+    };
+
+    static MHD_Result onAccess(void *self, MHD_Connection *connection, const char *url,
+                               const char *method, const char *version, const char *data,
+                               std::size_t *dataSize, void **state) noexcept;
+    static void onCompleted(void *self, MHD_Connection *connection, void **state,
+                            MHD_RequestTerminationCode code) noexcept;
+
+    int handle_input(ACE_HANDLE descriptor) override;
+    void run();
+    void scheduleTurn();
+    void checkCallers();
+    MHD_Result access(MHD_Connection *connection, const char *url, const char *method,
+                      std::string_view data, std::size_t *dataSize, void **state);
+    MHD_Result begin(MHD_Connection *connection, const char *url, const char *method, void **state);
+    MHD_Result handOver(pending_request &pending);
+
+    ACE_Reactor &m_reactor;
+    http_server_settings m_settings;
+    http_handler &m_handler;
+    reactor_timer m_turn;
+    reactor_timer m_disconnectCheck;
+    std::unique_ptr<MHD_Daemon, daemon_deleter> m_daemon;
+    int m_epoll = -1;
+    std::uint16_t m_port = 0;
+    std::set<std::shared_ptr<mhd_exchange>> m_exchanges;
+};
+
+core::result<std::uint16_t> http_server::implementation::listen()
+{
+    const std::string where = m_settings.address + ":" + std::to_string(m_settings.port);
+    sockaddr_storage address{};
+    auto *v4 = reinterpret_cast<sockaddr_in *>(&address);
+    auto *v6 = reinterpret_cast<sockaddr_in6 *>(&address);
+    unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+    if (inet_pton(AF_INET, m_settings.address.c_str(), &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(m_settings.port);
+    } else if (inet_pton(AF_INET6, m_settings.address.c_str(), &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(m_settings.port);
+        flags |= MHD_USE_IPv6;
+    } else {
+        return core::error{core::errc::InvalidArgument, where, "not a numeric IP address",
+                           "give an IPv4 or IPv6 address"};
+    }
+
+    std::vector<MHD_OptionItem> options;
+    if (!m_settings.tlsKeyPem.empty() || !m_settings.tlsCertificatePem.empty()) {
+        if (MHD_is_feature_supported(MHD_FEATURE_TLS) != MHD_YES)
+            return core::error{core::errc::InvalidArgument, where,
+                               "libmicrohttpd is built without TLS", ""};
+        flags |= MHD_USE_TLS;
+        options.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, m_settings.tlsKeyPem.data()});
+        options.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, m_settings.tlsCertificatePem.data()});
+    }
+    options.push_back({MHD_OPTION_END, 0, nullptr});
+
+    errno = 0;
+    m_daemon.reset(
+        MHD_start_daemon(flags, m_settings.port, nullptr, nullptr, &implementation::onAccess, this,
+                         MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+                         &implementation::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT,
+                         m_settings.connectionLimit, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+                         m_settings.connectionLimitPerAddress, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                         m_settings.headerBytes + answerPoolBytes, MHD_OPTION_CONNECTION_TIMEOUT,
+                         m_settings.idleSeconds, MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END));
+    if (m_daemon == nullptr) {
+        const int cause = errno;
+        const bool io = cause == EADDRINUSE || cause == EADDRNOTAVAIL || cause == EACCES;
+        return core::error{io ? core::errc::Io : core::errc::InvalidArgument, where,
+                           std::string("cannot listen: ")
+                               + (cause == 0 ? "settings refused" : std::strerror(cause)),
+                           "check address, port, key and certificate"};
+    }
+
+    m_epoll = MHD_get_daemon_info(m_daemon.get(), MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    m_port = MHD_get_daemon_info(m_daemon.get(), MHD_DAEMON_INFO_BIND_PORT)->port;
+    if (m_reactor.register_handler(m_epoll, this, READ_MASK) != 0) {
+        m_daemon.reset();
+        return core::error{core::errc::Io, where, "the reactor has no room for the descriptor", ""};
+    }
+    m_disconnectCheck.startRepeating(disconnectCheckInterval);
+    scheduleTurn();
+    return m_port;
+}
+
+void http_server::implementation::stopListening()
+{
+    if (m_daemon == nullptr)
+        return;
+    const MHD_socket listening = MHD_quiesce_daemon(m_daemon.get());
+    if (listening != MHD_INVALID_SOCKET)
+        ::close(listening);
+}
+
+std::size_t http_server::implementation::openConnections() const noexcept
+{
+    if (m_daemon == nullptr)
+        return 0;
+    const MHD_DaemonInfo *info
+        = MHD_get_daemon_info(m_daemon.get(), MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info == nullptr ? 0 : info->num_connections;
+}
+
+int http_server::implementation::handle_input(ACE_HANDLE /*descriptor*/)
+{
+    run();
+    return 0;
+}
+
+void http_server::implementation::run()
+{
+    MHD_run(m_daemon.get());
+    scheduleTurn();
+}
+
+void http_server::implementation::scheduleTurn()
+{
+    MHD_UNSIGNED_LONG_LONG milliseconds = 0;
+    if (MHD_get_timeout(m_daemon.get(), &milliseconds) == MHD_YES)
+        m_turn.startOnce(std::chrono::milliseconds(milliseconds));
+    else
+        m_turn.stop();
+}
+
+void http_server::implementation::checkCallers()
+{
+    std::vector<std::shared_ptr<mhd_exchange>> watched;
+    std::vector<pollfd> descriptors;
+    for (const auto &exchange : m_exchanges) {
+        const int descriptor = exchange->descriptorToWatch();
+        if (descriptor < 0)
+            continue;
+        watched.push_back(exchange);
+        // POLLRDHUP also shows a disconnect behind unread bytes, which a peeking read does not.
+        descriptors.push_back({descriptor, POLLRDHUP, 0});
+    }
+    if (descriptors.empty() || ::poll(descriptors.data(), descriptors.size(), 0) <= 0)
+        return;
+    for (std::size_t i = 0; i < descriptors.size(); ++i) {
+        if (descriptors[i].revents != 0)
+            watched[i]->callerGone();
+    }
+}
+
+MHD_Result http_server::implementation::onAccess(void *self, MHD_Connection *connection,
+                                                 const char *url, const char *method,
+                                                 const char * /*version*/, const char *data,
+                                                 std::size_t *dataSize, void **state) noexcept
+{
+    MHD_Result result = MHD_NO;
+    guarded("access handler", [&] {
+        result = static_cast<implementation *>(self)->access(
+            connection, url, method, std::string_view(data, data == nullptr ? 0 : *dataSize),
+            dataSize, state);
+    });
+    return result;
+}
+
+MHD_Result http_server::implementation::access(MHD_Connection *connection, const char *url,
+                                               const char *method, std::string_view data,
+                                               std::size_t *dataSize, void **state)
+{
+    if (*state == nullptr)
+        return begin(connection, url, method, state);
+    auto &pending = *static_cast<pending_request *>(*state);
+    if (!data.empty()) {
+        *dataSize = 0;
+        pending.receivedBytes += data.size();
+        if (pending.receivedBytes > m_settings.bodyBytes + droppedBodyBytes)
+            return MHD_NO;
+        std::string &body = pending.exchange->incoming().body;
+        pending.tooLarge = pending.receivedBytes > m_settings.bodyBytes;
+        if (pending.tooLarge)
+            body.clear();
+        else
+            body += data;
+        return MHD_YES;
+    }
+    if (!pending.handedOver)
+        return handOver(pending);
+    return pending.exchange->advance();
+}
+
+MHD_Result http_server::implementation::begin(MHD_Connection *connection, const char *url,
+                                              const char *method, void **state)
+{
+    auto pending = std::make_unique<pending_request>();
+    pending->exchange
+        = std::make_shared<mhd_exchange>(connection, m_settings.relayBufferBytes,
+                                         [this] { m_turn.startOnce(core::duration::zero()); });
+    http_request &request = pending->exchange->incoming();
+    request.method = method;
+    request.path = url;
+    MHD_get_connection_values_n(connection, MHD_HEADER_KIND, &addHeader, &request);
+    MHD_get_connection_values_n(connection, MHD_GET_ARGUMENT_KIND, &addArgument, &request);
+    const MHD_ConnectionInfo *client
+        = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    request.remoteAddress = describeAddress(client == nullptr ? nullptr : client->client_addr);
+    const MHD_ConnectionInfo *header
+        = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+    mhd_exchange &exchange = *pending->exchange;
+    *state = pending.release();
+    if (header != nullptr && header->header_size > m_settings.headerBytes) {
+        makeProblem(MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "Request header too large",
+                    "header_too_large")
+            .respondTo(exchange, {{"Connection", "close"}});
+        return exchange.advance();
+    }
+    if (announcedBodyBytes(request) > m_settings.bodyBytes + droppedBodyBytes) {
+        makeProblem(MHD_HTTP_CONTENT_TOO_LARGE, "Request body too large", "body_too_large")
+            .respondTo(exchange, {{"Connection", "close"}});
+        return exchange.advance();
+    }
+    return MHD_YES;
+}
+
+MHD_Result http_server::implementation::handOver(pending_request &pending)
+{
+    pending.handedOver = true;
+    const std::shared_ptr<mhd_exchange> exchange = pending.exchange;
+    if (pending.tooLarge) {
+        makeProblem(MHD_HTTP_CONTENT_TOO_LARGE, "Request body too large", "body_too_large")
+            .respondTo(*exchange);
+        return exchange->advance();
+    }
+    m_exchanges.insert(exchange);
+    // The handler owns the exchange apart from the server, so that a handler that drops it without
+    // an answer is noticed.
+    std::shared_ptr<http_exchange> owned(exchange.get(),
+                                         [exchange](http_exchange *) { exchange->handlerGone(); });
+    const bool returned = guarded("request handler", [&] { m_handler.onRequest(owned); });
+    if (!returned) {
+        // The handler may have passed the request on before it failed.
+        problem document
+            = makeProblem(MHD_HTTP_INTERNAL_SERVER_ERROR, "Internal error", "internal_error");
+        document.outcome = "unknown";
+        document.respondTo(*exchange);
+    }
+    owned.reset();
+    return exchange->advance();
+}
+
+void http_server::implementation::onCompleted(void *self, MHD_Connection * /*connection*/,
+                                              void **state,
+                                              MHD_RequestTerminationCode code) noexcept
+{
+    if (*state == nullptr)
+        return;
+    const std::unique_ptr<pending_request> pending(static_cast<pending_request *>(*state));
+    *state = nullptr;
+    static_cast<implementation *>(self)->m_exchanges.erase(pending->exchange);
+    pending->exchange->connectionClosed(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+}
+
+http_server::http_server(ACE_Reactor &reactor, http_server_settings settings, http_handler &handler)
+    : m_implementation(std::make_unique<implementation>(reactor, std::move(settings), handler))
+{ }
+
+http_server::~http_server() = default;
+
+core::result<std::uint16_t> http_server::listen()
+{
+    return m_implementation->listen();
+}
+
+std::uint16_t http_server::port() const noexcept
+{
+    return m_implementation->port();
+}
+
+void http_server::stopListening()
+{
+    m_implementation->stopListening();
+}
+
+std::size_t http_server::openExchanges() const noexcept
+{
+    return m_implementation->openExchanges();
+}
+
+std::size_t http_server::openConnections() const noexcept
+{
+    return m_implementation->openConnections();
+}
+
+} // namespace comfreypass::transport
--- /dev/null
+++ b/src/transport/mhd_exchange.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "transport/http_exchange.h"
+
+#include <microhttpd.h>
+#include <sys/types.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace comfreypass::transport {
+
+/**
+ * An exchange on a libmicrohttpd connection. While it has nothing to send, its connection is
+ * suspended, which libmicrohttpd allows only from within its own callbacks. Not thread-safe.
+ */
+class mhd_exchange final : public http_exchange
+{
+public:
+    /**
+     * `bufferBound` is the number of streamed bytes at which `write` asks the writer to wait.
+     * `resumed` is called when the library has to take a turn for a resumed connection.
+     */
+    mhd_exchange(MHD_Connection *connection, std::size_t bufferBound,
+                 std::function<void()> resumed);
+
+    const http_request &request() const noexcept override { return m_request; }
+    void respond(unsigned status, http_headers headers, std::string body) override;
+    void beginStream(unsigned status, http_headers headers) override;
+    bool write(std::string_view bytes) override;
+    void finish() override;
+    void abort() override;
+    bool closed() const noexcept override { return m_connection == nullptr; }
+    void setEvents(std::function<void()> onWritable, std::function<void(bool)> onClosed) override;
+
+    /** The request, while the server reads it. */
+    http_request &incoming() noexcept { return m_request; }
+
+    /**
+     * Called by the access handler once the request is complete: queues the answer if there is one,
+     * else suspends the connection. MHD_NO closes the connection.
+     */
+    MHD_Result advance();
+
+    /** Called by the server when the request has ended; calls onClosed. */
+    void connectionClosed(bool complete);
+
+    /** Called by the server when the caller has disconnected. */
+    void callerGone();
+
+    /** Called when the handler has dropped the exchange; aborts an answer that is not finished. */
+    void handlerGone();
+
+    /** Descriptor to watch for a disconnect, or -1 if the answer is already decided. */
+    int descriptorToWatch() const noexcept;
+
+private:
+    enum class answer_state : std::uint8_t {
+        Unanswered,
+        Whole,
+        Streaming,
+    };
+
+    static ssize_t readStream(void *self, std::uint64_t position, char *target,
+                              std::size_t capacity) noexcept;
+    ssize_t takeBytes(char *target, std::size_t capacity);
+    MHD_Result queueAnswer();
+    void suspend();
+    void wake();
+
+    MHD_Connection *m_connection;
+    int m_descriptor = -1;
+    std::size_t m_bufferBound;
+    std::function<void()> m_resumed;
+    http_request m_request;
+    answer_state m_state = answer_state::Unanswered;
+    unsigned m_status = 0;
+    http_headers m_headers;
+    /** The whole body, or the streamed bytes that are not yet taken over from m_bodyStart on. */
+    std::string m_body;
+    std::size_t m_bodyStart = 0;
+    bool m_finished = false;
+    bool m_aborted = false;
+    bool m_gone = false;
+    bool m_suspended = false;
+    bool m_writerWaits = false;
+    bool m_sentWhole = false;
+    std::function<void()> m_onWritable;
+    std::function<void(bool)> m_onClosed;
+};
+
+} // namespace comfreypass::transport
--- /dev/null
+++ b/src/transport/socket_watch.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+
+#include <functional>
+
+namespace comfreypass::transport {
+
+/**
+ * Registration of a descriptor with a reactor; ends with the object. The descriptor belongs to
+ * someone else and must stay open as long as the watch. Not thread-safe.
+ */
+class socket_watch : private ACE_Event_Handler
+{
+public:
+    /** Receives READ_MASK or WRITE_MASK; must not destroy the watch. */
+    using ready_function = std::function<void(ACE_Reactor_Mask ready)>;
+
+    socket_watch(ACE_Reactor &reactor, ACE_HANDLE descriptor, ready_function ready);
+    ~socket_watch() override;
+    socket_watch(const socket_watch &) = delete;
+    socket_watch &operator=(const socket_watch &) = delete;
+
+    /** Watches for any of READ_MASK and WRITE_MASK; NULL_MASK watches for nothing. */
+    void watchFor(ACE_Reactor_Mask mask);
+
+private:
+    int handle_input(ACE_HANDLE descriptor) override;
+    int handle_output(ACE_HANDLE descriptor) override;
+
+    ACE_Reactor &m_reactor;
+    ACE_HANDLE m_descriptor;
+    ready_function m_ready;
+    ACE_Reactor_Mask m_mask = NULL_MASK;
+};
+
+} // namespace comfreypass::transport
--- /dev/null
+++ b/tests/support/scripted_handler.cpp
@@ -0,0 +1,12 @@
+#include "support/scripted_handler.h"
+
+namespace comfreypass::tests {
+
+void scripted_handler::onRequest(std::shared_ptr<transport::http_exchange> exchange)
+{
+    m_exchanges.push_back(exchange);
+    if (m_answer)
+        m_answer(*exchange);
+}
+
+} // namespace comfreypass::tests
--- /dev/null
+++ b/tests/support/scripted_handler.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "transport/http_handler.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace comfreypass::tests {
+
+/** Answers requests by a function, and keeps those that it leaves open. */
+class scripted_handler : public transport::http_handler
+{
+public:
+    using script = std::function<void(transport::http_exchange &)>;
+
+    void setScript(script answer) { m_answer = std::move(answer); }
+    void onRequest(std::shared_ptr<transport::http_exchange> exchange) override;
+
+    const std::vector<std::shared_ptr<transport::http_exchange>> &exchanges() const
+    {
+        return m_exchanges;
+    }
+    void dropAll() { m_exchanges.clear(); }
+
+private:
+    script m_answer;
+    std::vector<std::shared_ptr<transport::http_exchange>> m_exchanges;
+};
+
+} // namespace comfreypass::tests
