Hold a ramp at its cold slots while the engine reports itself cold

Three quick responses raised a limit to 4 between two load reports of an engine that bears 2. Engines that were overloaded by a stale limit were ruled out: all had just started.

Change: responses are no evidence while the last load report says cold, nor, with the option awaitLoadReports, before the first report.

Conclusion: a late report delays growth by its lag, which costs less than a collapse.

--- a/src/scheduling/engine_table.cpp
+++ b/src/scheduling/engine_table.cpp
@@ -28,7 +28,9 @@
 
 } // namespace
 
-engine_table::engine_table(core::upstream_name upstream) : m_upstream(std::move(upstream)) { }
+engine_table::engine_table(core::upstream_name upstream, bool awaitReports)
+    : m_upstream(std::move(upstream)), m_awaitReports(awaitReports)
+{ }
 
 void engine_table::setSheet(const sheet::sheet &sheet)
 {
@@ -45,6 +47,7 @@
     const auto upstream = sheet.upstreams.find(m_upstream);
     if (upstream != sheet.upstreams.end()) {
         m_coldSlots = std::max(1U, upstream->second.coldSlots);
+        m_reportsLoad = m_awaitReports && upstream->second.kind == sheet::upstream_kind::Model;
         if (upstream->second.kind == sheet::upstream_kind::Service)
             m_serviceFacts.slots = std::max(1U, upstream->second.serviceSlots);
     }
@@ -344,6 +347,7 @@
     item.generation = generationIndex(item.info);
     item.estimate.setFacts(facts);
     item.rise.setSlots(item.slots, m_coldSlots);
+    item.rise.setAwaitsReport(m_reportsLoad);
     const auto domain = m_domains.find(item.info.domain);
     const bool inService = domain != m_domains.end() && domain->second;
     item.usable = item.listed && !item.info.leaving && inService;
--- a/src/scheduling/engine_table.h
+++ b/src/scheduling/engine_table.h
@@ -77,7 +77,8 @@
         std::uint32_t cachedPrefillTokens = 0;
     };
 
-    explicit engine_table(core::upstream_name upstream);
+    /** `awaitReports`: responses of model engines count only after their first load report. */
+    explicit engine_table(core::upstream_name upstream, bool awaitReports = false);
 
     void setSheet(const sheet::sheet &sheet);
     void setEngines(std::span<const sheet::engine_info> engines);
@@ -140,9 +141,12 @@
     std::uint32_t cachedTokens(engine_id id, const demand &request) const;
 
     core::upstream_name m_upstream;
+    bool m_awaitReports = false;
     std::unordered_map<std::string, sheet::generation_facts> m_facts;
     std::unordered_map<core::domain_name, bool> m_domains;
     std::uint32_t m_coldSlots = 1;
+    /** Model engines have load pages; instances of plain services have none. */
+    bool m_reportsLoad = false;
     sheet::generation_facts m_serviceFacts;
 
     std::vector<engine> m_engines;
--- a/src/scheduling/pool_scheduler.cpp
+++ b/src/scheduling/pool_scheduler.cpp
@@ -26,7 +26,7 @@
 
 pool_scheduler::pool_scheduler(core::upstream_name upstream, scheduler_options options)
     : m_upstream(upstream), m_options(options), m_lease(options.lease, options.longestColdDispatch),
-      m_queue(options.queueCapacity), m_engines(std::move(upstream))
+      m_queue(options.queueCapacity), m_engines(std::move(upstream), options.awaitLoadReports)
 { }
 
 std::vector<outgoing> pool_scheduler::start(core::time_point now)
--- a/src/scheduling/ramp.cpp
+++ b/src/scheduling/ramp.cpp
@@ -45,6 +45,8 @@
 {
     if (!cold() || generation != this->generation())
         return;
+    if (m_reportedCold || (m_awaitsReport && !m_hasReport))
+        return;
     ++m_state.version;
     ++m_state.evidence;
     if (m_state.evidence < m_state.limit)
@@ -76,6 +78,7 @@
     const bool turnedCold = cold && !(m_reportedCold && m_reportedEpoch == engineEpoch);
     m_reportedEpoch = engineEpoch;
     m_reportedCold = cold;
+    m_hasReport = true;
     if (newEpoch || turnedCold)
         reset();
     m_state.engineEpoch = engineEpoch;
--- a/src/scheduling/ramp.h
+++ b/src/scheduling/ramp.h
@@ -34,13 +34,19 @@
      * except to the cold slots before the first evidence.
      */
     void setSlots(std::uint32_t slots, std::uint32_t coldSlots);
+    /** Whether responses before the first load report are no evidence; false at first. */
+    void setAwaitsReport(bool awaits) noexcept { m_awaitsReport = awaits; }
 
     /** A response completed in time; `generation` is the value at the time of the grant. */
     void onCompletedInTime(std::uint32_t generation);
     void onConnectionFailure();
     /** Compares a first-token time with its estimate; the third slow one in a row resets. */
     void onFirstToken(core::duration measured, core::duration estimated);
-    /** Resets for a new engine epoch, and for a cold flag that the last report did not have. */
+    /**
+     * Resets for a new engine epoch, and for a cold flag that the last report did not have. While
+     * the last report says cold, responses are no evidence: they show that the engine bears its
+     * cold slots.
+     */
     void onLoadReport(std::uint64_t engineEpoch, bool cold);
 
     const ramp_state &state() const noexcept { return m_state; }
@@ -60,6 +66,8 @@
     /** Epoch and flag of the last load report; zero before the first. */
     std::uint64_t m_reportedEpoch = 0;
     bool m_reportedCold = false;
+    bool m_awaitsReport = false;
+    bool m_hasReport = false;
 };
 
 } // namespace comfreypass::scheduling
--- a/src/scheduling/scheduler_options.h
+++ b/src/scheduling/scheduler_options.h
@@ -32,6 +32,11 @@
     core::duration longestColdDispatch = std::chrono::seconds{120};
     /** Time before its latest start at which a waiting request preempts lower-tier work. */
     core::duration preemptLead = std::chrono::milliseconds{250};
+    /**
+     * True if the owner passes on load reports of model engines, also that an engine has none
+     * (epoch 0). Until the first one, nobody knows whether an engine is cold.
+     */
+    bool awaitLoadReports = false;
 };
 
 } // namespace comfreypass::scheduling
