--- a/src/demo/member_answer.h
+++ b/src/demo/member_answer.h
@@ -21,7 +21,7 @@
     /** The answer was complete and belongs to this request. */
     bool whole = false;
     bool inTime = false;
-    /** Connections that broke or were refused on the way. */
+    /** Connections that broke, or were refused, without a word from the node. */
     std::uint32_t brokenConnections = 0;
     core::duration firstToken{};
     core::duration total{};
--- a/src/demo/member_client.cpp
+++ b/src/demo/member_client.cpp
@@ -127,6 +127,14 @@
     }
 
 private:
+    // A node ends a stream that it cannot complete with an event that says why.
+    void readBrokenStream()
+    {
+        m_answer.reason = memberOf(parse(m_lastEvent), "reason");
+        if (m_answer.reason.empty())
+            ++m_answer.brokenConnections;
+    }
+
     void readRefusal()
     {
         const json::value problem = parse(m_body);
@@ -140,8 +148,7 @@
     {
         const member_request &request = m_answer.request;
         if (!complete || (request.stream && !m_events.done())) {
-            ++m_answer.brokenConnections;
-            m_answer.reason = "incomplete";
+            readBrokenStream();
             return;
         }
         m_answer.result = member_answer::outcome::Answered;
@@ -164,6 +171,7 @@
     unsigned m_status = 0;
     std::string m_body;
     std::string m_streamed;
+    std::string m_lastEvent;
 };
 
 member_client::member_client(transport::http_client &client, std::vector<std::string> bootstrap,
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -74,6 +74,7 @@
 {
     scheduling::scheduler_options options;
     options.lease = settings.timing.lease;
+    options.awaitLoadReports = true;
     return options;
 }
 
--- a/src/node/load_poller.cpp
+++ b/src/node/load_poller.cpp
@@ -12,7 +12,14 @@
 
 constexpr core::duration pollTimeout = std::chrono::milliseconds(800);
 constexpr std::size_t maxPageBytes = 64 * 1024;
-constexpr unsigned statusOk = 200;
+
+bool hasNoLoadPage(unsigned status)
+{
+    constexpr unsigned notFound = 404;
+    constexpr unsigned methodNotAllowed = 405;
+    constexpr unsigned notImplemented = 501;
+    return status == notFound || status == methodNotAllowed || status == notImplemented;
+}
 
 } // namespace
 
@@ -69,8 +76,14 @@
     call.deadline = now + pollTimeout;
     auto done = [this, alive = std::weak_ptr<bool>(m_alive), name = engine.name,
                  upstream = engine.upstream](const core::result<http_fetch::answer> &answer) {
-        if (alive.expired() || !answer || answer.value().status != statusOk)
+        if (alive.expired() || !answer)
+            return;
+        if (hasNoLoadPage(answer.value().status)) {
+            scheduling::load_report none;
+            none.engine = name;
+            m_report(upstream, none);
             return;
+        }
         const core::result<scheduling::load_report> report
             = parseLoadReport(name, answer.value().body);
         if (report)
