Add the stand-ins for engines, services, configuration and instances

Cause: demo, tests and benchmarks need the systems around a node, and third-party servers are not used.

Change: model_engine with continuous batching, prefix cache, cold start and injected failures; plain_service that counts how often a booking ran; configuration_service with long polls; the instance list with a lag. The program standin serves each on its own port.

--- a/src/standin/answer_text.h
+++ b/src/standin/answer_text.h
@@ -6,11 +6,14 @@
 
 namespace comfreypass::standin {
 
+/** Identifies a prompt for `answerToken`. Thread-safe. */
+std::uint64_t answerSeed(std::string_view prompt) noexcept;
+
 /**
- * Token `index` of the model engine's answer to a prompt. It depends on the prompt only, so that a
- * test can tell whether a caller got the answer to its own request. Thread-safe.
+ * Token `index` of the model engine's answer. It depends on the prompt only, so that a test can
+ * tell whether a caller got the answer to its own request. Thread-safe.
  */
-std::string answerToken(std::string_view prompt, std::uint32_t index);
+std::string answerToken(std::uint64_t seed, std::uint32_t index);
 
 /** The whole answer of `tokens` tokens to a prompt. Thread-safe. */
 std::string answerText(std::string_view prompt, std::uint32_t tokens);
--- /dev/null
+++ b/src/standin/main/standin.cpp
@@ -0,0 +1,196 @@
+#include "standin/configuration_service.h"
+#include "standin/instance_list.h"
+#include "standin/model_engine.h"
+#include "standin/plain_service.h"
+#include "transport/epoll_reactor.h"
+
+#include <CLI/CLI.hpp>
+
+#include <charconv>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+using namespace comfreypass;
+
+namespace {
+
+volatile std::sig_atomic_t stopRequested = 0;
+
+void requestStop(int /*signal*/)
+{
+    stopRequested = 1;
+}
+
+/** Fills address and port from "ip:port"; IPv6 addresses are in brackets. */
+void setListen(transport::http_server_settings &http, const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        throw CLI::ValidationError("--listen", "must be ip:port");
+    std::string address = text.substr(0, colon);
+    if (address.size() > 2 && address.front() == '[' && address.back() == ']')
+        address = address.substr(1, address.size() - 2);
+    const char *end = text.data() + text.size();
+    const auto [stopped, error] = std::from_chars(text.data() + colon + 1, end, http.port);
+    if (error != std::errc() || stopped != end)
+        throw CLI::ValidationError("--listen", "the port must be a number up to 65535");
+    http.address = address;
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw CLI::FileError::Missing(path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+core::duration milliseconds(double value)
+{
+    return std::chrono::duration_cast<core::duration>(
+        std::chrono::duration<double, std::milli>(value));
+}
+
+/** Listens, prints the address and serves until SIGTERM or SIGINT. Returns the exit code. */
+template<class Standin>
+int serve(transport::epoll_reactor &reactor, Standin &standin, const std::string &address)
+{
+    const auto port = standin.listen();
+    if (!port) {
+        std::cerr << core::describe(port.error()) << '\n';
+        return 1;
+    }
+    std::cout << "listening on " << address << ":" << port.value() << std::endl;
+    reactor.runUntil([] { return stopRequested != 0; });
+    return 0;
+}
+
+/** Options of the command line; each subcommand uses its own. */
+struct options
+{
+    std::string listen = "127.0.0.1:0";
+    standin::model_engine_settings engine;
+    double stepMilliseconds = 20;
+    double loadLagMilliseconds = 500;
+    standin::plain_service_settings service;
+    double latencyMilliseconds = 5;
+    standin::configuration_service_settings configuration;
+    std::vector<std::string> values;
+    standin::instance_list_settings instances;
+    double lagMilliseconds = 0;
+    std::string instancesFile;
+};
+
+int runEngine(options &chosen)
+{
+    setListen(chosen.engine.http, chosen.listen);
+    chosen.engine.stepTime = milliseconds(chosen.stepMilliseconds);
+    chosen.engine.loadReportLag = milliseconds(chosen.loadLagMilliseconds);
+    transport::epoll_reactor reactor;
+    standin::model_engine engine(reactor.get(), chosen.engine);
+    return serve(reactor, engine, chosen.engine.http.address);
+}
+
+int runService(options &chosen)
+{
+    setListen(chosen.service.http, chosen.listen);
+    chosen.service.latency = milliseconds(chosen.latencyMilliseconds);
+    transport::epoll_reactor reactor;
+    standin::plain_service service(reactor.get(), chosen.service);
+    return serve(reactor, service, chosen.service.http.address);
+}
+
+int runConfiguration(options &chosen)
+{
+    setListen(chosen.configuration.http, chosen.listen);
+    transport::epoll_reactor reactor;
+    standin::configuration_service service(reactor.get(), chosen.configuration);
+    for (const std::string &assignment : chosen.values) {
+        const std::size_t equals = assignment.find('=');
+        if (equals == std::string::npos)
+            throw CLI::ValidationError("--value", "must be key=file");
+        service.put(assignment.substr(0, equals), readFile(assignment.substr(equals + 1)));
+    }
+    return serve(reactor, service, chosen.configuration.http.address);
+}
+
+int runInstances(options &chosen)
+{
+    setListen(chosen.instances.http, chosen.listen);
+    transport::epoll_reactor reactor;
+    standin::instance_list list(reactor.get(), chosen.instances);
+    if (!chosen.instancesFile.empty()) {
+        const auto stored = list.put(readFile(chosen.instancesFile));
+        if (!stored) {
+            std::cerr << chosen.instancesFile << ": " << core::describe(stored.error()) << '\n';
+            return 1;
+        }
+    }
+    // The lag counts for changes, not for the content at the start.
+    list.setLag(milliseconds(chosen.lagMilliseconds));
+    return serve(reactor, list, chosen.instances.http.address);
+}
+
+void addEngineOptions(CLI::App &command, options &chosen)
+{
+    command.add_option("--slots", chosen.engine.slots, "requests that run at once");
+    command.add_option("--prefill-tokens-per-second", chosen.engine.prefillTokensPerSecond);
+    command.add_option("--step-ms", chosen.stepMilliseconds, "time of one decode step");
+    command.add_option("--speed", chosen.engine.speed, "speed of the generation");
+    command.add_option("--prefix-cache-blocks", chosen.engine.prefixCacheBlocks);
+    command.add_flag("--cold", chosen.engine.startCold, "start cold");
+    command.add_option("--warm-after", chosen.engine.warmAfterAnswers,
+                       "answers after which a cold engine is warm");
+    command.add_option("--cold-limit", chosen.engine.coldRequestLimit,
+                       "requests above which a cold engine collapses");
+    command.add_option("--load-lag-ms", chosen.loadLagMilliseconds, "age of GET /load");
+}
+
+int run(int argumentCount, char **arguments)
+{
+    CLI::App app("Stand-ins for the systems around comfreypass, for tests and benchmarks.");
+    app.require_subcommand(1);
+    options chosen;
+    int code = 0;
+
+    const auto add = [&](const std::string &name, const std::string &about,
+                         int (*start)(options &)) {
+        CLI::App *command = app.add_subcommand(name, about);
+        command->add_option("--listen", chosen.listen, "ip:port; port 0 lets the system choose");
+        command->callback([&, start] { code = start(chosen); });
+        return command;
+    };
+    addEngineOptions(*add("engine", "model engine", &runEngine), chosen);
+    add("service", "booking service", &runService)
+        ->add_option("--latency-ms", chosen.latencyMilliseconds);
+    add("configuration", "configuration service", &runConfiguration)
+        ->add_option("--value", chosen.values, "key=file; the file's content is the key's value");
+    CLI::App *instances = add("instances", "instance list", &runInstances);
+    instances->add_option("--file", chosen.instancesFile, "document served at the start");
+    instances->add_option("--lag-ms", chosen.lagMilliseconds, "time until a change is seen");
+
+    CLI11_PARSE(app, argumentCount, arguments);
+    return code;
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    std::signal(SIGTERM, requestStop);
+    std::signal(SIGINT, requestStop);
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return run(argumentCount, arguments);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
--- a/src/standin/plain_service_counters.h
+++ b/src/standin/plain_service_counters.h
@@ -18,8 +18,8 @@
     std::uint64_t failures = 0;
     /** Bookings that ran but were not answered. */
     std::uint64_t lostReplies = 0;
-    /** Callers that had gone before the effect. */
-    std::uint64_t cancelled = 0;
+    /** Callers that had gone before the answer; their bookings run nevertheless. */
+    std::uint64_t callersGone = 0;
 };
 
 } // namespace comfreypass::standin
