--- /dev/null
+++ b/tests/support/listening_socket.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "support/raw_socket.h"
+
+#include <cstdint>
+
+namespace comfreypass::tests {
+
+/** A listening TCP socket on a free loopback port, for upstreams that answer with any bytes. */
+class listening_socket
+{
+public:
+    listening_socket();
+    ~listening_socket();
+    listening_socket(const listening_socket &) = delete;
+    listening_socket &operator=(const listening_socket &) = delete;
+
+    std::uint16_t port() const { return m_port; }
+
+    /** True if a connection waits to be accepted. */
+    bool pending() const;
+
+    /** Accepts a connection; waits for one. */
+    raw_socket accept();
+
+private:
+    int m_descriptor;
+    std::uint16_t m_port = 0;
+};
+
+} // namespace comfreypass::tests
--- a/tests/support/recorded_call.cpp
+++ b/tests/support/recorded_call.cpp
@@ -10,6 +10,8 @@
 bool recorded_call::onData(std::string_view bytes)
 {
     m_body += bytes;
+    if (onBytes)
+        onBytes();
     return readOn;
 }
 
--- a/tests/support/recorded_call.h
+++ b/tests/support/recorded_call.h
@@ -25,6 +25,9 @@
     /** Answer of onData; true reads on. */
     bool readOn = true;
 
+    /** Called within onData; may be empty. */
+    std::function<void()> onBytes;
+
 private:
     transport::http_headers m_headers;
     std::string m_body;
--- /dev/null
+++ b/tests/transport/http_client_test.cpp
@@ -0,0 +1,304 @@
+#include "support/listening_socket.h"
+#include "support/loopback.h"
+#include "support/recorded_call.h"
+#include "support/scripted_handler.h"
+#include "transport/clock.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::tests;
+using namespace comfreypass::transport;
+
+using error_kind = http_call_result::error_kind;
+
+class http_client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_client_test);
+    CPPUNIT_TEST(refusedBeforeSendSendsNoByte);
+    CPPUNIT_TEST(nobodyListens);
+    CPPUNIT_TEST(truncatedChunkedAnswerIsIncomplete);
+    CPPUNIT_TEST(shortAnswerIsIncomplete);
+    CPPUNIT_TEST(answerWithoutLengthIsIncomplete);
+    CPPUNIT_TEST(garbledAnswerIsBroken);
+    CPPUNIT_TEST(endlessHeaderIsBroken);
+    CPPUNIT_TEST(connectionLostAfterRequestIsReported);
+    CPPUNIT_TEST(deadReusedConnectionIsNotUsedForPost);
+    CPPUNIT_TEST(deadlineEndsTheCall);
+    CPPUNIT_TEST(passedDeadlineSendsNoByte);
+    CPPUNIT_TEST(cancelClosesTheConnection);
+    CPPUNIT_TEST(cancelWithinAnEvent);
+    CPPUNIT_TEST(pausedCallHoldsBackTheSender);
+    CPPUNIT_TEST(fieldWithLineBreakIsLeftOut);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a refusal "not_run" for a request of which the upstream has seen a byte.
+    void refusedBeforeSendSendsNoByte()
+    {
+        listening_socket upstream;
+        http_call call = post(upstream.port());
+        call.beforeSend = [] {
+            return false;
+        };
+        const auto events = run(call);
+        CPPUNIT_ASSERT(events->result().error == error_kind::RefusedBeforeSend);
+        CPPUNIT_ASSERT(!events->result().requestBytesMayHaveLeft);
+        raw_socket connection = upstream.accept();
+        m_loopback.waitFor("the close", [&] {
+            connection.receive();
+            return connection.ended();
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string(), connection.receive());
+    }
+
+    // Guards against an upstream that is down counting as one that may have run the request.
+    void nobodyListens()
+    {
+        std::uint16_t port = 0;
+        {
+            const listening_socket closed;
+            port = closed.port();
+        }
+        const auto events = run(post(port));
+        CPPUNIT_ASSERT(events->result().error == error_kind::ConnectFailed);
+        CPPUNIT_ASSERT(!events->result().requestBytesMayHaveLeft);
+    }
+
+    // Guards against a cut stream that passes for a whole answer.
+    void truncatedChunkedAnswerIsIncomplete()
+    {
+        const auto events = runAgainst("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                       "5\r\nhello\r\n");
+        CPPUNIT_ASSERT(events->result().error == error_kind::Broken);
+        CPPUNIT_ASSERT(!events->result().complete);
+        CPPUNIT_ASSERT(events->result().requestBytesMayHaveLeft);
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), events->body());
+    }
+
+    // Guards against an answer shorter than announced.
+    void shortAnswerIsIncomplete()
+    {
+        const auto events = runAgainst("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello");
+        CPPUNIT_ASSERT(!events->result().complete);
+    }
+
+    // Guards against an answer whose end cannot be told from a lost connection.
+    void answerWithoutLengthIsIncomplete()
+    {
+        const auto events = runAgainst("HTTP/1.1 200 OK\r\n\r\nhello");
+        CPPUNIT_ASSERT(events->result().error == error_kind::None);
+        CPPUNIT_ASSERT(!events->result().complete);
+    }
+
+    // Guards against bytes that are no HTTP, or a chunk size that is none.
+    void garbledAnswerIsBroken()
+    {
+        for (const std::string answer :
+             {"\xff\xfe\xfd garbage\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\nhello\r\n0\r\n\r\n"}) {
+            const auto events = runAgainst(answer);
+            CPPUNIT_ASSERT(events->result().error == error_kind::Broken);
+            CPPUNIT_ASSERT(!events->result().complete);
+        }
+    }
+
+    // Guards against unbounded memory for the header of an answer.
+    void endlessHeaderIsBroken()
+    {
+        std::string answer = "HTTP/1.1 200 OK\r\n";
+        for (int i = 0; i < 100; ++i)
+            answer += "X-Field-" + std::to_string(i) + ": " + std::string(1'000, 'x') + "\r\n";
+        const auto events = runAgainst(answer + "Content-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(events->result().error == error_kind::Broken);
+    }
+
+    // Guards against "not_run" for a request whose answer was lost.
+    void connectionLostAfterRequestIsReported()
+    {
+        const auto events = runAgainst("");
+        CPPUNIT_ASSERT(events->result().error == error_kind::Broken);
+        CPPUNIT_ASSERT(events->result().requestBytesMayHaveLeft);
+        CPPUNIT_ASSERT_EQUAL(0U, events->result().status);
+    }
+
+    // Guards against libcurl sending a request twice after a kept connection died.
+    void deadReusedConnectionIsNotUsedForPost()
+    {
+        listening_socket upstream;
+        http_call get;
+        get.url = loopback::url(upstream.port(), "/");
+        const auto first = begin(get);
+        raw_socket kept = accept(upstream);
+        kept.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        m_loopback.waitFor("the first answer", [&] { return first->done(); });
+        CPPUNIT_ASSERT(first->result().complete);
+        int sends = 0;
+        http_call call = post(upstream.port());
+        call.beforeSend = [&] {
+            return ++sends == 1;
+        };
+        const auto second = begin(call);
+        raw_socket fresh = accept(upstream);
+        m_loopback.waitFor("the request", [&] { return fresh.receive().ends_with("body"); });
+        fresh.close();
+        m_loopback.waitFor("the end", [&] { return second->done(); });
+        CPPUNIT_ASSERT_EQUAL(1, sends);
+        CPPUNIT_ASSERT(second->result().error == error_kind::Broken);
+        m_loopback.runFor(std::chrono::milliseconds(50));
+        CPPUNIT_ASSERT(!upstream.pending());
+    }
+
+    // Guards against a call that outlives its deadline when the upstream says nothing.
+    void deadlineEndsTheCall()
+    {
+        listening_socket upstream;
+        http_call call = post(upstream.port());
+        call.deadline = monotonicNow() + std::chrono::milliseconds(200);
+        const auto events = run(call);
+        CPPUNIT_ASSERT(events->result().error == error_kind::Timeout);
+        CPPUNIT_ASSERT(events->result().requestBytesMayHaveLeft);
+    }
+
+    // Guards against late work that is sent all the same.
+    void passedDeadlineSendsNoByte()
+    {
+        listening_socket upstream;
+        http_call call = post(upstream.port());
+        call.deadline = monotonicNow() - std::chrono::seconds(1);
+        const auto events = run(call);
+        CPPUNIT_ASSERT(events->result().error == error_kind::Timeout);
+        CPPUNIT_ASSERT(!events->result().requestBytesMayHaveLeft);
+        CPPUNIT_ASSERT(!upstream.pending());
+    }
+
+    // Guards against an engine that works on for a cancelled request.
+    void cancelClosesTheConnection()
+    {
+        listening_socket upstream;
+        auto events = std::make_shared<recorded_call>();
+        const auto handle = m_client.start(post(upstream.port()), events);
+        raw_socket connection = accept(upstream);
+        m_loopback.waitFor("the request", [&] { return !connection.receive().empty(); });
+        m_client.cancel(handle);
+        m_client.cancel(handle);
+        CPPUNIT_ASSERT(!events->done());
+        m_loopback.waitFor("the close", [&] {
+            connection.receive();
+            return connection.ended() && events->done();
+        });
+        CPPUNIT_ASSERT(events->result().error == error_kind::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(1, events->doneCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_client.openCalls());
+    }
+
+    // Guards against a transfer that is destroyed within libcurl's own callback.
+    void cancelWithinAnEvent()
+    {
+        listening_socket upstream;
+        const auto events = std::make_shared<recorded_call>();
+        const auto handle = m_client.start(post(upstream.port()), events);
+        events->onBytes = [&] {
+            m_client.cancel(handle);
+        };
+        raw_socket connection = accept(upstream);
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+        m_loopback.waitFor("the end", [&] { return events->done(); });
+        CPPUNIT_ASSERT(events->result().error == error_kind::Cancelled);
+    }
+
+    // Guards against an unbounded buffer between an engine and a caller that reads slowly.
+    void pausedCallHoldsBackTheSender()
+    {
+        scripted_handler handler;
+        http_server server(m_loopback.reactor(), {}, handler);
+        CPPUNIT_ASSERT(server.listen().has_value());
+        auto events = std::make_shared<recorded_call>();
+        events->readOn = false;
+        http_call call;
+        call.url = loopback::url(server.port(), "/");
+        const auto handle = m_client.start(call, events);
+        m_loopback.waitFor("request", [&] { return handler.exchanges().size() == 1; });
+        const std::string body(16U * 1'024 * 1'024, 's');
+        handler.exchanges().front()->respond(200, {}, body);
+        m_loopback.waitFor("the first bytes", [&] { return !events->body().empty(); });
+        const std::size_t before = events->body().size();
+        m_loopback.runFor(std::chrono::milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(before, events->body().size());
+        CPPUNIT_ASSERT(before <= 16U * 1'024);
+        m_loopback.waitFor("the whole answer", [&] {
+            m_client.resume(handle);
+            return events->done();
+        });
+        CPPUNIT_ASSERT(events->result().complete);
+        CPPUNIT_ASSERT(events->body() == body);
+    }
+
+    // Guards against a header value that adds fields to the request.
+    void fieldWithLineBreakIsLeftOut()
+    {
+        listening_socket upstream;
+        http_call call = post(upstream.port());
+        call.headers = {{"X-Good", "1"}, {"X-Bad", "1\r\nX-Forged: 1"}};
+        const auto events = begin(call);
+        raw_socket connection = accept(upstream);
+        m_loopback.waitFor("the request", [&] { return connection.receive().ends_with("body"); });
+        CPPUNIT_ASSERT(connection.receive().find("X-Good: 1") != std::string::npos);
+        CPPUNIT_ASSERT(connection.receive().find("X-Forged") == std::string::npos);
+        connection.close();
+        m_loopback.waitFor("the end", [&] { return events->done(); });
+    }
+
+private:
+    static http_call post(std::uint16_t port)
+    {
+        http_call call;
+        call.method = "POST";
+        call.url = loopback::url(port, "/v1/chat/completions");
+        call.body = "body";
+        return call;
+    }
+
+    std::shared_ptr<recorded_call> begin(http_call call)
+    {
+        auto events = std::make_shared<recorded_call>();
+        m_client.start(std::move(call), events);
+        return events;
+    }
+
+    std::shared_ptr<recorded_call> run(http_call call)
+    {
+        const auto events = begin(std::move(call));
+        m_loopback.waitFor("the end of the call", [&] { return events->done(); });
+        return events;
+    }
+
+    raw_socket accept(listening_socket &upstream)
+    {
+        m_loopback.waitFor("a connection", [&] { return upstream.pending(); });
+        return upstream.accept();
+    }
+
+    /** Answers a POST with these bytes and closes the connection. */
+    std::shared_ptr<recorded_call> runAgainst(const std::string &answer)
+    {
+        listening_socket upstream;
+        const auto events = begin(post(upstream.port()));
+        raw_socket connection = accept(upstream);
+        m_loopback.waitFor("the request", [&] { return connection.receive().ends_with("body"); });
+        connection.send(answer);
+        connection.close();
+        m_loopback.waitFor("the end of the call", [&] { return events->done(); });
+        return events;
+    }
+
+    loopback m_loopback;
+    http_client m_client{m_loopback.reactor()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
