--- /dev/null
+++ b/bench/membership/membership_bench.cpp
@@ -0,0 +1,194 @@
+// Runs fleets of real membership agents in virtual time and prints control traffic, detection time,
+// spread of a sheet change and processor time.
+#include "membership/virtual_fleet.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace comfreypass;
+using bench::virtual_fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** TCP and IP header with timestamps, for a packet of its own per message. */
+constexpr std::size_t packetHeaderBytes = 52;
+/** About 110 bytes a team: 300 KB in all. */
+constexpr std::size_t sheetTeams = 3'000;
+/** Teams whose weight changes; their names and weights make a patch of about 2 KB. */
+constexpr std::size_t changedTeams = 75;
+
+double seconds(core::duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+struct rates
+{
+    double meanMessages = 0;
+    double meanBytes = 0;
+    double meanBytesWithHeaders = 0;
+    double maxBytes = 0;
+};
+
+rates ratesOf(const virtual_fleet &fleet, core::duration span)
+{
+    rates result;
+    const auto nodes = static_cast<double>(fleet.size());
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        const auto &sent = fleet.sent(i);
+        const double messages = static_cast<double>(sent.messages) / seconds(span);
+        const double bytes = static_cast<double>(sent.bytes) / seconds(span);
+        result.meanMessages += messages / nodes;
+        result.meanBytes += bytes / nodes;
+        result.meanBytesWithHeaders += (bytes + messages * packetHeaderBytes) / nodes;
+        result.maxBytes = std::max(result.maxBytes, bytes);
+    }
+    return result;
+}
+
+void print(const char *phase, const rates &r)
+{
+    std::printf(
+        "  %-28s %6.1f messages/s, %8.0f B/s (%.0f B/s with packet headers), most %.0f B/s\n",
+        phase, r.meanMessages, r.meanBytes, r.meanBytesWithHeaders, r.maxBytes);
+}
+
+/** Runs until `done` or the limit; returns the virtual time it took. */
+template<class Condition>
+core::duration runUntil(virtual_fleet &fleet, core::duration limit, Condition done)
+{
+    const core::time_point begin = fleet.now();
+    while (!done() && fleet.now() - begin < limit)
+        fleet.run(1ms);
+    return fleet.now() - begin;
+}
+
+void measure(std::size_t nodes, double loss, std::uint64_t seed)
+{
+    virtual_fleet::options chosen;
+    chosen.nodes = nodes;
+    chosen.domains = nodes > 8 ? 7 : 4;
+    chosen.loss = loss;
+    chosen.seed = seed;
+    virtual_fleet fleet(chosen);
+    std::printf("%zu nodes, loss %.1f%%, seed %llu\n", nodes, loss * 100,
+                static_cast<unsigned long long>(seed));
+
+    fleet.publish(virtual_fleet::makeSheet(1, chosen.domains, {}, sheetTeams));
+    for (std::size_t i = 0; i < nodes; ++i)
+        fleet.start(i);
+    const auto converged = [&fleet] {
+        const std::uint64_t digest = fleet.agent(0).view().digest();
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            membership::membership_agent &agent = fleet.agent(i);
+            if (agent.view().digest() != digest || agent.view().liveCount() != fleet.size()
+                || !agent.ready(fleet.now()).ready)
+                return false;
+        }
+        return true;
+    };
+    const core::duration startTime = runUntil(fleet, 60s, converged);
+    std::printf("  all started at once: one view and ready after %.2f s\n", seconds(startTime));
+    print("start", ratesOf(fleet, startTime));
+    fleet.run(15s);
+
+    fleet.resetTraffic();
+    const std::uint64_t calls = fleet.serviceCalls();
+    const std::clock_t cpuBegin = std::clock();
+    constexpr core::duration steadySpan = 30s;
+    fleet.run(steadySpan);
+    const double cpu = static_cast<double>(std::clock() - cpuBegin) / CLOCKS_PER_SEC;
+    print("steady", ratesOf(fleet, steadySpan));
+    std::printf("  processor %.1f us per node and virtual second; service calls %.1f/s\n",
+                cpu * 1e6 / static_cast<double>(nodes) / seconds(steadySpan),
+                static_cast<double>(fleet.serviceCalls() - calls) / seconds(steadySpan));
+
+    // Hops from the reader of the service, by who sent the sheet.
+    std::map<std::string, int> depth;
+    int deepest = 0;
+    fleet.setEventHandler([&](std::size_t node, const membership::membership_event &event) {
+        if (event.kind != membership::event_kind::SheetTaken)
+            return;
+        const std::string name = "entry-" + std::to_string(node);
+        depth[name] = event.node.name.empty() ? 0 : depth[event.node.name.text()] + 1;
+        deepest = std::max(deepest, depth[name]);
+    });
+    const std::string changed
+        = virtual_fleet::makeSheet(2, chosen.domains, {}, sheetTeams, changedTeams);
+    fleet.resetTraffic();
+    const std::clock_t changeBegin = std::clock();
+    fleet.publish(changed);
+    const auto everywhere = [&fleet] {
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            if (fleet.running(i) && fleet.agent(i).store().key().revision != 2)
+                return false;
+        }
+        return true;
+    };
+    const core::duration spread = runUntil(fleet, 30s, everywhere);
+    const double changeCpu = static_cast<double>(std::clock() - changeBegin) / CLOCKS_PER_SEC;
+    std::printf(
+        "  sheet of %zu bytes: change in force everywhere after %.3f s, %d hops, %.1f ms of "
+        "processor time per node\n",
+        fleet.agent(0).document()->text().size(), seconds(spread), deepest,
+        changeCpu * 1e3 / static_cast<double>(nodes));
+    fleet.run(std::max(core::duration(1s) - spread, core::duration::zero()));
+    print("second of the change", ratesOf(fleet, std::max(core::duration(1s), spread)));
+
+    const std::size_t victim = nodes / 2;
+    core::duration firstDead{};
+    const core::time_point killed = fleet.now();
+    std::size_t falseDeaths = 0;
+    fleet.setEventHandler([&](std::size_t, const membership::membership_event &event) {
+        if (event.kind != membership::event_kind::Dead)
+            return;
+        if (event.node.name.text() != "entry-" + std::to_string(victim))
+            ++falseDeaths;
+        else if (firstDead == core::duration{})
+            firstDead = fleet.now() - killed;
+    });
+    fleet.resetTraffic();
+    fleet.kill(victim);
+    const core::node_name victimName("entry-" + std::to_string(victim));
+    const auto known = [&] {
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            if (fleet.running(i)
+                && fleet.agent(i).view().record(victimName)->state
+                       != membership::member_state::Dead)
+                return false;
+        }
+        return true;
+    };
+    const core::duration detected = runUntil(fleet, 60s, known);
+    std::printf("  killed node: dead at the first node after %.2f s, at all after %.2f s; members "
+                "declared dead wrongly: %zu\n",
+                seconds(firstDead), seconds(detected), falseDeaths);
+    print("detection", ratesOf(fleet, detected));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Membership in virtual time");
+    std::vector<std::size_t> sizes = {8, 60, 200, 380};
+    std::vector<double> losses = {0, 0.01};
+    std::uint64_t seed = 1;
+    app.add_option("--nodes", sizes, "Fleet sizes");
+    app.add_option("--loss", losses, "Shares of lost messages");
+    app.add_option("--seed", seed, "Seed of the random numbers");
+    CLI11_PARSE(app, argc, argv);
+    for (const std::size_t size : sizes) {
+        for (const double loss : losses)
+            measure(size, loss, seed);
+    }
+    return 0;
+}
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -58,10 +58,14 @@
     for (auto &[name, target] : m_probes) {
         if (target.nextPing > now)
             continue;
-        if (target.lastPing && (!target.lastAcked || *target.lastAcked < *target.lastPing)) {
+        // The first ping is sent out of phase; it has not yet had its time when the next one is
+        // due.
+        const bool due
+            = target.lastPing
+              && now - *target.lastPing + m_settings.tickInterval >= m_settings.pingInterval;
+        if (due && (!target.lastAcked || *target.lastAcked < *target.lastPing)) {
             ++target.misses;
-            // Counted from the first failure on in each round: a suspect that was refuted by gossip
-            // and still does not answer here is suspected again.
+            // A suspect that was refuted by gossip and still does not answer is suspected again.
             if (target.misses >= allowedMisses(target, now)) {
                 result.newSuspects.push_back(name);
                 target.misses = 0;
--- a/src/membership/membership_agent.cpp
+++ b/src/membership/membership_agent.cpp
@@ -19,6 +19,8 @@
 /** Acks to older pings say nothing useful any more. */
 constexpr core::duration maxAckAge = std::chrono::seconds(10);
 constexpr core::duration removalCheckInterval = std::chrono::seconds(1);
+/** A starting node asks another neighbour for its view after this. */
+constexpr core::duration firstSyncRetry = std::chrono::seconds(1);
 /** Pause before views are compared after a member has returned, which ends a partition sooner. */
 constexpr core::duration syncAfterReturn = std::chrono::seconds(1);
 
@@ -46,7 +48,7 @@
       m_overlay(self.identity.name), m_detector(settings, now), m_store(std::move(parser)),
       m_dissemination(m_store, settings), m_readers(self.identity.name, settings),
       m_nextViewSync(now + settings.viewSyncInterval), m_nextDeadProbe(now),
-      m_nextEpochRefresh(now), m_nextRemoval(now)
+      m_nextEpochRefresh(now), m_nextRemoval(now), m_nextFirstSync(now)
 { }
 
 agent_actions membership_agent::tick(core::time_point now, std::uint64_t random)
@@ -164,8 +166,9 @@
     if (isKnown(from))
         takeStep(m_dissemination.onPeerKey(from.name, message.sheet, now), from, now, actions);
     m_confirmation.onAck(message.sheet, m_store.key(), message.confirmationAge, sentAt);
-    if (!m_synced && message.viewDigest != m_view.digest()) {
-        m_synced = true;
+    m_synced = m_synced || message.viewDigest == m_view.digest();
+    if (!m_synced && now >= m_nextFirstSync) {
+        m_nextFirstSync = now + firstSyncRetry;
         sendView(from.name, true, now, actions);
     }
     return actions;
--- a/src/membership/membership_agent.h
+++ b/src/membership/membership_agent.h
@@ -175,10 +175,12 @@
     core::time_point m_nextDeadProbe;
     core::time_point m_nextEpochRefresh;
     core::time_point m_nextRemoval;
+    core::time_point m_nextFirstSync;
     std::uint64_t m_readersDigest = 0;
     /** Hash of the service's value that was last rejected; it is not parsed and reported again. */
     std::optional<std::uint64_t> m_rejectedValue;
     std::optional<core::time_point> m_firstAnswerAt;
+    /** True once a neighbour had the same view. */
     bool m_synced = false;
     bool m_wasReady = false;
     bool m_superseded = false;
