Test eight agents under random faults

Cause: convergence, the order of sheets and the stop of a minority depend on all parts together.

Change: 40 seeds of partitions, pauses, restarts, two operators loading at once, stale and failing service and 2 % loss; then repair, a domain taken out within 2 s and a cut-off minority within 5 s.

--- /dev/null
+++ b/tests/membership/membership_agent_random_test.cpp
@@ -0,0 +1,245 @@
+#include "membership/virtual_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace comfreypass;
+using namespace comfreypass::membership;
+using namespace std::chrono_literals;
+using bench::virtual_fleet;
+
+/** Eight agents under random partitions, pauses, restarts, publications and service faults. */
+class membership_agent_random_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(membership_agent_random_test);
+    CPPUNIT_TEST(invariantsHoldUnderFaults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a sheet that reverts or differs between nodes, against a domain taken out that
+    // stays in use, and against a cut-off minority that keeps dispatching.
+    void invariantsHoldUnderFaults()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed)
+            runOnce(seed);
+    }
+
+private:
+    static constexpr std::size_t nodeCount = 8;
+    static constexpr std::size_t domainCount = 4;
+    static constexpr core::duration step = 100ms;
+
+    struct cut_off
+    {
+        core::time_point since;
+        std::set<std::size_t> reachable;
+    };
+
+    struct world
+    {
+        explicit world(std::uint64_t seed)
+            : random(seed), fleet(makeOptions(seed)), serviceLag(nodeCount, 0)
+        {
+            fleet.setServiceView([this](std::size_t node) -> std::optional<std::size_t> {
+                const int lag = serviceLag[node];
+                if (lag < 0)
+                    return std::nullopt;
+                const auto behind = static_cast<std::size_t>(lag);
+                return fleet.published() > behind ? fleet.published() - behind : 1;
+            });
+            publish();
+            for (std::size_t i = 0; i < nodeCount; ++i)
+                fleet.start(i);
+        }
+        void publish()
+        {
+            ++revision;
+            outDomain = random() % domainCount;
+            fleet.publish(virtual_fleet::makeSheet(revision, domainCount, {outDomain}, 20));
+        }
+
+        std::mt19937_64 random;
+        virtual_fleet fleet;
+        /** Values by which the service is behind for a node; negative while it is down. */
+        std::vector<int> serviceLag;
+        std::uint64_t revision = 0;
+        std::size_t outDomain = 0;
+        std::map<core::node_identity, sheet::sheet_key> greatest;
+        std::map<std::size_t, cut_off> cutOff;
+    };
+
+    static virtual_fleet::options makeOptions(std::uint64_t seed)
+    {
+        virtual_fleet::options chosen;
+        chosen.nodes = nodeCount;
+        chosen.domains = domainCount;
+        chosen.loss = 0.02;
+        chosen.seed = seed;
+        return chosen;
+    }
+
+    static void runOnce(std::uint64_t seed)
+    {
+        world w(seed);
+        for (int action = 0; action < 60; ++action) {
+            disturb(w);
+            observe(w, seed, core::duration(std::chrono::milliseconds(w.random() % 3'000)));
+        }
+        repair(w);
+        observe(w, seed, 30s);
+        checkConverged(w, seed);
+
+        w.publish();
+        observe(w, seed, 2s);
+        checkOutDomain(w, seed, 0);
+
+        for (std::size_t i = 0; i < 3; ++i) {
+            w.fleet.setGroup(i, 1);
+            w.serviceLag[i] = -1;
+        }
+        observe(w, seed, 5s);
+        for (std::size_t i = 0; i < nodeCount; ++i)
+            check(seed, "dispatch after partition", w,
+                  w.fleet.agent(i).mayDispatch(w.fleet.now()) == (i >= 3));
+        w.publish();
+        observe(w, seed, 2s);
+        checkOutDomain(w, seed, 3);
+    }
+
+    static void disturb(world &w)
+    {
+        const std::size_t node = w.random() % nodeCount;
+        switch (w.random() % 8) {
+        case 0:
+            for (std::size_t i = 0; i < nodeCount; ++i)
+                w.fleet.setGroup(i, static_cast<int>(w.random() % 3));
+            break;
+        case 1:
+            for (std::size_t i = 0; i < nodeCount; ++i)
+                w.fleet.setGroup(i, 0);
+            break;
+        case 2:
+            w.fleet.pause(node, core::duration(std::chrono::milliseconds(w.random() % 7'000)));
+            break;
+        case 3:
+            w.fleet.kill(node);
+            break;
+        case 4:
+            if (!w.fleet.running(node))
+                w.fleet.start(node);
+            break;
+        case 5:
+            w.publish();
+            break;
+        case 6:
+            // Two operators load different sheets with the same revision.
+            w.publish();
+            --w.revision;
+            w.publish();
+            break;
+        default:
+            for (int &lag : w.serviceLag)
+                lag = static_cast<int>(w.random() % 5) - 2;
+            break;
+        }
+    }
+
+    static void repair(world &w)
+    {
+        for (std::size_t i = 0; i < nodeCount; ++i) {
+            w.fleet.setGroup(i, 0);
+            w.serviceLag[i] = 0;
+            if (!w.fleet.running(i))
+                w.fleet.start(i);
+        }
+    }
+
+    /** Runs on and checks what must hold at any time. */
+    static void observe(world &w, std::uint64_t seed, core::duration span)
+    {
+        for (core::duration done = 0s; done < span; done += step) {
+            w.fleet.run(step);
+            for (std::size_t i = 0; i < nodeCount; ++i) {
+                if (!w.fleet.running(i)) {
+                    w.cutOff.erase(i);
+                    continue;
+                }
+                checkNeverReverts(w, seed, i);
+                checkCutOff(w, seed, i);
+            }
+        }
+    }
+
+    static void checkNeverReverts(world &w, std::uint64_t seed, std::size_t node)
+    {
+        const auto key = w.fleet.agent(node).store().key();
+        auto &known = w.greatest[w.fleet.agent(node).self().identity];
+        check(seed, "sheet reverted", w, key >= known);
+        known = key;
+    }
+
+    static void checkCutOff(world &w, std::uint64_t seed, std::size_t node)
+    {
+        std::set<std::size_t> reachable;
+        bool service = false;
+        for (std::size_t i = 0; i < nodeCount; ++i) {
+            if (w.fleet.group(i) != w.fleet.group(node))
+                continue;
+            if (w.fleet.running(i))
+                reachable.insert(i);
+            service = service || w.serviceLag[i] >= 0;
+        }
+        if (service || 2 * reachable.size() > nodeCount) {
+            w.cutOff.erase(node);
+            return;
+        }
+        // Another node that comes within reach may know of a younger confirmation.
+        auto &state = w.cutOff.try_emplace(node, cut_off{w.fleet.now(), reachable}).first->second;
+        if (!std::includes(state.reachable.begin(), state.reachable.end(), reachable.begin(),
+                           reachable.end()))
+            state.since = w.fleet.now();
+        state.reachable = reachable;
+        if (w.fleet.now() - state.since >= 5s)
+            check(seed, "cut-off node dispatches", w,
+                  !w.fleet.agent(node).mayDispatch(w.fleet.now()));
+    }
+
+    static void checkConverged(world &w, std::uint64_t seed)
+    {
+        const auto key = w.fleet.agent(0).store().key();
+        check(seed, "not the last published sheet", w, key.serviceIndex == w.fleet.published());
+        for (std::size_t i = 0; i < nodeCount; ++i) {
+            check(seed, "sheets differ", w, w.fleet.agent(i).store().key() == key);
+            check(seed, "members missing", w, w.fleet.agent(i).view().liveCount() == nodeCount);
+            check(seed, "not ready", w, w.fleet.agent(i).ready(w.fleet.now()).ready);
+            check(seed, "does not dispatch", w, w.fleet.agent(i).mayDispatch(w.fleet.now()));
+        }
+    }
+
+    static void checkOutDomain(world &w, std::uint64_t seed, std::size_t firstNode)
+    {
+        const core::domain_name out("domain-" + std::to_string(w.outDomain));
+        for (std::size_t i = firstNode; i < nodeCount; ++i)
+            check(seed, "domain still in service", w,
+                  !w.fleet.agent(i).currentSheet()->domainInService(out)
+                      && w.fleet.agent(i).store().key().revision == w.revision);
+    }
+
+    static void check(std::uint64_t seed, const char *what, const world &w, bool holds)
+    {
+        if (holds)
+            return;
+        const double at = std::chrono::duration<double>(w.fleet.now().time_since_epoch()).count();
+        CPPUNIT_FAIL(std::string(what) + ", seed " + std::to_string(seed) + ", time "
+                     + std::to_string(at));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(membership_agent_random_test);
