--- a/src/membership/membership_agent.cpp
+++ b/src/membership/membership_agent.cpp
@@ -19,6 +19,8 @@
 /** Acks to older pings say nothing useful any more. */
 constexpr core::duration maxAckAge = std::chrono::seconds(10);
 constexpr core::duration removalCheckInterval = std::chrono::seconds(1);
+/** A starting node asks another neighbour for its view after this. */
+constexpr core::duration firstSyncRetry = std::chrono::seconds(1);
 /** Pause before views are compared after a member has returned, which ends a partition sooner. */
 constexpr core::duration syncAfterReturn = std::chrono::seconds(1);
 
@@ -40,13 +42,13 @@
 
 } // namespace
 
-membership_agent::membership_agent(member self, membership_settings settings,
+membership_agent::membership_agent(const member &self, membership_settings settings,
                                    sheet::sheet_parser parser, core::time_point now)
     : m_settings(settings), m_startedAt(now), m_view(self, settings, now),
       m_overlay(self.identity.name), m_detector(settings, now), m_store(std::move(parser)),
       m_dissemination(m_store, settings), m_readers(self.identity.name, settings),
       m_nextViewSync(now + settings.viewSyncInterval), m_nextDeadProbe(now),
-      m_nextEpochRefresh(now), m_nextRemoval(now)
+      m_nextEpochRefresh(now), m_nextRemoval(now), m_nextFirstSync(now)
 { }
 
 agent_actions membership_agent::tick(core::time_point now, std::uint64_t random)
@@ -84,7 +86,8 @@
 
 void membership_agent::rebuildTopology(core::time_point now, std::uint64_t random)
 {
-    if (m_topologyVersion != m_view.topologyVersion()) {
+    const bool topologyChanged = m_topologyVersion != m_view.topologyVersion();
+    if (topologyChanged) {
         m_topologyVersion = m_view.topologyVersion();
         m_overlay.rebuild(m_view.reachableNames());
         m_detector.setNeighbours(m_overlay.neighbours(), now, random);
@@ -93,10 +96,15 @@
             return !std::binary_search(neighbours.begin(), neighbours.end(), item.first);
         });
     }
-    if (m_readersDigest != m_view.digest()) {
-        m_readersDigest = m_view.digest();
-        m_readers.choose(m_view.live());
-    }
+    const bool sameReaders
+        = m_readersSynced == m_synced && m_readersDigest == m_view.digest() && !topologyChanged;
+    if (sameReaders)
+        return;
+    m_readersDigest = m_view.digest();
+    m_readersSynced = m_synced;
+    // A starting node does not know the others yet; without the listed names each node of a fleet
+    // that starts would choose itself and read.
+    m_readers.choose(m_synced ? m_view.live() : m_view.liveOrListed());
 }
 
 bool membership_agent::acceptSender(const core::node_identity &from) const
@@ -127,7 +135,8 @@
         return actions;
     }
     mergeUpdates(message.updates, false, now, actions);
-    m_peerDigests[from.name] = message.viewDigest;
+    if (isKnown(from))
+        m_peerDigests[from.name] = message.viewDigest;
 
     ack answer;
     answer.sequence = message.sequence;
@@ -148,7 +157,8 @@
     if (!acceptSender(from))
         return actions;
     mergeUpdates(message.updates, false, now, actions);
-    m_peerDigests[from.name] = message.viewDigest;
+    if (isKnown(from))
+        m_peerDigests[from.name] = message.viewDigest;
 
     const core::time_point sentAt{core::duration(static_cast<std::int64_t>(message.sequence))};
     if (sentAt > now || now - sentAt > maxAckAge || m_superseded)
@@ -164,8 +174,9 @@
     if (isKnown(from))
         takeStep(m_dissemination.onPeerKey(from.name, message.sheet, now), from, now, actions);
     m_confirmation.onAck(message.sheet, m_store.key(), message.confirmationAge, sentAt);
-    if (!m_synced && message.viewDigest != m_view.digest()) {
-        m_synced = true;
+    m_synced = m_synced || message.viewDigest == m_view.digest();
+    if (!m_synced && now >= m_nextFirstSync) {
+        m_nextFirstSync = now + firstSyncRetry;
         sendView(from.name, true, now, actions);
     }
     return actions;
@@ -187,7 +198,7 @@
                                                const sheet_request &message, core::time_point now)
 {
     agent_actions actions;
-    if (acceptSender(from))
+    if (acceptSender(from) && isKnown(from))
         takeStep(m_dissemination.onRequest(from.name, message), from, now, actions);
     return actions;
 }
@@ -196,7 +207,7 @@
                                              const sheet_patch &message, core::time_point now)
 {
     agent_actions actions;
-    if (acceptSender(from))
+    if (acceptSender(from) && isKnown(from))
         takeStep(m_dissemination.onPatch(from.name, message, now), from, now, actions);
     return actions;
 }
@@ -205,7 +216,7 @@
                                              const sheet_chunk &message, core::time_point now)
 {
     agent_actions actions;
-    if (acceptSender(from))
+    if (acceptSender(from) && isKnown(from))
         takeStep(m_dissemination.onChunk(from.name, message, now), from, now, actions);
     return actions;
 }
