Stop preemption that gains nothing, and let cancelled work settle

A waiting request that no engine could serve in time any more preempted a lower tier, was not placed, and preempted the next one; and each cancelled request still ran for up to 250 ms on an engine that bears 2. The restart of engines was ruled out: epochs did not change.

Change: a dispatch is preempted only if the waiting request would then end in time. A cancelled dispatch keeps its place on a cold engine for 500 ms. A deadline that passes is reported as cancelled and not as a failed connection; if no token came for 4 times the estimate, it counts as a slow first token.

--- a/src/app/demo_command.cpp
+++ b/src/app/demo_command.cpp
@@ -24,6 +24,7 @@
     options.add_option("--seconds", m_seconds, "Time in which members send requests")
         ->check(CLI::Range(4, 600))
         ->capture_default_str();
+    options.add_flag("--cold", m_options.coldStart, "Start with all model engines cold");
     options.add_option("--seed", m_options.seed, "Seed of the workload")->capture_default_str();
 }
 
--- a/src/demo/demo_fleet.cpp
+++ b/src/demo/demo_fleet.cpp
@@ -26,14 +26,14 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-standin::model_engine_settings engineSettings(const sheet::generation_facts &facts)
+standin::model_engine_settings engineSettings(const sheet::generation_facts &facts, bool startCold)
 {
     standin::model_engine_settings settings;
     settings.slots = facts.slots;
     settings.prefillTokensPerSecond = facts.prefillTokensPerSecond;
     settings.stepTime = std::chrono::duration_cast<core::duration>(
         std::chrono::duration<double>(1.0 / facts.decodeTokensPerSecond));
-    settings.startCold = true;
+    settings.startCold = startCold;
     settings.coldRequestLimit = coldRequestLimit;
     return settings;
 }
@@ -105,7 +105,8 @@
     if (sheet.upstreams.at(upstream).kind == sheet::upstream_kind::Model) {
         const auto &[generation, facts] = pick(sheet.generations, index);
         added.info.generation = generation;
-        added.model = std::make_unique<standin::model_engine>(m_reactor, engineSettings(facts));
+        added.model = std::make_unique<standin::model_engine>(
+            m_reactor, engineSettings(facts, m_options.coldStart));
         port = added.model->listen();
     } else {
         added.service = std::make_unique<standin::plain_service>(m_reactor,
--- a/src/demo/demo_options.h
+++ b/src/demo/demo_options.h
@@ -19,6 +19,8 @@
     double requestsPerSecond = 40;
     /** Time in which callers send; waiting for the last answers comes on top. */
     std::chrono::milliseconds load{12'000};
+    /** Starts every model engine cold; otherwise one of them is restarted during the load. */
+    bool coldStart = false;
     std::uint64_t seed = 1;
 };
 
--- a/src/demo/demonstration.cpp
+++ b/src/demo/demonstration.cpp
@@ -1,5 +1,6 @@
 #include "demo/demonstration.h"
 
+#include "core/invariant.h"
 #include "idempotency/request_key.h"
 #include "transport/clock.h"
 #include "transport/reactor_timer.h"
@@ -86,7 +87,12 @@
 {
     const core::domain_name domain = m_fleet.engines().front().info.domain;
     const core::engine_name leaving = m_fleet.engines().at(1).info.name;
+    demo_fleet::engine &restarted = lastModelEngine();
     m_steps = {
+        {0.15, "restarting engine " + restarted.info.name.text() + ", which comes back cold",
+         [&restarted] {
+             restarted.model->restart();
+         }},
         {0.25, "taking failure domain " + domain.text() + " out",
          [this, domain] {
              m_fleet.setDomain(domain, false);
@@ -117,6 +123,15 @@
     };
 }
 
+demo_fleet::engine &demonstration::lastModelEngine()
+{
+    const auto found
+        = std::find_if(m_fleet.engines().rbegin(), m_fleet.engines().rend(),
+                       [](const demo_fleet::engine &engine) { return engine.model != nullptr; });
+    COMFREYPASS_INVARIANT(found != m_fleet.engines().rend());
+    return *found;
+}
+
 void demonstration::offerLoad()
 {
     std::mt19937_64 random(m_options.seed);
--- a/src/demo/demonstration.h
+++ b/src/demo/demonstration.h
@@ -43,6 +43,7 @@
     core::result<void> startFleet();
     void offerLoad();
     void planSteps();
+    demo_fleet::engine &lastModelEngine();
     void drainNode();
     void watch();
     void watchSheets();
--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -326,7 +326,9 @@
 
 void request_session::breakAnswer(const transport::http_call_result &result)
 {
-    const bool cancelled = m_preempted || m_cancelledByCaller;
+    // A connection that this node closes at the deadline is no failure of the engine.
+    const bool cancelled
+        = m_preempted || m_cancelledByCaller || result.error == call_error::Timeout;
     releasePermit(cancelled ? scheduling::dispatch_result::Cancelled
                             : scheduling::dispatch_result::Failed,
                   false);
--- a/src/scheduling/engine_table.cpp
+++ b/src/scheduling/engine_table.cpp
@@ -228,11 +228,14 @@
            && (request.allowCold || !item.rise.cold());
 }
 
-bool engine_table::wouldFit(engine_id id, bool leavingSmall, const demand &request) const
+bool engine_table::wouldFit(engine_id id, bool leavingSmall, const demand &request,
+                            core::time_point now) const
 {
     const engine &item = m_engines[id];
     if (!item.usable || item.running > item.share || (item.rise.cold() && !request.allowCold))
         return false;
+    if (now + item.estimate.service(request.cost, now) > request.deadline)
+        return false;
     return request.small
            || (leavingSmall ? item.runningLarge < item.largeShare
                             : item.runningLarge <= item.largeShare);
--- a/src/scheduling/engine_table.h
+++ b/src/scheduling/engine_table.h
@@ -104,8 +104,12 @@
     core::duration shortestService(const demand &request) const;
     /** True if the engine has a free place for the request, whatever the deadline. */
     bool hasPlace(engine_id id, const demand &request) const;
-    /** True if the request could be placed once one dispatch of this size has left. */
-    bool wouldFit(engine_id id, bool leavingSmall, const demand &request) const;
+    /**
+     * True if the request could be placed once one dispatch of this size has left, and would then
+     * end before its deadline.
+     */
+    bool wouldFit(engine_id id, bool leavingSmall, const demand &request,
+                  core::time_point now) const;
     /** The cost without the prefill that is cached. */
     static request_cost uncached(const request_cost &cost, std::uint32_t cachedTokens);
     engine_explanation explain(engine_id id, const demand &request, core::time_point now) const;
--- a/src/scheduling/pool_scheduler.cpp
+++ b/src/scheduling/pool_scheduler.cpp
@@ -10,6 +10,8 @@
 
 /** Ramp states in a poll besides the changed ones; spreads all states within a few rounds. */
 constexpr std::size_t unchangedRampsPerPoll = 16;
+/** Silence of this many times the estimate counts as a slow first token. */
+constexpr int silentFactor = 4;
 constexpr auto preemptRepeat = std::chrono::milliseconds{250};
 /** Urgent requests looked at in one step; the next step looks at the rest. */
 constexpr std::size_t urgentPerStep = 16;
@@ -146,8 +148,12 @@
     if (known == nullptr || known->permit != release.permit)
         return out;
     const dispatch_table::record item = *m_dispatches.remove(ref);
-    learn(item, release);
-    settle(item, now, out);
+    learn(item, release, now);
+    const bool cancelled = release.result == dispatch_result::Cancelled;
+    if (cancelled && m_engines.at(item.engine).rise.cold())
+        m_settling.emplace_back(now + m_options.cancelSettle, item);
+    else
+        settle(item, now, out);
     dispatchQueued(now, out);
     return out;
 }
@@ -312,6 +318,11 @@
         updateShares(now);
     for (const auto &item : m_dispatches.removeExpired(now))
         settle(item, now, out);
+    while (!m_settling.empty() && m_settling.front().first <= now) {
+        const dispatch_table::record item = std::move(m_settling.front().second);
+        m_settling.pop_front();
+        settle(item, now, out);
+    }
     refuseAll(m_queue.removeOverdue(now), refusal_reason::DeadlineUnreachable, out);
 }
 
@@ -359,7 +370,8 @@
 bool pool_scheduler::makeRoom(const permit_request &request, core::time_point now, outbox &out)
 {
     // A place that a preemption frees counts as free already.
-    if (m_queue.size() < m_options.queueCapacity + m_dispatches.preempting())
+    const std::size_t freed = m_dispatches.preempting() + m_settling.size();
+    if (m_queue.size() < m_options.queueCapacity + freed)
         return true;
     const core::tier lowestQueued = m_queue.lowestTier().value_or(0);
     const core::tier shed = std::max(lowestQueued, request.tier);
@@ -507,7 +519,7 @@
             continue;
         const engine_table::demand demand = demandOf(waiting->request, now);
         const auto fits = [&](const dispatch_table::record &item) {
-            return m_engines.wouldFit(item.engine, item.small, demand);
+            return m_engines.wouldFit(item.engine, item.small, demand, now);
         };
         const dispatch_table::record *victim = m_dispatches.victimBelow(tier, fits);
         if (victim == nullptr)
@@ -570,7 +582,8 @@
     }
 }
 
-void pool_scheduler::learn(const dispatch_table::record &item, const permit_release &release)
+void pool_scheduler::learn(const dispatch_table::record &item, const permit_release &release,
+                           core::time_point now)
 {
     ramp &rise = m_engines.rampOf(item.engine);
     if (item.foreign || rise.generation() != item.rampGeneration)
@@ -579,10 +592,17 @@
         rise.onConnectionFailure();
         return;
     }
-    if (release.firstToken > core::duration::zero()) {
-        rise.onFirstToken(release.firstToken, item.estimatedFirstToken);
+    // A dispatch that was cancelled without a first token shows that the engine took at least as
+    // long.
+    const bool silent = release.result == dispatch_result::Cancelled
+                        && release.firstToken == core::duration::zero()
+                        && now - item.since > item.estimatedFirstToken * silentFactor;
+    const core::duration firstToken = silent ? now - item.since : release.firstToken;
+    if (firstToken > core::duration::zero()) {
+        rise.onFirstToken(firstToken, item.estimatedFirstToken);
         m_engines.estimateOf(item.engine)
-            .learn(release.firstToken, item.estimatedFirstToken, item.slowness);
+            .learn(firstToken, item.estimatedFirstToken, item.slowness);
+        m_engines.refresh(item.engine);
     }
     if (release.result == dispatch_result::Completed && release.inTime)
         rise.onCompletedInTime(item.rampGeneration);
--- a/src/scheduling/pool_scheduler.h
+++ b/src/scheduling/pool_scheduler.h
@@ -23,11 +23,13 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace comfreypass::scheduling {
@@ -116,7 +118,8 @@
     void importRamps(std::span<const ramp_state> states);
     void adoptRunning(const core::node_identity &from, const lease_vote &vote,
                       core::time_point now);
-    void learn(const dispatch_table::record &item, const permit_release &release);
+    void learn(const dispatch_table::record &item, const permit_release &release,
+               core::time_point now);
     /** Frees the place of a dispatch that is over. */
     void settle(const dispatch_table::record &item, core::time_point now, outbox &out);
     void serveClaimant(const request_ref &claimant, core::time_point now, outbox &out);
@@ -137,6 +140,9 @@
     std::unordered_map<request_ref, request_ref> m_claimants;
     std::unordered_set<request_ref> m_claiming;
 
+    /** Cancelled dispatches that still count on cold engines, in order of their ends. */
+    std::deque<std::pair<core::time_point, dispatch_table::record>> m_settling;
+
     bool m_startWanted = false;
     core::time_point m_mayStart{};
     core::permit_id m_lastPermit = 0;
--- a/src/scheduling/scheduler_options.h
+++ b/src/scheduling/scheduler_options.h
@@ -30,8 +30,16 @@
      * other scheduler's dispatches may run that long.
      */
     core::duration longestColdDispatch = std::chrono::seconds{120};
-    /** Time before its latest start at which a waiting request preempts lower-tier work. */
-    core::duration preemptLead = std::chrono::milliseconds{250};
+    /**
+     * Time before its latest start at which a waiting request preempts lower-tier work. It covers
+     * the round trip of the order and `cancelSettle`.
+     */
+    core::duration preemptLead = std::chrono::milliseconds{750};
+    /**
+     * A cancelled dispatch keeps its place on a cold engine for this time, because the engine works
+     * on it until it notices the closed connection.
+     */
+    core::duration cancelSettle = std::chrono::milliseconds{500};
     /**
      * True if the owner passes on load reports of model engines, also that an engine has none
      * (epoch 0). Until the first one, nobody knows whether an engine is cold.
