--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -8,7 +8,7 @@
     libace-dev libzmq3-dev libprotobuf-dev protobuf-compiler
     libboost1.81-dev libboost-json1.81-dev libboost-log1.81-dev
     libcli11-dev libmicrohttpd-dev libcurl4-openssl-dev
-    libcppunit-dev librapidcheck-dev libclang-rt-14-dev
+    libbenchmark-dev libcppunit-dev librapidcheck-dev libclang-rt-14-dev
     libxxhash-dev libsodium-dev python3
 )
 
--- a/src/scheduling/dispatch_table.h
+++ b/src/scheduling/dispatch_table.h
@@ -31,7 +31,9 @@
 public:
     struct record
     {
+        /** Key in the table; for own grants the request. */
         request_ref ref;
+        core::request_id request = 0;
         core::node_name origin;
         core::permit_id permit = 0;
         prefix_table::engine_id engine = 0;
--- a/src/scheduling/pool_scheduler.cpp
+++ b/src/scheduling/pool_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/pool_scheduler.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -22,6 +24,16 @@
     return deadline + (deadline - now) / 100;
 }
 
+/**
+ * Key of a dispatch that another scheduler granted. A node may use one scheduler's permit while a
+ * grant of another one for the same request is on its way, so both count.
+ */
+request_ref foreignRef(core::incarnation life, core::request_id request, core::permit_id permit)
+{
+    const std::array numbers{request, permit};
+    return {life, core::hash64(std::as_bytes(std::span{numbers}))};
+}
+
 } // namespace
 
 pool_scheduler::pool_scheduler(core::upstream_name upstream, scheduler_options options)
@@ -108,7 +120,7 @@
     advance(now, out);
     const request_ref ref{from.life, request.request};
     if (const dispatch_table::record *known = m_dispatches.find(ref)) {
-        if (!known->foreign && active())
+        if (active())
             out.push_back({from.name, grantOf(*known)});
         return out;
     }
@@ -141,9 +153,11 @@
 {
     outbox out;
     advance(now, out);
-    const request_ref ref{from.life, release.request};
+    request_ref ref{from.life, release.request};
     const dispatch_table::record *known = m_dispatches.find(ref);
     if (known == nullptr || known->permit != release.permit)
+        ref = foreignRef(from.life, release.request, release.permit);
+    if (m_dispatches.find(ref) == nullptr)
         return out;
     const dispatch_table::record item = *m_dispatches.remove(ref);
     learn(item, release);
@@ -164,11 +178,8 @@
         return out;
 
     importRamps(vote.ramps);
-    adoptRunning(from, vote, now);
+    const auto listed = adoptRunning(from, vote, now);
     if (vote.promised) {
-        std::unordered_set<request_ref> listed;
-        for (const running_dispatch &item : vote.running)
-            listed.insert({from.life, item.request});
         for (const auto &item : m_dispatches.removeAbsent(from.life, vote.sequence, listed))
             settle(item, now, out);
     } else if (m_lease.refuses(from) && !m_lease.holds(from)) {
@@ -431,6 +442,7 @@
         = engine_table::uncached(item.request.cost, choice.cachedPrefillTokens);
     const engine_table::engine &engine = m_engines.at(choice.engine);
     dispatch_table::record record{.ref = item.ref,
+                                  .request = item.ref.request,
                                   .origin = item.origin.name,
                                   .permit = ++m_lastPermit,
                                   .engine = choice.engine,
@@ -455,7 +467,7 @@
 
 permit_grant pool_scheduler::grantOf(const dispatch_table::record &item) const
 {
-    return {.request = item.ref.request,
+    return {.request = item.request,
             .permit = item.permit,
             .upstream = m_upstream,
             .engine = m_engines.at(item.engine).info.name,
@@ -528,7 +540,7 @@
 
 preempt_order pool_scheduler::orderFor(const dispatch_table::record &victim) const
 {
-    return {victim.ref.request, victim.permit, m_upstream};
+    return {victim.request, victim.permit, m_upstream};
 }
 
 void pool_scheduler::importRamps(std::span<const ramp_state> states)
@@ -541,34 +553,47 @@
     }
 }
 
-void pool_scheduler::adoptRunning(const core::node_identity &from, const lease_vote &vote,
-                                  core::time_point now)
+std::unordered_set<request_ref> pool_scheduler::adoptRunning(const core::node_identity &from,
+                                                             const lease_vote &vote,
+                                                             core::time_point now)
 {
+    std::unordered_set<request_ref> listed;
     for (const running_dispatch &item : vote.running) {
-        const request_ref ref{from.life, item.request};
-        const bool overdue = item.deadline <= now || item.tier >= core::tierCount;
-        if (m_dispatches.find(ref) == nullptr && !overdue) {
-            // The node got a permit from another scheduler in the meantime.
-            forgetQueued(m_queue.remove(ref));
-            const auto engine = m_engines.ensure(item.engine);
-            dispatch_table::record record{.ref = ref,
-                                          .origin = from.name,
-                                          .permit = item.permit,
-                                          .engine = engine,
-                                          .tier = item.tier,
-                                          .team = item.team,
-                                          .deadline = withDrift(item.deadline, now),
-                                          .since = now,
-                                          .small = isSmall(item.cost),
-                                          .preemptible = item.preemptible,
-                                          .foreign = true};
-            record.work = m_engines.addWork(engine, item.cost, record.small, now);
-            countInFlight(item.team, item.tier, 1);
-            m_dispatches.add(std::move(record));
-        }
+        const request_ref request{from.life, item.request};
+        const dispatch_table::record *known = m_dispatches.find(request);
+        const bool own = known != nullptr && known->permit == item.permit;
+        const request_ref ref = own ? request : foreignRef(from.life, item.request, item.permit);
+        if (!own && m_dispatches.find(ref) == nullptr && now < item.deadline
+            && item.tier < core::tierCount)
+            addForeign(ref, from, item, now);
         if (vote.promised)
             m_dispatches.noteListed(ref, vote.sequence);
+        listed.insert(ref);
     }
+    return listed;
+}
+
+void pool_scheduler::addForeign(const request_ref &ref, const core::node_identity &from,
+                                const running_dispatch &item, core::time_point now)
+{
+    // The node got a permit from another scheduler in the meantime.
+    forgetQueued(m_queue.remove({from.life, item.request}));
+    const auto engine = m_engines.ensure(item.engine);
+    dispatch_table::record record{.ref = ref,
+                                  .request = item.request,
+                                  .origin = from.name,
+                                  .permit = item.permit,
+                                  .engine = engine,
+                                  .tier = item.tier,
+                                  .team = item.team,
+                                  .deadline = withDrift(item.deadline, now),
+                                  .since = now,
+                                  .small = isSmall(item.cost),
+                                  .preemptible = item.preemptible,
+                                  .foreign = true};
+    record.work = m_engines.addWork(engine, item.cost, record.small, now);
+    countInFlight(item.team, item.tier, 1);
+    m_dispatches.add(std::move(record));
 }
 
 void pool_scheduler::learn(const dispatch_table::record &item, const permit_release &release)
--- a/src/scheduling/pool_scheduler.h
+++ b/src/scheduling/pool_scheduler.h
@@ -114,8 +114,11 @@
     preempt_order orderFor(const dispatch_table::record &victim) const;
 
     void importRamps(std::span<const ramp_state> states);
-    void adoptRunning(const core::node_identity &from, const lease_vote &vote,
-                      core::time_point now);
+    /** Counts what a vote lists and returns the keys of it. */
+    std::unordered_set<request_ref> adoptRunning(const core::node_identity &from,
+                                                 const lease_vote &vote, core::time_point now);
+    void addForeign(const request_ref &ref, const core::node_identity &from,
+                    const running_dispatch &item, core::time_point now);
     void learn(const dispatch_table::record &item, const permit_release &release);
     /** Frees the place of a dispatch that is over. */
     void settle(const dispatch_table::record &item, core::time_point now, outbox &out);
--- /dev/null
+++ b/tests/scheduling/ramp_test.cpp
@@ -0,0 +1,122 @@
+#include "scheduling/ramp.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+using namespace comfreypass;
+using namespace comfreypass::scheduling;
+using namespace std::chrono_literals;
+
+class ramp_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ramp_test);
+    CPPUNIT_TEST(limitDoublesOnlyByEvidence);
+    CPPUNIT_TEST(eachResetReturnsToTheStart);
+    CPPUNIT_TEST(repeatedColdReportsDoNotHoldTheLimit);
+    CPPUNIT_TEST(responsesFromBeforeAResetDoNotCount);
+    CPPUNIT_TEST(importTakesNewerStatesOnly);
+    CPPUNIT_TEST(importIsCutToTheEvidence);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a ramp that rises too early or above the slots.
+    void limitDoublesOnlyByEvidence()
+    {
+        ramp rise = makeRamp();
+        std::uint32_t completed = 0;
+        for (const std::uint32_t limit : {1U, 2U, 4U, 6U}) {
+            CPPUNIT_ASSERT_EQUAL(limit, rise.limit());
+            for (std::uint32_t i = 0; i < limit; ++i, ++completed)
+                rise.onCompletedInTime(0);
+        }
+        CPPUNIT_ASSERT_EQUAL(6U, rise.limit());
+        CPPUNIT_ASSERT(!rise.cold());
+    }
+
+    // Guards against full load on an engine that became cold again.
+    void eachResetReturnsToTheStart()
+    {
+        ramp failed = warm();
+        failed.onConnectionFailure();
+        CPPUNIT_ASSERT_EQUAL(1U, failed.limit());
+
+        ramp restarted = warm();
+        restarted.onLoadReport(7, false);
+        CPPUNIT_ASSERT_EQUAL(6U, restarted.limit());
+        restarted.onLoadReport(8, false);
+        CPPUNIT_ASSERT_EQUAL(1U, restarted.limit());
+
+        ramp slow = warm();
+        slow.onFirstToken(5s, 1s);
+        slow.onFirstToken(5s, 1s);
+        slow.onFirstToken(1s, 1s);
+        slow.onFirstToken(5s, 1s);
+        slow.onFirstToken(5s, 1s);
+        CPPUNIT_ASSERT_EQUAL(6U, slow.limit());
+        slow.onFirstToken(5s, 1s);
+        CPPUNIT_ASSERT_EQUAL(1U, slow.limit());
+    }
+
+    // Guards against an engine that reports itself cold for a minute and gets one request at a
+    // time.
+    void repeatedColdReportsDoNotHoldTheLimit()
+    {
+        ramp rise = makeRamp();
+        rise.onLoadReport(7, true);
+        rise.onCompletedInTime(rise.generation());
+        rise.onLoadReport(7, true);
+        CPPUNIT_ASSERT_EQUAL(2U, rise.limit());
+        rise.onLoadReport(7, false);
+        rise.onLoadReport(7, true);
+        CPPUNIT_ASSERT_EQUAL(1U, rise.limit());
+    }
+
+    // Guards against responses of the old process that warm up the new one.
+    void responsesFromBeforeAResetDoNotCount()
+    {
+        ramp rise = makeRamp();
+        rise.onConnectionFailure();
+        rise.onCompletedInTime(0);
+        CPPUNIT_ASSERT_EQUAL(1U, rise.limit());
+    }
+
+    // Guards against an old state that undoes a reset.
+    void importTakesNewerStatesOnly()
+    {
+        const ramp_state old = warm().state();
+        ramp rise = warm();
+        rise.onConnectionFailure();
+        CPPUNIT_ASSERT(!rise.import(old));
+        CPPUNIT_ASSERT_EQUAL(1U, rise.limit());
+
+        ramp fresh = makeRamp();
+        CPPUNIT_ASSERT(fresh.import(old));
+        CPPUNIT_ASSERT_EQUAL(6U, fresh.limit());
+    }
+
+    // Guards against a faulty peer that declares a cold engine warm.
+    void importIsCutToTheEvidence()
+    {
+        ramp rise = makeRamp();
+        CPPUNIT_ASSERT(rise.import({core::engine_name{"e"}, 1'000, 0, 0, 2}));
+        CPPUNIT_ASSERT_EQUAL(3U, rise.limit());
+        ramp restarted = makeRamp();
+        restarted.onLoadReport(9, false);
+        restarted.import({core::engine_name{"e"}, 6, 0, 8, 50});
+        CPPUNIT_ASSERT_EQUAL(1U, restarted.limit());
+    }
+
+private:
+    static ramp makeRamp() { return {core::engine_name{"e"}, 6, 1}; }
+
+    static ramp warm()
+    {
+        ramp rise = makeRamp();
+        for (int i = 0; i < 7; ++i)
+            rise.onCompletedInTime(0);
+        return rise;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ramp_test);
--- /dev/null
+++ b/tests/scheduling/vote_ledger_test.cpp
@@ -0,0 +1,126 @@
+#include "core/rendezvous.h"
+#include "scheduling/vote_ledger.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+
+using namespace comfreypass;
+using namespace comfreypass::scheduling;
+using std::chrono::milliseconds;
+
+class vote_ledger_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(vote_ledger_test);
+    CPPUNIT_TEST(startedProcessWaitsOneLease);
+    CPPUNIT_TEST(onePromiseAtATime);
+    CPPUNIT_TEST(betterNodeEndsRenewal);
+    CPPUNIT_TEST(stepDownFreesThePromise);
+    CPPUNIT_TEST(permitEndsWithPromiseAndRounds);
+    CPPUNIT_TEST(latePollsAreRefused);
+    CPPUNIT_TEST(rampStatesAreHandedOn);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a restarted voter that promises a share twice.
+    void startedProcessWaitsOneLease()
+    {
+        vote_ledger ledger(at(1'000));
+        CPPUNIT_ASSERT(!poll(ledger, better(), 1, 2'510).promised);
+        CPPUNIT_ASSERT(poll(ledger, better(), 2, 2'520).promised);
+    }
+
+    // Guards against two schedulers that count the same share.
+    void onePromiseAtATime()
+    {
+        vote_ledger ledger(at(-10'000));
+        CPPUNIT_ASSERT(poll(ledger, better(), 1, 0).promised);
+        const lease_vote refused = poll(ledger, worse(), 1, 1'499);
+        CPPUNIT_ASSERT(!refused.promised);
+        CPPUNIT_ASSERT(refused.preferred == better().name);
+        CPPUNIT_ASSERT(poll(ledger, worse(), 2, 1'500).promised);
+    }
+
+    // Guards against a node that keeps an upstream although a better-ranked one has come.
+    void betterNodeEndsRenewal()
+    {
+        vote_ledger ledger(at(-10'000));
+        CPPUNIT_ASSERT(poll(ledger, worse(), 1, 0).promised);
+        CPPUNIT_ASSERT(!poll(ledger, better(), 1, 500).promised);
+        CPPUNIT_ASSERT(!poll(ledger, worse(), 2, 600).promised);
+        CPPUNIT_ASSERT(poll(ledger, better(), 2, 1'500).promised);
+    }
+
+    // Guards against an upstream without scheduler for a lease after a graceful change.
+    void stepDownFreesThePromise()
+    {
+        vote_ledger ledger(at(-10'000));
+        poll(ledger, better(), 1, 0);
+        ledger.onStepDown(worse(), {upstream()});
+        CPPUNIT_ASSERT(ledger.holder(upstream(), at(1)) == better());
+        ledger.onStepDown(better(), {upstream()});
+        CPPUNIT_ASSERT(poll(ledger, worse(), 1, 1).promised);
+    }
+
+    // Guards against dispatches of a paused process, and of permits the scheduler has written off.
+    void permitEndsWithPromiseAndRounds()
+    {
+        vote_ledger ledger(at(-10'000));
+        poll(ledger, better(), 10, 0);
+        permit_grant permit;
+        permit.upstream = upstream();
+        permit.leaseSequence = 10;
+        CPPUNIT_ASSERT(ledger.mayUse(better(), permit, at(1'499)));
+        CPPUNIT_ASSERT(!ledger.mayUse(worse(), permit, at(100)));
+        CPPUNIT_ASSERT(!ledger.mayUse(better(), permit, at(1'500)));
+        poll(ledger, better(), 12, 1'000);
+        CPPUNIT_ASSERT(ledger.mayUse(better(), permit, at(1'100)));
+        poll(ledger, better(), 13, 1'200);
+        CPPUNIT_ASSERT(!ledger.mayUse(better(), permit, at(1'300)));
+    }
+
+    // Guards against a late copy of a poll that revives an earlier promise.
+    void latePollsAreRefused()
+    {
+        vote_ledger ledger(at(-10'000));
+        poll(ledger, better(), 10, 0);
+        poll(ledger, worse(), 1, 1'600);
+        CPPUNIT_ASSERT(!poll(ledger, better(), 10, 3'200).promised);
+        CPPUNIT_ASSERT(poll(ledger, better(), 12, 3'200).promised);
+        CPPUNIT_ASSERT(!poll(ledger, better(), 11, 3'300).promised);
+    }
+
+    // Guards against a new scheduler that starts without, or with an older, ramp state.
+    void rampStatesAreHandedOn()
+    {
+        vote_ledger ledger(at(-10'000));
+        const core::engine_name engine{"e"};
+        poll(ledger, better(), 1, 0, {{engine, 4, 1, 0, 9}});
+        poll(ledger, better(), 2, 100, {{engine, 2, 1, 0, 8}});
+        const lease_vote vote = poll(ledger, worse(), 1, 2'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vote.ramps.size());
+        CPPUNIT_ASSERT_EQUAL(4U, vote.ramps.front().limit);
+    }
+
+private:
+    static core::time_point at(int millis) { return core::time_point{milliseconds{millis}}; }
+    static core::upstream_name upstream() { return core::upstream_name{"asesor-modelo"}; }
+
+    static std::vector<core::node_name> ranked()
+    {
+        const std::vector<core::node_name> nodes{core::node_name{"a"}, core::node_name{"b"}};
+        return core::rendezvousRank(upstream().text(), nodes, 2);
+    }
+    static core::node_identity better() { return {ranked().front(), 1}; }
+    static core::node_identity worse() { return {ranked().back(), 2}; }
+
+    static lease_vote poll(vote_ledger &ledger, const core::node_identity &from,
+                           std::uint64_t sequence, int millis, std::vector<ramp_state> ramps = {})
+    {
+        return ledger.onPoll(from, {upstream(), sequence, defaultLease, std::move(ramps)}, {},
+                             at(millis));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(vote_ledger_test);
