--- a/tests/scheduling/lease_holder_test.cpp
+++ b/tests/scheduling/lease_holder_test.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/lease_holder.h"
+#include "scheduling/scheduler_options.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
