--- a/src/scheduling/pool_scheduler.cpp
+++ b/src/scheduling/pool_scheduler.cpp
@@ -524,13 +524,16 @@
 
 void pool_scheduler::preemptUrgent(core::time_point now, outbox &out)
 {
-    for (const queued_request *waiting :
-         m_queue.startingBefore(now + m_options.preemptLead, urgentPerStep)) {
+    for (const queued_request *waiting : m_queue.startingBefore(
+             now + m_options.preemptLead + m_options.cancelSettle, urgentPerStep)) {
         const core::tier tier = waiting->request.tier;
         if (m_claiming.contains(waiting->ref) || !m_dispatches.preemptibleBelow(tier))
             continue;
         const engine_table::demand demand = demandOf(waiting->request, now);
+        const bool urgent = waiting->latestStart < now + m_options.preemptLead;
         const auto fits = [&](const dispatch_table::record &item) {
+            if (!urgent && !m_engines.at(item.engine).rise.cold())
+                return false;
             return m_engines.wouldFit(item.engine, item.small, demand, now);
         };
         const dispatch_table::record *victim = m_dispatches.victimBelow(tier, fits);
--- a/src/scheduling/scheduler_options.h
+++ b/src/scheduling/scheduler_options.h
@@ -31,10 +31,10 @@
      */
     core::duration longestColdDispatch = std::chrono::seconds{120};
     /**
-     * Time before its latest start at which a waiting request preempts lower-tier work. It covers
-     * the round trip of the order and `cancelSettle`.
+     * Time before its latest start at which a waiting request preempts lower-tier work; it covers
+     * the round trip of the order. On a cold engine `cancelSettle` comes on top.
      */
-    core::duration preemptLead = std::chrono::milliseconds{750};
+    core::duration preemptLead = std::chrono::milliseconds{250};
     /**
      * A cancelled dispatch keeps its place on a cold engine for this time, because the engine works
      * on it until it notices the closed connection.
