Read sheets with the shared JSON parser

Cause: sheet_document had a JSON parser of its own that took the last of two equal keys, and passed the canonical text to the sheet parser, so that its errors named places operators cannot find.

Change: sheet_document uses sheet::parseJson() and passes the text as written.

Conclusion: one JSON parser for check, diff and the node.

--- a/src/sheet/sheet_document.cpp
+++ b/src/sheet/sheet_document.cpp
@@ -1,10 +1,9 @@
 #include "sheet/sheet_document.h"
 
 #include "core/hash.h"
+#include "sheet/parse_json.h"
 
-#include <boost/json/error.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
@@ -62,20 +61,10 @@
 
 core::result<boost::json::value> sheet_document::parseJson(std::string_view text)
 {
-    if (text.size() > maxSheetBytes) {
-        return core::error{core::errc::TooLarge, "",
-                           "the document has " + std::to_string(text.size()) + " bytes",
-                           "keep it under " + std::to_string(maxSheetBytes) + " bytes"};
-    }
-    boost::json::parse_options options;
-    options.allow_comments = true;
-    options.allow_trailing_commas = true;
-    options.max_depth = maxDepth;
-    boost::json::error_code failure;
-    boost::json::value parsed = boost::json::parse(text, failure, {}, options);
-    if (failure)
-        return core::error{core::errc::ParseFailed, "", failure.message(), "check the JSON syntax"};
-    return parsed;
+    auto parsed = comfreypass::sheet::parseJson(text, maxSheetBytes);
+    if (!parsed)
+        return parsed.error().front();
+    return std::move(parsed).value();
 }
 
 std::string sheet_document::canonicalText(const boost::json::value &value)
@@ -92,11 +81,12 @@
     const auto parsed = parseJson(text);
     if (!parsed)
         return parsed.error();
-    std::string canonical = canonicalText(parsed.value());
-    auto model = parser(canonical);
+    // The parser gets the text as it was written, so that its errors name the right places.
+    auto model = parser(text);
     if (!model)
         return model.error();
 
+    std::string canonical = canonicalText(parsed.value());
     const sheet_key key{model.value()->revision, serviceIndex, core::hash64(canonical)};
     return sheet_document(std::move(canonical), key, std::move(model).value());
 }
--- a/src/sheet/sheet_document.h
+++ b/src/sheet/sheet_document.h
@@ -27,19 +27,18 @@
 class sheet_document
 {
 public:
-    /** Deepest nesting of a document that is accepted. */
-    static constexpr std::size_t maxDepth = 32;
-
     /**
      * Reads a document as operators write it (comments and trailing commas are allowed).
      *
-     * Errors: TooLarge over maxSheetBytes, ParseFailed for text that is not JSON, and the errors of
-     * `parser`.
+     * Errors: the first one of parseJson(), and that of `parser`.
      */
     static core::result<sheet_document> create(std::string_view text, std::uint64_t serviceIndex,
                                                const sheet_parser &parser);
 
-    /** Reads JSON as operators write it. Errors: TooLarge, ParseFailed. Thread-safe. */
+    /**
+     * Reads JSON of at most maxSheetBytes as operators write it. Errors: the first one of
+     * sheet::parseJson(). Thread-safe.
+     */
     static core::result<boost::json::value> parseJson(std::string_view text);
 
     /** JSON text with sorted keys and without optional spaces. Thread-safe. */
--- a/tests/sheet/sheet_document_test.cpp
+++ b/tests/sheet/sheet_document_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(equalContentHasEqualDigests);
     CPPUNIT_TEST(differentContentHasDifferentDigests);
     CPPUNIT_TEST(boundsSizeAndDepth);
+    CPPUNIT_TEST(repeatedKeysAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,6 +47,9 @@
         CPPUNIT_ASSERT(create("{\"a\":").error().code == core::errc::ParseFailed);
     }
 
+    // Guards against a key that is written twice and of which each node might take another.
+    void repeatedKeysAreRefused() { CPPUNIT_ASSERT(!create(R"({"a":1,"a":2})")); }
+
 private:
     static core::result<sheet_document> create(std::string_view text)
     {
