Bound patches like the decoder and fall back to chunks

Cause: the decoder drops patches of more than 60,000 bytes, this library sent up to 65,536; such a patch was requested again for ever, because only a wrong patch led to the whole document.

Change: the same bound, and the whole document after three unanswered requests.

--- a/src/membership/sheet_dissemination.cpp
+++ b/src/membership/sheet_dissemination.cpp
@@ -42,6 +42,8 @@
             return {};
         m_tried.insert(m_transfer->from);
         m_transfer.reset();
+        if (++m_timeouts >= timeoutsToWhole)
+            m_wholeNext = true;
     }
     return request(now);
 }
@@ -53,6 +55,7 @@
     if (m_ahead.empty()) {
         m_tried.clear();
         m_wholeNext = false;
+        m_timeouts = 0;
         return {};
     }
     const bool allTried = std::all_of(m_ahead.begin(), m_ahead.end(), [this](const auto &item) {
@@ -167,6 +170,7 @@
         m_tried.clear();
         m_unusable.clear();
         m_wholeNext = false;
+        m_timeouts = 0;
         next = request(now);
     } else if (!wasWhole) {
         // The same neighbour is asked for the whole document.
--- a/src/membership/sheet_dissemination.h
+++ b/src/membership/sheet_dissemination.h
@@ -24,8 +24,10 @@
 {
 public:
     static constexpr std::size_t chunkBytes = 16'384;
-    /** Larger patches are replaced by chunks, which bound the size of a message. */
-    static constexpr std::size_t maxPatchBytes = 65'536;
+    /** Larger patches are replaced by chunks. Receivers drop patches of more than 60,000 bytes. */
+    static constexpr std::size_t maxPatchBytes = 60'000;
+    /** After so many requests without an answer the whole document is requested. */
+    static constexpr std::uint32_t timeoutsToWhole = 3;
     /** A neighbour whose document was not usable is not asked for the same one again before this.
      */
     static constexpr core::duration unusablePause = std::chrono::seconds(10);
@@ -85,6 +87,8 @@
     std::map<core::node_name, unusable_document> m_unusable;
     /** True after a patch did not give the announced sheet. */
     bool m_wholeNext = false;
+    /** Unanswered requests since the last new sheet. */
+    std::uint32_t m_timeouts = 0;
     std::optional<transfer> m_transfer;
 };
 
--- a/tests/membership/sheet_dissemination_test.cpp
+++ b/tests/membership/sheet_dissemination_test.cpp
@@ -66,6 +66,9 @@
         CPPUNIT_ASSERT(m_client.tick(m_now + 400ms).messages.empty());
         CPPUNIT_ASSERT(m_client.tick(m_now + 500ms).messages.at(0).to == m_other);
         CPPUNIT_ASSERT(m_client.tick(m_now + 1s).messages.at(0).to == m_peer);
+        // A patch that never arrives may be too large for the way; chunks are not.
+        const auto third = m_client.tick(m_now + 1500ms);
+        CPPUNIT_ASSERT(std::get<sheet_request>(third.messages.at(0).message).whole);
     }
 
     // Guards against a node that repeats a patch that cannot work.
