--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -33,6 +33,12 @@
 constexpr std::chrono::milliseconds mostBetweenChecks{5'000};
 /** A connection that does not complete its handshake is closed. */
 constexpr int handshakeTimeoutMs = 5'000;
+/**
+ * Connections that wait to be accepted: one for each member that the live view can hold. With
+ * ZeroMQ's 100, 200 peers that connected at once lost up to 17 first messages to the waiting
+ * timeout.
+ */
+constexpr int connectionBacklog = 1'024;
 // A vanished peer's connection is closed after about a minute.
 constexpr int keepAliveIdleSeconds = 30;
 constexpr int keepAliveIntervalSeconds = 10;
@@ -163,6 +169,7 @@
         m_router.set(sockopt::rcvhwm, m_settings.queuedMessages);
         m_router.set(sockopt::maxmsgsize, static_cast<std::int64_t>(wire::maxMessageBytes));
         m_router.set(sockopt::handshake_ivl, handshakeTimeoutMs);
+        m_router.set(sockopt::backlog, connectionBacklog);
         m_router.set(sockopt::tcp_keepalive, 1);
         m_router.set(sockopt::tcp_keepalive_idle, keepAliveIdleSeconds);
         m_router.set(sockopt::tcp_keepalive_intvl, keepAliveIntervalSeconds);
