--- a/src/idempotency/claim_outcome.h
+++ b/src/idempotency/claim_outcome.h
@@ -29,11 +29,16 @@
      * the witnesses that did not answer, so the node must answer `unknown` and not `not_run`.
      */
     std::optional<core::node_identity> otherOwner;
+    /**
+     * True if an earlier attempt of the caller has no answer or the answer `unknown`. It may have
+     * won at witnesses that have restarted since, so a failed claim proves nothing about the key.
+     */
+    bool repeat = false;
 
-    /** True if the node may answer `not_run`: it lost to nobody and saw no other owner. */
+    /** True if the node may answer `not_run`: a first attempt lost and saw no other owner. */
     bool notRun() const noexcept
     {
-        return decision == claim_decision::Failed && !otherOwner.has_value();
+        return decision == claim_decision::Failed && !otherOwner.has_value() && !repeat;
     }
 
     bool operator==(const claim_outcome &) const = default;
--- a/src/idempotency/claim_round.cpp
+++ b/src/idempotency/claim_round.cpp
@@ -104,7 +104,7 @@
 
 claim_outcome claim_round::outcome() const
 {
-    claim_outcome result{m_key, m_decision, std::nullopt};
+    claim_outcome result{m_key, m_decision, std::nullopt, false};
     if (m_decision == claim_decision::Won)
         return result;
     for (const ballot &entry : m_ballots) {
--- a/src/idempotency/claim_table.cpp
+++ b/src/idempotency/claim_table.cpp
@@ -12,7 +12,7 @@
 { }
 
 claim_start claim_table::begin(const request_key &key, const witness_token &token,
-                               core::time_point deadline, core::time_point now)
+                               core::time_point deadline, core::time_point now, bool repeat)
 {
     claim_start start;
     forgetOldKeys(now);
@@ -30,6 +30,7 @@
     const std::uint64_t sequence = ++m_lastSequence;
     entry &added = m_keys[key];
     added.sequence = sequence;
+    added.repeat = repeat;
     added.round.emplace(m_self, key, token, sequence, m_settings, now, deadline);
     m_keyOfRound.emplace(sequence, key);
     start.result = claim_start::status::Started;
@@ -121,6 +122,7 @@
     claim_outcome outcome = claimed.round->outcome();
     if (outcome.decision == claim_decision::Open)
         return std::nullopt;
+    outcome.repeat = claimed.repeat;
     m_keyOfRound.erase(claimed.sequence);
     claimed.round.reset();
     claimed.state = key_state::Owned;
--- a/src/idempotency/claim_table.h
+++ b/src/idempotency/claim_table.h
@@ -32,9 +32,13 @@
 public:
     claim_table(core::node_identity self, claim_settings settings = {});
 
-    /** Begins a round for a key that is Free. */
+    /**
+     * Begins a round for a key that is Free. `repeat`: the caller says that an earlier attempt has
+     * no answer or the answer `unknown`; its outcome is then never notRun(), and a start that is
+     * Impossible or Full must be answered `unknown` too.
+     */
     claim_start begin(const request_key &key, const witness_token &token, core::time_point deadline,
-                      core::time_point now);
+                      core::time_point now, bool repeat = false);
 
     /** Takes a reply; returns the outcome if it ends a round. */
     std::optional<claim_outcome> onReply(const core::node_identity &sender,
@@ -73,6 +77,7 @@
     {
         key_state state = key_state::Claiming;
         std::uint64_t sequence = 0;
+        bool repeat = false;
         std::optional<claim_round> round;
     };
 
