--- a/src/demo/member_client.cpp
+++ b/src/demo/member_client.cpp
@@ -64,8 +64,10 @@
             std::vector<std::string> addresses, std::string witnesses)
         : m_owner(owner), m_addresses(std::move(addresses)), m_witnesses(std::move(witnesses)),
           m_startedAt(transport::monotonicNow()),
-          m_events(transport::sse_parser::defaultEventBytes,
-                   [this](std::string_view data) { m_streamed += contentOf(parse(data), "delta"); })
+          m_events(transport::sse_parser::defaultEventBytes, [this](std::string_view data) {
+              m_streamed += contentOf(parse(data), "delta");
+              m_lastEvent = data;
+          })
     {
         m_answer.request = std::move(request);
         m_answer.key = std::move(key);
