Add a fault-injecting TCP proxy for tests

Cause: integration tests need delays, partitions, half-open and reset connections between processes.

--- /dev/null
+++ b/tests/support/proxy_link.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "support/proxy_faults.h"
+#include "transport/reactor_timer.h"
+#include "transport/socket_watch.h"
+
+#include <ace/Reactor.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace comfreypass::tests {
+
+/** One connection through a fault_proxy: a socket to the caller and one to the target. */
+class proxy_link
+{
+public:
+    /**
+     * Takes over two connected descriptors. `ended` is called once both directions have ended; it
+     * must not destroy the link.
+     */
+    proxy_link(ACE_Reactor &reactor, int caller, int target, const proxy_faults &faults,
+               std::function<void()> ended);
+    ~proxy_link();
+    proxy_link(const proxy_link &) = delete;
+    proxy_link &operator=(const proxy_link &) = delete;
+
+    bool ended() const { return m_ended; }
+
+    /** Applies changed faults to the bytes that wait. */
+    void faultsChanged();
+
+    /** Closes both sides; what waits is lost. */
+    void cut();
+
+    /** Resets both sides. */
+    void reset();
+
+    /** Closes the target's side only; the caller's bytes are dropped and it is not told. */
+    void halfOpen();
+
+private:
+    struct chunk
+    {
+        core::time_point due;
+        std::string bytes;
+    };
+
+    /** The way from one socket to the other; both are indexes into m_sockets. */
+    struct direction
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::deque<chunk> waiting;
+        std::size_t waitingBytes = 0;
+        std::uint64_t passedBytes = 0;
+        bool readEnded = false;
+        bool writeEnded = false;
+        bool blocked = false;
+    };
+
+    static constexpr std::size_t caller = 0;
+    static constexpr std::size_t target = 1;
+
+    void ready(std::size_t socket, ACE_Reactor_Mask mask);
+    void read(direction &way);
+    void pump(direction &way);
+    bool held(const direction &way) const;
+    void garble(direction &way, std::string &bytes) const;
+    void closeSocket(std::size_t socket, bool withReset);
+    void end();
+    void update();
+
+    const proxy_faults &m_faults;
+    std::array<int, 2> m_sockets;
+    std::array<direction, 2> m_ways;
+    std::array<std::unique_ptr<transport::socket_watch>, 2> m_watches;
+    transport::reactor_timer m_timer;
+    std::function<void()> m_onEnded;
+    bool m_targetLost = false;
+    bool m_ended = false;
+};
+
+} // namespace comfreypass::tests
