--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(disconnectWhileSuspendedIsNoticed);
     CPPUNIT_TEST(disconnectBehindUnreadBytesIsNoticed);
     CPPUNIT_TEST(disconnectWhileSendingIsNoticed);
+    CPPUNIT_TEST(halfCloseWhileSendingIsNoticed);
     CPPUNIT_TEST(halfClosedCallerGetsItsAnswer);
     CPPUNIT_TEST(droppedExchangeIsClosed);
     CPPUNIT_TEST(throwingHandlerIsAnswered);
@@ -178,6 +179,22 @@
         m_loopback.waitFor("onClosed", [this] { return exchange().closed(); });
     }
 
+    // Guards against a caller that has ended its side without a reset, which libmicrohttpd does not
+    // see while it waits for room to send.
+    void halfCloseWhileSendingIsNoticed()
+    {
+        start();
+        raw_socket caller = request("/stream");
+        exchange().beginStream(200, {});
+        const std::string block(65'536, 's');
+        for (int i = 0; i < 200; ++i)
+            exchange().write(block);
+        m_loopback.runFor(std::chrono::milliseconds(50));
+        CPPUNIT_ASSERT(!exchange().closed());
+        caller.closeSending();
+        m_loopback.waitFor("onClosed", [this] { return exchange().closed(); });
+    }
+
     // Guards against an answer that is cut because the caller had closed its sending side.
     void halfClosedCallerGetsItsAnswer()
     {
