Report the service-level burn from saved metrics

Cause: operators need to know by tier, team, half and upstream whether the error budget of the month lasts, over all nodes and across restarts.

It exits with 4 if a page alert fires.

Conclusion: saved metrics suffice; no metrics server is needed.

--- a/src/app/command_table.cpp
+++ b/src/app/command_table.cpp
@@ -3,6 +3,7 @@
 #include "app/check_command.h"
 #include "app/demo_command.h"
 #include "app/diff_command.h"
+#include "app/report_command.h"
 #include "app/serve_command.h"
 #include "app/version_command.h"
 
@@ -26,6 +27,8 @@
                 check_command::footer, make<check_command>},
     command_row{"diff", "Show what replacing one sheet by another does", diff_command::footer,
                 make<diff_command>},
+    command_row{"report", "Show how fast the error budget is used, from saved metrics",
+                report_command::footer, make<report_command>},
     command_row{"version", "Print the version", version_command::footer, make<version_command>},
 };
 
--- a/src/app/exit_code.h
+++ b/src/app/exit_code.h
@@ -11,6 +11,8 @@
     InvalidInput = 2,
     /** `diff` found a dangerous change. */
     DangerousChange = 3,
+    /** `report` found a page alert that fires. */
+    BudgetBurning = 4,
     /** The arguments are wrong; the value is EX_USAGE of sysexits.h. */
     Usage = 64,
 };
--- /dev/null
+++ b/src/app/report_command.cpp
@@ -0,0 +1,132 @@
+#include "app/report_command.h"
+
+#include "app/exit_code.h"
+#include "app/text_file.h"
+#include "app/text_table.h"
+#include "observe/burn_html.h"
+#include "observe/burn_json.h"
+#include "observe/burn_report.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <ostream>
+#include <utility>
+
+namespace comfreypass::app {
+
+namespace {
+
+using observe::burn_report;
+
+/** A number with two decimals. */
+std::string twoDecimals(double value)
+{
+    std::string text(32, '\0');
+    text.resize(static_cast<std::size_t>(std::snprintf(text.data(), text.size(), "%.2f", value)));
+    return text;
+}
+
+std::string firingActions(const burn_report::row &row, const console &terminal)
+{
+    std::string actions;
+    for (std::size_t i = 0; i < burn_report::rules.size(); ++i) {
+        if (!row.alerts.at(i).fires)
+            continue;
+        const burn_report::rule &rule = burn_report::rules.at(i);
+        actions += (actions.empty() ? "" : ", ") + std::string(rule.action) + " over "
+                   + twoDecimals(rule.threshold);
+    }
+    return actions.empty() ? "-" : terminal.coloured(actions, console::colour::Red);
+}
+
+void writeTable(const burn_report &report, console &terminal)
+{
+    terminal.out() << "objective " << 100 * report.objective << "%, " << report.nodes.size()
+                   << " nodes, " << twoDecimals((report.to - report.from).count() / 60)
+                   << " minutes\n";
+    for (const core::node_name &node : report.ignoredNodes)
+        terminal.out() << node.text() << " is ignored: it has only one snapshot\n";
+    text_table table({"BY", "NAME", "REQUESTS", "ON TIME", "BURN", "BURN 1H/5M", "BURN 6H/30M",
+                      "BURN 3D/6H", "30-DAY BUDGET", "ALERTS"});
+    for (const burn_report::row &row : report.rows) {
+        const double share = row.total > 0 ? row.good / row.total : 1;
+        std::vector<std::string> cells
+            = {std::string(toString(row.kind)), row.name, std::to_string(std::llround(row.total)),
+               twoDecimals(100 * share) + "%", twoDecimals(row.rate)};
+        for (const burn_report::alert &alert : row.alerts)
+            cells.push_back(twoDecimals(alert.inLong.rate) + "/" + twoDecimals(alert.inShort.rate));
+        cells.push_back(twoDecimals(100 * row.budgetUsed) + "%");
+        cells.push_back(firingActions(row, terminal));
+        table.addRow(std::move(cells));
+    }
+    table.write(terminal.out());
+}
+
+core::result<observe::metrics_snapshot> readSnapshot(const std::string &path)
+{
+    const auto text = readTextFile(path, observe::metrics_snapshot::mostBytes);
+    if (!text)
+        return text.error();
+    auto snapshot = observe::parseSnapshot(text.value());
+    if (snapshot)
+        return snapshot;
+    core::error error = snapshot.error();
+    error.where = error.where.empty() ? path : path + ", " + error.where;
+    return error;
+}
+
+} // namespace
+
+void report_command::addOptions(CLI::App &options)
+{
+    static const std::map<std::string, form> words
+        = {{"table", form::Table}, {"json", form::Json}, {"html", form::Html}};
+    constexpr double leastObjective = 0.01;
+    constexpr double greatestObjective = 0.99999;
+    options.add_option("snapshots", m_paths, "Saved metrics of the nodes")->required();
+    options
+        .add_option("--objective", m_objective,
+                    "Share of requests that are to be on time (default 0.99)")
+        ->check(CLI::Range(leastObjective, greatestObjective))
+        ->option_text("0.01-0.99999");
+    options
+        .add_option("--output", m_form,
+                    "Form of the result: table (default), json, or html, one page with charts")
+        ->transform(CLI::CheckedTransformer(words))
+        ->option_text("table|json|html");
+}
+
+int report_command::run(console &terminal)
+{
+    std::vector<observe::metrics_snapshot> snapshots;
+    bool isReadable = true;
+    for (const std::string &path : m_paths) {
+        auto snapshot = readSnapshot(path);
+        if (snapshot) {
+            snapshots.push_back(std::move(snapshot).value());
+            continue;
+        }
+        terminal.err() << describe(snapshot.error()) << '\n';
+        isReadable = false;
+    }
+    if (!isReadable)
+        return InvalidInput;
+    const auto report = observe::makeBurnReport(snapshots, m_objective);
+    if (!report) {
+        terminal.err() << describe(report.error()) << '\n';
+        return InvalidInput;
+    }
+    if (m_form == form::Json)
+        terminal.out() << boost::json::serialize(observe::writeBurnJson(report.value())) << '\n';
+    else if (m_form == form::Html)
+        observe::writeBurnHtml(report.value(), terminal.out());
+    else
+        writeTable(report.value(), terminal);
+    return report.value().fires("page") ? BudgetBurning : Success;
+}
+
+} // namespace comfreypass::app
--- /dev/null
+++ b/src/observe/burn_html.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "observe/burn_report.h"
+
+#include <iosfwd>
+
+namespace comfreypass::observe {
+
+/** Writes the report as one HTML page that needs no other file: a table and an SVG chart of the
+ * burn rate over time for each dimension. Thread-safe. */
+void writeBurnHtml(const burn_report &report, std::ostream &out);
+
+} // namespace comfreypass::observe
--- a/src/observe/log_setup.cpp
+++ b/src/observe/log_setup.cpp
@@ -118,7 +118,7 @@
 class log_setup::sink
 {
 public:
-    sink(log_format format, std::string node, boost::shared_ptr<std::ostream> output)
+    sink(log_format format, std::string node, const boost::shared_ptr<std::ostream> &output)
         : m_frontend(boost::make_shared<frontend>())
     {
         m_frontend->locked_backend()->add_stream(output);
@@ -157,8 +157,8 @@
 }
 
 log_setup::log_setup(log_format format, log_level least, std::string node,
-                     boost::shared_ptr<std::ostream> output)
-    : m_sink(std::make_unique<sink>(format, std::move(node), std::move(output)))
+                     const boost::shared_ptr<std::ostream> &output)
+    : m_sink(std::make_unique<sink>(format, std::move(node), output))
 {
     leastWritten = static_cast<int>(least);
 }
@@ -178,8 +178,8 @@
         list.emplace_back(field.name, field.value);
     BOOST_LOG_SEV(eventLogger::get(), level)
         << blog::add_value(eventAttribute, std::string(event))
-        << blog::add_value(timeAttribute, utcTime())
-        << blog::add_value(fieldsAttribute, std::move(list)) << std::string(message);
+        << blog::add_value(timeAttribute, utcTime()) << blog::add_value(fieldsAttribute, list)
+        << std::string(message);
 }
 
 } // namespace comfreypass::observe
--- a/src/observe/log_setup.h
+++ b/src/observe/log_setup.h
@@ -35,7 +35,7 @@
 public:
     /** `node` becomes a field of every line. */
     log_setup(log_format format, log_level least, std::string node,
-              boost::shared_ptr<std::ostream> output);
+              const boost::shared_ptr<std::ostream> &output);
     ~log_setup();
     log_setup(const log_setup &) = delete;
     log_setup &operator=(const log_setup &) = delete;
--- a/tests/app/command_line_test.cpp
+++ b/tests/app/command_line_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(checkComparesSettingsWithSheetAndEachOther);
     CPPUNIT_TEST(diffExitCodeTellsDanger);
     CPPUNIT_TEST(jsonOutputIsOneDocument);
+    CPPUNIT_TEST(reportExitCodeTellsPageAlert);
     CPPUNIT_TEST(everyCommandDocumentsItsExitCodes);
     CPPUNIT_TEST(wrongArgumentsAreUsageErrors);
     CPPUNIT_TEST(coloursOnlyWhereAskedFor);
@@ -153,6 +154,34 @@
         CPPUNIT_ASSERT(diff.at_pointer("/changes/0/severity") == "dangerous");
     }
 
+    // Guards against a watch script that misses an alert, or takes a damaged file for a good day.
+    void reportExitCodeTellsPageAlert()
+    {
+        const auto snapshot = [](const char *time, const char *total, const char *good) {
+            const std::string labels = "{tier=\"0\",team=\"a\",half=\"north\"} ";
+            return "comfreypass_node_info{node=\"entry-1\",incarnation=\"1\"} 1\n"
+                   "comfreypass_team_requests_total"
+                   + labels + total + "\ncomfreypass_team_on_time_requests_total" + labels + good
+                   + "\ncomfreypass_snapshot_time_seconds " + time + "\n";
+        };
+        const temporary_file first(snapshot("1000", "100", "100"));
+        const temporary_file good(snapshot("4600", "200", "200"));
+        const temporary_file bad(snapshot("4600", "200", "150"));
+        const temporary_file damaged("comfreypass_node_info{node=");
+        CPPUNIT_ASSERT_EQUAL(int{Success}, runWith({"report", first.path(), good.path()}).code);
+        const run_result alert = runWith({"report", first.path(), bad.path()});
+        CPPUNIT_ASSERT_EQUAL(int{BudgetBurning}, alert.code);
+        CPPUNIT_ASSERT(alert.prints("50.00%") && alert.prints("page over 14.40"));
+        const auto json = boost::json::parse(
+            runWith({"report", "--output", "json", first.path(), bad.path()}).out);
+        CPPUNIT_ASSERT(json.at_pointer("/rows/0/alerts/0/fires") == true);
+        CPPUNIT_ASSERT(
+            runWith({"report", "--output", "html", first.path(), bad.path()}).prints("<svg"));
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, runWith({"report", first.path()}).code);
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput},
+                             runWith({"report", first.path(), good.path(), damaged.path()}).code);
+    }
+
     // Guards against a new command without a documented outcome.
     void everyCommandDocumentsItsExitCodes()
     {
--- a/tests/observe/metric_registry_test.cpp
+++ b/tests/observe/metric_registry_test.cpp
@@ -23,7 +23,7 @@
     // Guards against label values that run into each other.
     void countsBySeries()
     {
-        metric_registry registry(node);
+        metric_registry registry(m_node);
         registry.add(metric::Requests, {"0", "chat", "refused", "capacity"});
         registry.add(metric::Requests, {"0", "chat", "refused", "capacity"}, 2);
         registry.add(metric::ControlBytes, {"in", "ping"}, 100);
@@ -37,7 +37,7 @@
     // Guards against a text that Prometheus refuses as a whole.
     void writesEveryMetricAndNoSeriesTwice()
     {
-        metric_registry registry(node);
+        metric_registry registry(m_node);
         registry.add(metric::OnTimeRequests, {"0", "chat"});
         registry.add(metric::OnTimeRequests, {"1", "chat"}, 5);
         registry.set(metric::ConfirmationAge, {}, 0.25);
@@ -62,7 +62,7 @@
     // Guards against a label value that ends its quotes and injects series.
     void escapesLabels()
     {
-        metric_registry registry(node);
+        metric_registry registry(m_node);
         registry.add(metric::CallerErrors, {"a\"b\\c\nd"});
         CPPUNIT_ASSERT(write(registry).find(R"({reason="a\"b\\c\nd"} 1)") != std::string::npos);
     }
@@ -70,7 +70,7 @@
     // Guards against gauges of an upstream that is gone.
     void clearRemovesOldSeries()
     {
-        metric_registry registry(node);
+        metric_registry registry(m_node);
         registry.set(metric::Votes, {"chat"}, 5);
         registry.clear(metric::Votes);
         CPPUNIT_ASSERT(write(registry).find("comfreypass_votes_held{") == std::string::npos);
@@ -80,7 +80,7 @@
     // that vanish when the bound is reached.
     void boundsSeries()
     {
-        metric_registry registry(node);
+        metric_registry registry(m_node);
         constexpr std::size_t extra = 100;
         for (std::size_t i = 0; i < metric_registry::mostSeries + extra; ++i)
             registry.add(metric::TeamRequests, {"0", "team-" + std::to_string(i), "north"});
@@ -100,7 +100,7 @@
         return text.str();
     }
 
-    const core::node_identity node{core::node_name("entry-1"), 77};
+    const core::node_identity m_node{core::node_name("entry-1"), 77};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(metric_registry_test);
