--- /dev/null
+++ b/tests/integration/configuration_test.py
@@ -0,0 +1,54 @@
+"""Guards against faults of sheet dissemination while the configuration service is down."""
+
+import time
+
+import caller
+from fleet import DOMAINS, FleetTest, Node, main
+from processes import wait_for
+
+# The confirmation age at which the service's last answer no longer permits dispatches.
+CONFIRMATION_SECONDS = 4
+
+
+class ConfigurationTest(FleetTest):
+    engines = 2
+
+    def assert_domain_unused(self, nodes):
+        taken_out, other = self.fleet.engines[0], self.fleet.engines[1]
+        before = taken_out.counters()["received"], other.counters()["received"]
+        for index in range(4):
+            for node in nodes:
+                self.assert_served(node, "label %d" % index)
+        self.assertEqual(taken_out.counters()["received"], before[0])
+        self.assertGreater(other.counters()["received"], before[1])
+
+    def test_service_down(self):
+        nodes = list(self.fleet.nodes)
+        for index in range(8):
+            self.assert_served(nodes[index % 3], "tag %d" % index)
+        self.assertGreater(self.fleet.engines[0].counters()["received"], 0)
+        # A booking engine of the same domain is not part of this case.
+        revision = self.fleet.publish_next_sheet(
+            '"%s": {"region": "central-valley", "state": "in"}' % DOMAINS[0],
+            '"%s": {"region": "central-valley", "state": "out"}' % DOMAINS[0])
+        wait_for(lambda: all(node.state()["sheet"]["revision"] == revision for node in nodes),
+                 "the new revision at every node")
+        self.assert_domain_unused(nodes)
+
+        answer = caller.post_json(self.fleet.configuration, "/control", {"mode": "down"})
+        self.assertEqual(answer.status, 200)
+        time.sleep(CONFIRMATION_SECONDS + 1)
+        self.assert_domain_unused(nodes)
+
+        added = Node("entry-4", DOMAINS[3])
+        self.fleet.nodes.append(added)
+        self.fleet.publish_instances()
+        self.fleet.start_node(added)
+        wait_for(added.ready, "the added node ready")
+        self.assertEqual(added.state()["sheet"]["revision"], revision)
+        self.assert_domain_unused(nodes + [added])
+        self.assert_dispatched_once()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/integration/processes.py
@@ -0,0 +1,66 @@
+"""Starts and ends the processes of one integration test."""
+
+import signal
+import socket
+import subprocess
+import time
+
+WAIT_SECONDS = 40
+
+
+def wait_for(condition, what, limit=WAIT_SECONDS):
+    """Returns the first true value of condition(); fails after the limit in seconds."""
+    end = time.monotonic() + limit
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise AssertionError("not seen within %s s: %s" % (limit, what))
+        time.sleep(0.1)
+
+
+class PortReservation:
+    """A free loopback port. It stays bound, so that no other process gets it, until release()."""
+
+    def __init__(self):
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(("127.0.0.1", 0))
+        self.port = self._socket.getsockname()[1]
+        self.address = "127.0.0.1:%d" % self.port
+
+    def release(self):
+        self._socket.close()
+
+
+class Processes:
+    """Child processes, each ended by its own handle."""
+
+    def __init__(self):
+        self._started = []
+
+    def start(self, command, log):
+        process = subprocess.Popen(command, stdout=subprocess.PIPE if log is None else log,
+                                   stderr=subprocess.STDOUT if log is not None else None,
+                                   text=True)
+        self._started.append(process)
+        return process
+
+    def start_listening(self, command):
+        """Starts a program whose first line of output names its addresses; returns that line."""
+        process = self.start(command, None)
+        line = process.stdout.readline()
+        if "listening on" not in line:
+            raise AssertionError("%s did not listen: %s" % (command, line))
+        return process, line
+
+    def end_all(self):
+        for process in self._started:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._started:
+            process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
