Learn no slowness from short prompts and whole answers

An idle engine refused requests of 20 tokens with a 30 s deadline as deadline_unreachable. The slowness is learned from the first-token time over the estimated prefill time. For a prompt of a few tokens the estimate is under 1 ms, and a whole answer's first byte comes after its last token, so the slowness rose towards its bound of 64.

The ratio uses at least the time of one decode step, and a model's whole answer reports no first-token time.

Short requests no longer make an engine look slow.

--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -401,7 +401,11 @@
         if (!inTime)
             m_record.wastedPrefillTokens = m_record.prefillTokens;
         report.actual = {m_record.prefillTokens, m_record.decodeTokens};
-        if (m_record.firstToken != core::duration::zero())
+        // The first byte of a model's whole answer comes after its last token, so it says nothing
+        // about the time of the first one.
+        const bool showsFirstToken
+            = m_eventStream || m_request.type == caller_request::kind::Service;
+        if (showsFirstToken && m_record.firstToken != core::duration::zero())
             report.firstToken = m_arrived + m_record.firstToken - m_dispatched;
     }
     m_services.permits.finish(m_id, report, m_services.clock());
--- a/src/scheduling/engine_estimate.cpp
+++ b/src/scheduling/engine_estimate.cpp
@@ -54,8 +54,11 @@
 {
     if (measured <= core::duration::zero() || estimated <= core::duration::zero())
         return;
+    // Below the time of one decode step, steps and messages decide when the first token comes; the
+    // ratio for a short prompt would otherwise raise the slowness to its bound.
+    const core::duration shortest = roundMicros(decodeMicros(1) * slownessThen);
     const double ratio = slownessThen * static_cast<double>(measured.count())
-                         / static_cast<double>(estimated.count());
+                         / static_cast<double>(std::max(estimated, shortest).count());
     m_slowness += slownessAveraging * (ratio - m_slowness);
     m_slowness = std::clamp(m_slowness, lowestSlowness, highestSlowness);
 }
--- a/tests/scheduling/engine_estimate_test.cpp
+++ b/tests/scheduling/engine_estimate_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(engine_estimate_test);
     CPPUNIT_TEST(queuedPrefillDelaysTheNextAndDrains);
     CPPUNIT_TEST(slownessFollowsFirstTokens);
+    CPPUNIT_TEST(shortPromptsDoNotRaiseSlowness);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +45,19 @@
         estimate.learn(0s, 1s, 1);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, estimate.slowness(), 0.01);
     }
+
+    // Guards against an idle engine that refuses everything as too late after some short prompts:
+    // their first token takes a decode step, many times the estimate of their prefill.
+    void shortPromptsDoNotRaiseSlowness()
+    {
+        engine_estimate estimate({10'000, 50, 8});
+        for (int i = 0; i < 40; ++i)
+            estimate.learn(20ms, 300us, estimate.slowness());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, estimate.slowness(), 0.01);
+        for (int i = 0; i < 40; ++i)
+            estimate.learn(60ms, 300us, estimate.slowness());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, estimate.slowness(), 0.01);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(engine_estimate_test);
