--- a/tests/integration/fleet.py
+++ b/tests/integration/fleet.py
@@ -21,15 +21,18 @@
 class Upstream:
     """One stand-in of an upstream and the proxy that the nodes reach it through."""
 
-    def __init__(self, processes, kind, name, upstream, domain, options):
+    def __init__(self, processes, kind, name, upstream, domain, proxied=True):
         self.name = name
         self.upstream = upstream
         self.domain = domain
-        self.process, line = processes.start_listening([PROGRAMS.standin, kind] + options)
+        self.process, line = processes.start_listening([PROGRAMS.standin, kind])
         self.address = line.split()[-1]
+        self.used_address = self.address
+        if not proxied:
+            return
         _, line = processes.start_listening(
             [PROGRAMS.proxy, "--target-port", self.address.split(":")[1]])
-        self.proxied, self.proxy_control = re.findall(r"127\.0\.0\.1:\d+", line)
+        self.used_address, self.proxy_control = re.findall(r"127\.0\.0\.1:\d+", line)
 
     def counters(self):
         return caller.request(self.address, "GET", "/counters").json()
@@ -69,16 +72,16 @@
 class Fleet:
     """Configuration service, instance list, one plain service, model engines and nodes."""
 
-    def __init__(self, nodes=3, engines=1, engine_options=()):
+    def __init__(self, nodes=3, engines=1, engines_proxied=True):
         self.processes = Processes()
         self.folder = tempfile.TemporaryDirectory()
         try:
-            self._start(nodes, engines, list(engine_options))
+            self._start(nodes, engines, engines_proxied)
         except BaseException:
             self.end()
             raise
 
-    def _start(self, nodes, engines, engine_options):
+    def _start(self, nodes, engines, engines_proxied):
         with open(PROGRAMS.sheet, encoding="utf-8") as file:
             self.sheet = file.read()
         self.revision = 20261
@@ -91,9 +94,9 @@
         _, line = self.processes.start_listening([PROGRAMS.standin, "instances"])
         self.instances = line.split()[-1]
         self.service = Upstream(self.processes, "service", "agenda-1", "agenda-cuadrillas",
-                                DOMAINS[0], [])
+                                DOMAINS[0])
         self.engines = [Upstream(self.processes, "engine", "asesor-%d" % (index + 1),
-                                 "asesor-modelo", DOMAINS[index], engine_options)
+                                 "asesor-modelo", DOMAINS[index], engines_proxied)
                         for index in range(engines)]
         self.nodes = [Node("entry-%d" % (index + 1), DOMAINS[index]) for index in range(nodes)]
         self.publish_sheet()
@@ -124,7 +127,7 @@
                        "caller_address": node.callers, "failure_domain": node.domain,
                        "state": "live"} for node in self.nodes],
             "engines": [{"name": engine.name, "upstream": engine.upstream,
-                         "address": engine.proxied, "failure_domain": engine.domain,
+                         "address": engine.used_address, "failure_domain": engine.domain,
                          "generation": "" if engine is self.service else "g1",
                          "state": "live"} for engine in self.engines + [self.service]]}
         answer = caller.request(self.instances, "PUT", "/control/instances", json.dumps(document))
@@ -189,10 +192,10 @@
     """Base of the cases; each test has its own fleet."""
 
     engines = 1
-    engine_options = ()
+    engines_proxied = True
 
     def setUp(self):
-        self.fleet = Fleet(engines=self.engines, engine_options=self.engine_options)
+        self.fleet = Fleet(engines=self.engines, engines_proxied=self.engines_proxied)
         self.addCleanup(self.fleet.end)
         self.engine = self.fleet.engines[0]
         self.service = self.fleet.service
--- /dev/null
+++ b/tests/integration/malformed_input_test.py
@@ -0,0 +1,64 @@
+"""Guards against malformed input that stops a node or disturbs its other requests."""
+
+import random
+import socket
+
+import caller
+from fleet import FleetTest, main
+
+
+class MalformedInputTest(FleetTest):
+    def send_bytes(self, node, data):
+        """Sends bytes and returns what comes back until the end of the connection."""
+        host, port = node.callers.split(":")
+        received = b""
+        with socket.create_connection((host, int(port)), timeout=caller.REQUEST_SECONDS) as link:
+            try:
+                link.sendall(data)
+                link.shutdown(socket.SHUT_WR)
+                while chunk := link.recv(65536):
+                    received += chunk
+            except (ConnectionResetError, BrokenPipeError):
+                pass
+        return received
+
+    def assert_refused(self, received):
+        """A closed connection or an answer in the range of the caller's errors."""
+        if received:
+            self.assertRegex(received, rb"^HTTP/1\.1 4\d\d ")
+
+    def test_malformed_input(self):
+        node = self.fleet.nodes[0]
+        reference = caller.content(caller.chat(self.engine.address, "hazards", 300))
+        stream = caller.Stream(node.callers, "hazards", 300)
+        stream.read_until(b"data: ")
+        host, port = node.callers.split(":")
+        half_open = socket.create_connection((host, int(port)))
+        self.addCleanup(half_open.close)
+        half_open.sendall(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Le")
+        half_body = socket.create_connection((host, int(port)))
+        self.addCleanup(half_body.close)
+        half_body.sendall(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                          b"Authorization: Bearer demo-levantamientos\r\n"
+                          b"Content-Length: 500\r\n\r\n{\"model\"")
+
+        generator = random.Random(7)
+        for _ in range(20):
+            self.assert_refused(self.send_bytes(node, generator.randbytes(2000)))
+        self.assert_refused(self.send_bytes(
+            node, b"GET /v1/addresses HTTP/1.1\r\nHost: x\r\nX-Long: " + b"a" * 200_000
+            + b"\r\n\r\n"))
+        answer = caller.chat(node.callers, "x" * 3_000_000, 3)
+        self.assert_problem(answer, 413, "not_run", ["body_too_large"])
+
+        stream.read_to_end()
+        self.assertTrue(stream.whole())
+        self.assertEqual(stream.text(), reference)
+        for each in self.fleet.nodes:
+            self.assert_served(each)
+            self.assertIsNone(each.process.poll())
+        self.assertEqual(self.engine.counters()["failed"], 0)
+
+
+if __name__ == "__main__":
+    main()
