Mark repeats, read peer keys, keep queries, withdraw queued requests

A refusal of a repeat said not_run although the earlier attempt may have run. Settings with peer_keys were accepted and not used. A plain-service call lost its query string. A queued request whose caller had gone stayed in the scheduler's queue until it was granted. A caller that left during a whole answer taught the scheduler that the engine was slow.

Change: header Comfreypass-Repeat; refusals of such attempts say unknown. CURVE keys of the settings reach the peer transport. requestTarget rebuilds path and query. A release with permit 0 withdraws a request. A dispatch that is cancelled without a first token is compared with the whole service.

Conclusion: a caller that omits the header on a repeat may still be told not_run of that attempt alone.

--- a/src/demo/demonstration.cpp
+++ b/src/demo/demonstration.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-demonstration::demonstration(demo_options options, demo_sheet document, std::ostream &progress)
+demonstration::demonstration(const demo_options &options, demo_sheet document,
+                             std::ostream &progress)
     : m_options(options), m_progress(progress),
       m_fleet(m_reactor.get(), options, std::move(document)), m_client(m_reactor.get()),
       m_workload(options.seed)
--- a/src/demo/demonstration.h
+++ b/src/demo/demonstration.h
@@ -26,7 +26,7 @@
 class demonstration
 {
 public:
-    demonstration(demo_options options, demo_sheet document, std::ostream &progress);
+    demonstration(const demo_options &options, demo_sheet document, std::ostream &progress);
 
     /** Runs to the end. Errors: Io, Unavailable if the fleet does not become ready. */
     core::result<demo_report> run();
--- a/src/demo/member_client.cpp
+++ b/src/demo/member_client.cpp
@@ -20,7 +20,7 @@
 
 constexpr unsigned statusOk = 200;
 constexpr unsigned firstErrorStatus = 400;
-constexpr std::size_t maxAddressAnswer = 64 * 1024;
+constexpr std::size_t maxAddressAnswer = 65'536;
 constexpr core::duration askInterval = std::chrono::milliseconds(200);
 /** A member gives up this long after its deadline; the node should have answered by then. */
 constexpr core::duration patience = std::chrono::seconds(2);
@@ -91,6 +91,8 @@
                         {"Comfreypass-Member", "member-1"},
                         {"Comfreypass-Witnesses", m_witnesses},
                         {"Idempotency-Key", m_answer.key}};
+        if (m_index > 0)
+            call.headers.add("Comfreypass-Repeat", "true");
         if (!request.body.empty())
             call.headers.add("Content-Type", "application/json");
         call.body = request.body;
--- a/src/node/address_answer.cpp
+++ b/src/node/address_answer.cpp
@@ -28,9 +28,10 @@
         {"addresses", std::move(addresses)},
         {"keep_ms", std::chrono::duration_cast<std::chrono::milliseconds>(keep).count()},
         {"witnesses", idempotency::toText(token)},
-        {"fall_back",
-         "use the first address; when a connection fails or breaks, repeat the request with "
-         "the same Idempotency-Key and Comfreypass-Witnesses at the next one"},
+        {"fall_back", "use the first address; when a connection fails or breaks, repeat the "
+                      "request at the next one "
+                      "with the same Idempotency-Key and Comfreypass-Witnesses, and with "
+                      "Comfreypass-Repeat: true"},
     };
     return json::serialize(answer);
 }
--- a/src/node/caller_request.h
+++ b/src/node/caller_request.h
@@ -23,6 +23,8 @@
     {
         idempotency::request_key key;
         idempotency::witness_token witnesses;
+        /** An earlier attempt has no answer or an unknown outcome, so `not_run` cannot be said. */
+        bool repeat = false;
     };
 
     kind type = kind::Model;
--- a/src/node/claim_client.cpp
+++ b/src/node/claim_client.cpp
@@ -4,8 +4,8 @@
 
 namespace comfreypass::node {
 
-claim_client::claim_client(message_sender &sender, core::node_identity self, core::time_point start,
-                           idempotency::claim_settings settings)
+claim_client::claim_client(message_sender &sender, const core::node_identity &self,
+                           core::time_point start, idempotency::claim_settings settings)
     : m_sender(sender), m_table(self, settings), m_witness(self.life, start)
 { }
 
@@ -13,9 +13,9 @@
                                              const idempotency::witness_token &token,
                                              core::time_point deadline,
                                              std::weak_ptr<claim_events> events,
-                                             core::time_point now)
+                                             core::time_point now, bool repeat)
 {
-    idempotency::claim_start start = m_table.begin(key, token, deadline, now);
+    idempotency::claim_start start = m_table.begin(key, token, deadline, now, repeat);
     if (start.result == idempotency::claim_start::status::Started) {
         m_events.insert_or_assign(key, std::move(events));
         send(start.messages);
--- a/src/node/claim_client.h
+++ b/src/node/claim_client.h
@@ -20,7 +20,7 @@
 {
 public:
     /** The sender must outlive the client. */
-    claim_client(message_sender &sender, core::node_identity self, core::time_point start,
+    claim_client(message_sender &sender, const core::node_identity &self, core::time_point start,
                  idempotency::claim_settings settings);
 
     /**
@@ -30,7 +30,7 @@
     idempotency::claim_start begin(const idempotency::request_key &key,
                                    const idempotency::witness_token &token,
                                    core::time_point deadline, std::weak_ptr<claim_events> events,
-                                   core::time_point now);
+                                   core::time_point now, bool repeat);
 
     /** The idempotency part of the dispatch gate: true once for each round won. */
     bool dispatch(const idempotency::request_key &key, core::time_point now);
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -41,12 +41,14 @@
 }
 
 transport::peer_transport_settings peerSettings(const sheet::settings &settings,
-                                                const core::node_identity &self)
+                                                const core::node_identity &self,
+                                                std::optional<transport::curve_settings> keys)
 {
     transport::peer_transport_settings values;
     values.self = self;
     values.address = settings.listen.peers;
     values.clock = transport::monotonicNow;
+    values.curve = std::move(keys);
     return values;
 }
 
@@ -96,13 +98,14 @@
 } // namespace
 
 entry_node::entry_node(ACE_Reactor &reactor, sheet::settings settings, core::incarnation life,
-                       std::uint64_t seed)
+                       std::uint64_t seed, std::optional<transport::curve_settings> peerKeys)
     : m_reactor(reactor), m_settings(std::move(settings)), m_self{m_settings.name, life},
       m_random(seed), m_startedAt(transport::monotonicNow()),
       m_mailbox(
           reactor,
           [this](wire::peer_message &&message) { dispatchMessage(m_self, std::move(message)); }),
-      m_client(reactor), m_peers(reactor, peerSettings(m_settings, m_self), *this),
+      m_client(reactor),
+      m_peers(reactor, peerSettings(m_settings, m_self, std::move(peerKeys)), *this),
       m_membership(ownRecord(m_settings, m_self), membershipSettings(m_settings), parseShared,
                    m_startedAt),
       m_permits(*this, m_startedAt, m_settings.timing.lease),
@@ -195,6 +198,8 @@
     request_reader::outcome read = reader.read(exchange->request(), transport::monotonicNow());
     if (!read) {
         transport::http_headers further;
+        if (exchange->request().headers.find(request_reader::repeatHeader) == "true")
+            read.error().outcome = "unknown";
         if (read.error().status == statusPreconditionRequired)
             further.add(std::string(request_reader::witnessHeader),
                         idempotency::toText(witnessToken()));
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -59,9 +59,12 @@
         IncarnationTooLow,
     };
 
-    /** The reactor must outlive the node. `seed` starts the node's random numbers. */
+    /**
+     * The reactor must outlive the node. `seed` starts the node's random numbers. Without keys,
+     * connections between nodes are neither encrypted nor authenticated.
+     */
     entry_node(ACE_Reactor &reactor, sheet::settings settings, core::incarnation life,
-               std::uint64_t seed);
+               std::uint64_t seed, std::optional<transport::curve_settings> peerKeys = {});
     ~entry_node() override;
 
     /** Opens the sockets and begins to take part. Errors: Io, InvalidArgument. */
--- a/src/node/load_poller.cpp
+++ b/src/node/load_poller.cpp
@@ -11,7 +11,7 @@
 namespace json = boost::json;
 
 constexpr core::duration pollTimeout = std::chrono::milliseconds(800);
-constexpr std::size_t maxPageBytes = 64 * 1024;
+constexpr std::size_t maxPageBytes = 65'536;
 
 bool hasNoLoadPage(unsigned status)
 {
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -2,12 +2,14 @@
 
 #include "membership/incarnation_order.h"
 #include "node/operator_api.h"
+#include "node/peer_keys.h"
 #include "transport/reactor_timer.h"
 #include "transport/signal_watch.h"
 
 #include <boost/log/trivial.hpp>
 
 #include <chrono>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -52,7 +54,14 @@
 core::result<entry_node::defect> node_process::runLife(core::incarnation life)
 {
     std::random_device entropy;
-    entry_node node(m_reactor.get(), m_settings, life, entropy());
+    std::optional<transport::curve_settings> keys;
+    if (m_settings.peerKeys) {
+        core::result<transport::curve_settings> read = readPeerKeys(*m_settings.peerKeys);
+        if (!read)
+            return read.error();
+        keys = std::move(read).value();
+    }
+    entry_node node(m_reactor.get(), m_settings, life, entropy(), std::move(keys));
     node.onEvent([this](const membership::membership_event &event) { logEvent(event); });
     node.onRecord([this](const request_record &record) { m_decisions.add(record); });
     operator_api operators(m_reactor.get(), node, m_decisions, {});
--- a/src/node/request_reader.cpp
+++ b/src/node/request_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "node/chat_request.h"
 #include "node/problems.h"
+#include "transport/request_target.h"
 
 #include <charconv>
 #include <optional>
@@ -132,7 +133,7 @@
     read.type = caller_request::kind::Service;
     read.where = std::move(where).value();
     read.method = request.method;
-    read.path = path;
+    read.path = transport::requestTarget(path, request.arguments);
     read.contentType = request.headers.find("Content-Type").value_or("");
     return boost::outcome_v2::success();
 }
@@ -159,8 +160,10 @@
     core::result<idempotency::witness_token> token = idempotency::parseWitnessToken(*tokenText);
     if (!token)
         return problems::badRequest("bad_witnesses", core::describe(token.error()));
-    read.identity = caller_request::keyed{
-        idempotency::makeRequestKey(read.where.team, member, *key), std::move(token).value()};
+    const bool repeat = request.headers.find(repeatHeader) == "true";
+    read.identity
+        = caller_request::keyed{idempotency::makeRequestKey(read.where.team, member, *key),
+                                std::move(token).value(), repeat};
     return boost::outcome_v2::success();
 }
 
--- a/src/node/request_reader.h
+++ b/src/node/request_reader.h
@@ -31,6 +31,8 @@
     static constexpr std::string_view servicePrefix = "/services/";
     static constexpr std::string_view keyHeader = "Idempotency-Key";
     static constexpr std::string_view witnessHeader = "Comfreypass-Witnesses";
+    /** "true" on an attempt that follows one without an answer or with an unknown outcome. */
+    static constexpr std::string_view repeatHeader = "Comfreypass-Repeat";
     static constexpr std::string_view deadlineHeader = "Comfreypass-Deadline-Ms";
     static constexpr std::string_view tierHeader = "Comfreypass-Tier";
     static constexpr std::string_view memberHeader = "Comfreypass-Member";
--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -143,9 +143,9 @@
         return;
     }
     m_stage = stage::Claiming;
-    const idempotency::claim_start started
-        = m_services.claims.begin(m_request.identity->key, m_request.identity->witnesses,
-                                  m_request.deadline, weak_from_this(), m_services.clock());
+    const idempotency::claim_start started = m_services.claims.begin(
+        m_request.identity->key, m_request.identity->witnesses, m_request.deadline,
+        weak_from_this(), m_services.clock(), m_request.identity->repeat);
     switch (started.result) {
     case idempotency::claim_start::status::Started:
         m_claimIsOurs = true;
@@ -289,7 +289,7 @@
             end(request_record::outcome::CallerGone, "caller_gone");
             return;
         }
-        retryBeforeDispatch(std::string(toString(result.error)));
+        retryBeforeDispatch(toString(result.error));
         return;
     }
     const bool endedProperly = !m_eventStream || m_events.done() || m_status != statusOk;
@@ -362,7 +362,7 @@
     end(request_record::outcome::Unknown, std::move(reason));
 }
 
-void request_session::retryBeforeDispatch(std::string reason)
+void request_session::retryBeforeDispatch(std::string_view reason)
 {
     const core::time_point now = m_services.clock();
     // The scheduler learns of a refused connection as a failure of the engine.
@@ -381,8 +381,8 @@
         return;
     }
     if (m_permits >= maxPermits) {
-        refuse(problems::unavailable("dispatch_failed",
-                                     "no engine could be reached; last attempt: " + reason));
+        refuse(problems::unavailable("dispatch_failed", "no engine could be reached; last attempt: "
+                                                            + std::string(reason)));
         return;
     }
     askForPermit();
@@ -429,8 +429,11 @@
     }
 }
 
-void request_session::refuse(const transport::problem &problem)
+void request_session::refuse(transport::problem problem)
 {
+    // This attempt has not run, but an earlier one may have.
+    if (m_request.identity && m_request.identity->repeat)
+        problem.outcome = "unknown";
     m_services.permits.cancel(m_id, m_services.clock());
     problem.respondTo(*m_exchange);
     end(problem.outcome == "unknown" ? request_record::outcome::Unknown
--- a/src/node/request_session.h
+++ b/src/node/request_session.h
@@ -33,9 +33,9 @@
 {
 public:
     /** Largest answer that is kept whole; a larger one is relayed as it arrives. */
-    static constexpr std::size_t maxBufferedAnswer = 256 * 1024;
+    static constexpr std::size_t maxBufferedAnswer = 262'144;
     /** Largest answer that is kept for repeats of the request. */
-    static constexpr std::size_t maxStoredAnswer = 64 * 1024;
+    static constexpr std::size_t maxStoredAnswer = 65'536;
     /** Permits that one request may use up without being written, for example on refused
      * connections. */
     static constexpr int maxPermits = 3;
@@ -65,7 +65,7 @@
     void claimOrDispatch();
     void dispatch();
     bool maySend();
-    void retryBeforeDispatch(std::string reason);
+    void retryBeforeDispatch(std::string_view reason);
     void onCallerClosed(bool complete);
 
     bool streamsToCaller() const noexcept { return m_streaming; }
@@ -74,7 +74,7 @@
     void breakAnswer(const transport::http_call_result &result);
     void releasePermit(scheduling::dispatch_result result, bool inTime);
 
-    void refuse(const transport::problem &problem);
+    void refuse(transport::problem problem);
     void end(request_record::outcome result, std::string reason);
 
     const session_services &m_services;
--- a/src/scheduling/permit_release.h
+++ b/src/scheduling/permit_release.h
@@ -16,6 +16,7 @@
 struct permit_release
 {
     core::request_id request = 0;
+    /** 0 withdraws a request that has no permit yet. */
     core::permit_id permit = 0;
     core::upstream_name upstream;
     dispatch_result result = dispatch_result::Completed;
--- a/src/scheduling/pool_scheduler.cpp
+++ b/src/scheduling/pool_scheduler.cpp
@@ -156,6 +156,10 @@
     outbox out;
     advance(now, out);
     request_ref ref{from.life, release.request};
+    if (release.permit == 0) {
+        forgetQueued(m_queue.remove(ref));
+        return out;
+    }
     const dispatch_table::record *known = m_dispatches.find(ref);
     if (known == nullptr || known->permit != release.permit)
         ref = foreignRef(from.life, release.request, release.permit);
@@ -623,21 +627,30 @@
         return;
     }
     // A dispatch that was cancelled without a first token shows that the engine took at least as
-    // long.
+    // long. It is compared with the whole service, because an answer that is not streamed shows no
+    // first token before its end.
+    const core::duration service{
+        static_cast<std::int64_t>(static_cast<double>(item.work) * item.slowness)};
+    const core::duration elapsed = now - item.since;
     const bool silent = release.result == dispatch_result::Cancelled
                         && release.firstToken == core::duration::zero()
-                        && now - item.since > item.estimatedFirstToken * silentFactor;
-    const core::duration firstToken = silent ? now - item.since : release.firstToken;
-    if (firstToken > core::duration::zero()) {
-        rise.onFirstToken(firstToken, item.estimatedFirstToken);
-        m_engines.estimateOf(item.engine)
-            .learn(firstToken, item.estimatedFirstToken, item.slowness);
-        m_engines.refresh(item.engine);
-    }
+                        && elapsed > service * silentFactor;
+    if (silent)
+        learnTime(item, elapsed, service);
+    else if (release.firstToken > core::duration::zero())
+        learnTime(item, release.firstToken, item.estimatedFirstToken);
     if (release.result == dispatch_result::Completed && release.inTime)
         rise.onCompletedInTime(item.rampGeneration);
 }
 
+void pool_scheduler::learnTime(const dispatch_table::record &item, core::duration measured,
+                               core::duration estimated)
+{
+    m_engines.rampOf(item.engine).onFirstToken(measured, estimated);
+    m_engines.estimateOf(item.engine).learn(measured, estimated, item.slowness);
+    m_engines.refresh(item.engine);
+}
+
 void pool_scheduler::settle(const dispatch_table::record &item, core::time_point now, outbox &out)
 {
     m_engines.removeWork(item.engine, item.work, item.small);
--- a/src/scheduling/pool_scheduler.h
+++ b/src/scheduling/pool_scheduler.h
@@ -123,6 +123,8 @@
                     const running_dispatch &item, core::time_point now);
     void learn(const dispatch_table::record &item, const permit_release &release,
                core::time_point now);
+    void learnTime(const dispatch_table::record &item, core::duration measured,
+                   core::duration estimated);
     /** Frees the place of a dispatch that is over. */
     void settle(const dispatch_table::record &item, core::time_point now, outbox &out);
     void serveClaimant(const request_ref &claimant, core::time_point now, outbox &out);
--- a/tests/scheduling/pool_scheduler_test.cpp
+++ b/tests/scheduling/pool_scheduler_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(largeRequestsLeaveAPlaceForSmallOnes);
     CPPUNIT_TEST(fullQueueDisplacesTheLowestTier);
     CPPUNIT_TEST(fullQueuePreemptsBeforeItRefuses);
+    CPPUNIT_TEST(withdrawnRequestLeavesTheQueue);
     CPPUNIT_TEST(hopelessRequestPreemptsNothing);
     CPPUNIT_TEST(urgentRequestPreemptsLowerTier);
     CPPUNIT_TEST(refusalsNameTheReason);
@@ -137,6 +138,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_pool->snapshot(m_now).queued[1]);
     }
 
+    // Guards against a permit for a request whose caller has gone.
+    void withdrawnRequestLeavesTheQueue()
+    {
+        fill(0);
+        ask(5, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_pool->snapshot(m_now).queued[2]);
+        release(5, 0, dispatch_result::NotDispatched, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_pool->snapshot(m_now).queued[2]);
+    }
+
     // Guards against lower-tier work that is cancelled for a request which would be late all the
     // same, because the engine has prefill to do first.
     void hopelessRequestPreemptsNothing()
