--- a/src/app/command_table.cpp
+++ b/src/app/command_table.cpp
@@ -3,6 +3,7 @@
 #include "app/check_command.h"
 #include "app/demo_command.h"
 #include "app/diff_command.h"
+#include "app/explain_command.h"
 #include "app/report_command.h"
 #include "app/serve_command.h"
 #include "app/version_command.h"
@@ -29,6 +30,8 @@
                 make<diff_command>},
     command_row{"report", "Show how fast the error budget is used, from saved metrics",
                 report_command::footer, make<report_command>},
+    command_row{"explain", "Tell where a model request would go, and why", explain_command::footer,
+                make<explain_command>},
     command_row{"version", "Print the version", version_command::footer, make<version_command>},
 };
 
--- /dev/null
+++ b/src/app/explain_command.cpp
@@ -0,0 +1,147 @@
+#include "app/explain_command.h"
+
+#include "app/exit_code.h"
+#include "app/text_file.h"
+#include "app/text_table.h"
+#include "node/instance_listing.h"
+#include "node/load_poller.h"
+#include "node/pool_preview.h"
+#include "node/routing_table.h"
+#include "sheet/parse_sheet.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <ostream>
+#include <utility>
+
+namespace comfreypass::app {
+
+namespace {
+
+namespace json = boost::json;
+using scheduling::engine_explanation;
+
+constexpr std::size_t maxSnapshotBytes = 1'000'000;
+
+std::vector<scheduling::load_report> readLoads(const std::string &snapshot)
+{
+    std::vector<scheduling::load_report> loads;
+    json::error_code code;
+    const json::value document = json::parse(snapshot, code);
+    const json::object *object = code ? nullptr : document.if_object();
+    const json::value *list = object ? object->if_contains("loads") : nullptr;
+    if (!list || !list->is_array())
+        return loads;
+    for (const json::value &entry : list->get_array()) {
+        const json::object *load = entry.if_object();
+        const json::value *engine = load ? load->if_contains("engine") : nullptr;
+        if (!engine || !engine->is_string())
+            continue;
+        const core::engine_name name(std::string_view(engine->get_string()));
+        if (auto report = node::parseLoadReport(name, json::serialize(entry)))
+            loads.push_back(report.value());
+    }
+    return loads;
+}
+
+std::int64_t milliseconds(core::duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+void write(console &terminal, output_format format, const core::upstream_name &upstream,
+           const std::vector<engine_explanation> &engines)
+{
+    if (format == output_format::Json) {
+        json::array list;
+        for (const engine_explanation &each : engines)
+            list.push_back({{"engine", each.engine.text()},
+                            {"verdict", std::string(toString(each.result))},
+                            {"estimate_ms", milliseconds(each.estimate)}});
+        terminal.out() << json::serialize(
+            json::object{{"upstream", upstream.text()}, {"engines", std::move(list)}})
+                       << '\n';
+        return;
+    }
+    terminal.out() << "upstream " << upstream.text() << '\n';
+    text_table table({"ENGINE", "VERDICT", "ESTIMATE"});
+    for (const engine_explanation &each : engines)
+        table.addRow({each.engine.text(), std::string(toString(each.result)),
+                      std::to_string(milliseconds(each.estimate)) + " ms"});
+    table.write(terminal.out());
+}
+
+} // namespace
+
+void explain_command::addOptions(CLI::App &options)
+{
+    options.add_option("--sheet", m_sheetPath, "Sheet file")->required();
+    options.add_option("--snapshot", m_snapshotPath, "Instances and their load")->required();
+    options.add_option("--team", m_team, "Team that makes the request")->required();
+    options.add_option("--model", m_model, "Model that is asked for")->required();
+    options.add_option("--tier", m_tier, "Tier; the team's highest if not given")
+        ->check(CLI::Range(0, static_cast<int>(core::lowestTier)));
+    options.add_option("--prompt-tokens", m_promptTokens, "Tokens of the prompt")
+        ->capture_default_str();
+    options.add_option("--answer-tokens", m_answerTokens, "Tokens of the answer")
+        ->capture_default_str();
+    options.add_option("--deadline-ms", m_deadlineMs, "Time that the request has left")
+        ->check(CLI::Range(1, 3'600'000))
+        ->capture_default_str();
+    addOutputOption(options, m_format);
+}
+
+int explain_command::run(console &terminal)
+{
+    const auto sheetText = readTextFile(m_sheetPath, sheet::maxSheetBytes);
+    const auto snapshotText = readTextFile(m_snapshotPath, maxSnapshotBytes);
+    if (!sheetText || !snapshotText) {
+        terminal.err() << describe(sheetText ? snapshotText.error() : sheetText.error()) << '\n';
+        return InvalidInput;
+    }
+    auto parsed = sheet::parseSheet(sheetText.value());
+    const auto listing = node::parseInstanceListing(snapshotText.value());
+    if (!parsed || !listing) {
+        const core::error &error = parsed ? listing.error() : parsed.error().front();
+        terminal.err() << (parsed ? m_snapshotPath : m_sheetPath) << ": " << describe(error)
+                       << '\n';
+        return InvalidInput;
+    }
+    const auto sheet = std::make_shared<const sheet::sheet>(std::move(parsed).value());
+    const core::team_name team(m_team);
+    if (!sheet->teams.contains(team)) {
+        terminal.err() << "the sheet names no team '" << m_team << "'\n";
+        return Failure;
+    }
+    const std::optional<core::tier> tier
+        = m_tier < 0 ? std::nullopt : std::optional(static_cast<core::tier>(m_tier));
+    const auto where = node::routing_table(sheet).routeModel(team, tier, core::model_name(m_model));
+    if (!where) {
+        terminal.err() << describe(where.error()) << '\n';
+        return Failure;
+    }
+
+    scheduling::permit_request request;
+    request.request = UINT64_MAX;
+    request.model = core::model_name(m_model);
+    request.tier = where.value().tier;
+    request.team = team;
+    request.cost = {m_promptTokens, m_answerTokens};
+    request.deadline = core::time_point(std::chrono::milliseconds(m_deadlineMs));
+    const std::vector<scheduling::load_report> loads = readLoads(snapshotText.value());
+    bool usable = false;
+    for (const core::upstream_name &upstream : where.value().upstreams) {
+        request.upstream = upstream;
+        const auto engines = node::previewPool(sheet, listing.value().engines, loads, request);
+        write(terminal, m_format, upstream, engines);
+        usable = usable || std::any_of(engines.begin(), engines.end(), [](const auto &each) {
+                     return each.result == engine_explanation::verdict::Usable;
+                 });
+    }
+    return usable ? Success : Failure;
+}
+
+} // namespace comfreypass::app
--- /dev/null
+++ b/src/app/explain_command.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "app/command.h"
+#include "app/output_format.h"
+
+#include <cstdint>
+#include <string>
+
+namespace comfreypass::app {
+
+/** Tells where a model request would go, from a sheet and a snapshot of the instances and their
+ * load. */
+class explain_command final : public command
+{
+public:
+    static constexpr const char *footer
+        = "The snapshot is the instance list's document; it may have a member \"loads\" with an\n"
+          "object {engine, epoch, cold, running} for each engine that has reported. One scheduler\n"
+          "with all votes is assumed, and engines that have shown that they bear all their slots\n"
+          "unless their load says cold.\n"
+          "Examples:\n"
+          "  comfreypass explain --sheet examples/acib-rutas.sheet.json \\\n"
+          "      --snapshot examples/acib-rutas.snapshot.json --team permisos --model asesor-14b\n"
+          "Exit codes:\n"
+          "  0  at least one engine could take the request\n"
+          "  1  no engine could take it, or the team may not make it\n"
+          "  2  a file that cannot be read or is not valid";
+
+    void addOptions(CLI::App &options) override;
+    int run(console &terminal) override;
+
+private:
+    std::string m_sheetPath;
+    std::string m_snapshotPath;
+    std::string m_team;
+    std::string m_model;
+    int m_tier = -1;
+    std::uint32_t m_promptTokens = 300;
+    std::uint32_t m_answerTokens = 100;
+    std::int64_t m_deadlineMs = 10'000;
+    output_format m_format = output_format::Table;
+};
+
+} // namespace comfreypass::app
