Measure the scheduling policy in virtual time

Cause: goodput by tier, wasted prefill and recovery are the measures of the design, and nothing measured the shipped scheduler against other policies.

Change: bench_policy runs pool_scheduler and four baselines (random, round robin, least reported load, two choices) on the same requests in front of fake engines, at 0.8, 1.0, 1.5 and 3 times the pool's capacity, with a failure domain out for 60 s and with a burst of 10 s. It prints a table, an upper bound with full knowledge and the targets, and writes the same rows as JSON.

--- /dev/null
+++ b/bench/policy/baseline.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string_view>
+#include <vector>
+
+/** Policies without tiers that dispatch each request when it arrives. Not thread-safe. */
+class baseline
+{
+public:
+    enum class rule : std::uint8_t { Random, RoundRobin, LeastReported, TwoChoices };
+
+    /** Load of one engine as a baseline sees it. */
+    struct view
+    {
+        bool inService = true;
+        /** Requests at the engine in its last report, which is late. */
+        std::size_t reported = 0;
+        /** Requests that the entry node has dispatched and that have not ended. */
+        std::size_t inFlight = 0;
+    };
+
+    baseline(rule which, std::uint64_t seed) : m_rule(which), m_random(seed) { }
+
+    /** Precondition: an engine is in service. */
+    std::size_t choose(const std::vector<view> &engines);
+
+    static std::string_view toString(rule which);
+
+private:
+    rule m_rule;
+    std::mt19937_64 m_random;
+    std::size_t m_turn = 0;
+};
--- /dev/null
+++ b/bench/policy/policy_bench.cpp
@@ -0,0 +1,272 @@
+// Measures the scheduling policy in virtual time: goodput by tier, wasted prefill and recovery of
+// the pool scheduler and of four baselines, in front of fake engines, on the same requests.
+// The figures have fixed seeds and do not depend on the machine. Fake engines are as fast after a
+// return as before, so the baselines pay nothing for ignoring a cold start.
+#include "policy/policy_run.h"
+#include "policy/tally.h"
+#include "policy/workload.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace comfreypass;
+namespace json = boost::json;
+
+namespace {
+
+using outcome = policy_run::outcome;
+using policy = std::optional<baseline::rule>;
+
+constexpr std::array<std::uint64_t, 3> seeds{1, 2, 3};
+constexpr std::array loads{0.8, 1.0, 1.5, 3.0};
+constexpr std::array<policy, 5> policies{std::nullopt, baseline::rule::Random,
+                                         baseline::rule::RoundRobin, baseline::rule::LeastReported,
+                                         baseline::rule::TwoChoices};
+constexpr double usualLoad = 0.8;
+constexpr double burstLoad = 3;
+/** Requests that arrive before are not counted: the scheduler starts with cold engines. */
+constexpr core::time_point warm{std::chrono::seconds{60}};
+constexpr core::time_point loadEnd{std::chrono::seconds{360}};
+/** End of the span before an event; most requests that arrive until then end before it. */
+constexpr core::time_point beforeEnd{std::chrono::seconds{150}};
+/** The outage or the burst starts here. */
+constexpr core::time_point eventBegin{std::chrono::seconds{180}};
+constexpr core::time_point outageEnd{std::chrono::seconds{240}};
+constexpr core::time_point burstEnd{std::chrono::seconds{190}};
+constexpr core::time_point eventRunEnd{std::chrono::seconds{480}};
+constexpr std::size_t failingEngines = workload::engineCount / 3;
+/** The level of before is reached in the first window that is at most `levelSlack` below it. */
+constexpr std::chrono::seconds window{10};
+constexpr double levelSlack = 0.02;
+constexpr double percent = 100;
+
+/** Requests and answers of all seeds. */
+struct policy_result
+{
+    std::vector<std::vector<sample_request>> requests;
+    std::vector<std::vector<policy_run::answer>> answers;
+
+    tally count(core::time_point begin, core::time_point end) const
+    {
+        tally made;
+        for (std::size_t i = 0; i < requests.size(); ++i)
+            made.add(requests[i], answers[i], begin, end);
+        return made;
+    }
+};
+
+std::string_view nameOf(const policy &which)
+{
+    return which ? baseline::toString(*which) : "comfreypass";
+}
+
+policy_result runAll(const policy &which, const std::vector<workload::phase> &phases,
+                     core::time_point end, std::optional<policy_run::outage> out)
+{
+    policy_result made;
+    for (const std::uint64_t seed : seeds) {
+        made.requests.push_back(workload::make(phases, end, seed));
+        made.answers.push_back(policy_run(made.requests.back(), which, out, seed).run());
+    }
+    return made;
+}
+
+json::object rowOf(std::string_view policyName, const tally &counted)
+{
+    json::array tiers;
+    for (core::tier tier = 0; tier < core::tierCount; ++tier)
+        tiers.push_back(percent * counted.onTime(tier));
+    return {{"policy", policyName},
+            {"on_time_percent_by_tier", tiers},
+            {"on_time_percent", percent * counted.onTime()},
+            {"requests", counted.requests()},
+            {"late", counted.count(outcome::Late)},
+            {"wasted_prefill_share", counted.wasted()},
+            {"wasted_prefill_share_preempted", counted.wasted(outcome::Preempted)},
+            {"wasted_prefill_share_late", counted.wasted(outcome::Late)},
+            {"preempted", counted.count(outcome::Preempted)},
+            {"refused", counted.count(outcome::Refused)},
+            {"failed", counted.count(outcome::Failed)}};
+}
+
+void printHeader(const char *first, const char *last)
+{
+    std::printf("%-9s %-15s %6s %6s %6s %6s %6s %6s %6s %8s %8s %6s %7s %7s %s\n", first, "policy",
+                "tier0%", "tier1%", "tier2%", "tier3%", "tier4%", "total%", "late", "waste%",
+                "w.preem%", "preem.", "refused", "failed", last);
+}
+
+void printRow(const std::string &first, std::string_view policyName, const tally &counted,
+              const std::string &last)
+{
+    std::printf("%-9s %-15s", first.c_str(), std::string(policyName).c_str());
+    for (core::tier tier = 0; tier < core::tierCount; ++tier)
+        std::printf(" %6.1f", percent * counted.onTime(tier));
+    std::printf(" %6.1f %6zu %8.2f %8.2f %6zu %7zu %7zu %s\n", percent * counted.onTime(),
+                counted.count(outcome::Late), percent * counted.wasted(),
+                percent * counted.wasted(outcome::Preempted), counted.count(outcome::Preempted),
+                counted.count(outcome::Refused), counted.count(outcome::Failed), last.c_str());
+}
+
+std::string fixed(double value, int digits)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.*f", digits, value);
+    return text.data();
+}
+
+/** Seconds from `end` until the total on-time share is back at its level, if that is seen. */
+std::optional<std::int64_t> recovery(const policy_result &result, double level,
+                                     core::time_point end)
+{
+    for (core::time_point begin = end; begin + window <= eventRunEnd;
+         begin += std::chrono::seconds{1}) {
+        if (result.count(begin, begin + window).onTime() >= level - levelSlack)
+            return std::chrono::duration_cast<std::chrono::seconds>(begin - end).count();
+    }
+    return std::nullopt;
+}
+
+/** Prints and returns the spans before, during and after an event, for each policy. */
+json::array measureEvent(const char *name, const std::vector<workload::phase> &phases,
+                         core::time_point end, std::optional<policy_run::outage> out,
+                         std::optional<tally> &shippedDuring)
+{
+    std::printf("\n%s at %.1f times the capacity; level of before: %lld s window, at most %.0f "
+                "points below\n",
+                name, usualLoad, static_cast<long long>(window.count()), percent * levelSlack);
+    printHeader("span", "recovery_s");
+    json::array rows;
+    for (const policy &which : policies) {
+        const policy_result result = runAll(which, phases, eventRunEnd, out);
+        const tally before = result.count(warm, beforeEnd);
+        const tally during = result.count(eventBegin, end);
+        const tally after = result.count(end, eventRunEnd);
+        const auto seconds = recovery(result, before.onTime(), end);
+        printRow("before", nameOf(which), before, "");
+        printRow("during", nameOf(which), during, "");
+        printRow("after", nameOf(which), after, seconds ? std::to_string(*seconds) : "not reached");
+        rows.push_back({{"policy", nameOf(which)},
+                        {"before", rowOf(nameOf(which), before)},
+                        {"during", rowOf(nameOf(which), during)},
+                        {"after", rowOf(nameOf(which), after)},
+                        {"recovery_seconds", seconds ? json::value(*seconds) : json::value()}});
+        if (!which)
+            shippedDuring = during;
+    }
+    return rows;
+}
+
+json::object target(const std::string &name, double wanted, double figure, bool met)
+{
+    std::printf("%-62s target %.4f figure %.4f %s\n", name.c_str(), wanted, figure,
+                met ? "met" : "MISSED");
+    return {{"target", name}, {"wanted", wanted}, {"figure", figure}, {"met", met}};
+}
+
+json::object measure()
+{
+    json::object written{{"capacity_requests_per_second", workload::capacity()}};
+    std::printf("capacity %.1f requests/s; seeds 1 to 3 together; arrivals from 60 s to 360 s\n"
+                "bound: greatest on-time share if work were divisible, which no scheduler beats\n",
+                workload::capacity());
+    printHeader("load", "bound% ratio");
+    json::array rows;
+    std::map<double, tally> shipped;
+    std::map<double, double> ratios;
+    std::map<double, double> leastWaste;
+    for (const double load : loads) {
+        const std::vector<workload::phase> phases{{core::time_point{}, load}};
+        for (const policy &which : policies) {
+            const policy_result result = runAll(which, phases, loadEnd, std::nullopt);
+            const tally counted = result.count(warm, loadEnd);
+            double bound = 0;
+            for (const auto &requests : result.requests) {
+                tally one;
+                one.add(requests, std::vector<policy_run::answer>(requests.size()), warm, loadEnd);
+                bound += workload::bound(requests, warm, loadEnd)
+                         * static_cast<double>(one.requests())
+                         / static_cast<double>(counted.requests());
+            }
+            const double ratio = counted.onTime() / bound;
+            printRow(fixed(load, 1), nameOf(which), counted,
+                     fixed(percent * bound, 1) + " " + fixed(ratio, 3));
+            json::object row = rowOf(nameOf(which), counted);
+            row["load"] = load;
+            row["bound_percent"] = percent * bound;
+            row["ratio_to_bound"] = ratio;
+            rows.push_back(row);
+            if (!which) {
+                shipped.emplace(load, counted);
+                ratios[load] = ratio;
+            } else {
+                const auto least = leastWaste.try_emplace(load, counted.wasted()).first;
+                least->second = std::min(least->second, counted.wasted());
+            }
+        }
+    }
+    written["loads"] = rows;
+
+    std::optional<tally> outage;
+    std::optional<tally> burst;
+    const policy_run::outage out{failingEngines, eventBegin, outageEnd};
+    written["domain_outage"] = measureEvent(
+        "failure domain out for 60 s", {{core::time_point{}, usualLoad}}, outageEnd, out, outage);
+    written["burst"] = measureEvent(
+        "burst of 3 times the capacity for 10 s",
+        {{core::time_point{}, usualLoad}, {eventBegin, burstLoad}, {burstEnd, usualLoad}}, burstEnd,
+        std::nullopt, burst);
+
+    std::printf("\n");
+    json::array targets;
+    const double top = shipped.at(3.0).onTime(0) / shipped.at(0.8).onTime(0);
+    targets.push_back(target("tier 0 at 3 times capacity over its level at 0.8, at least", 0.99,
+                             top, top >= 0.99));
+    targets.push_back(target("total on time at 1.5 times capacity over the bound, at least", 0.9,
+                             ratios[1.5], ratios[1.5] >= 0.9));
+    for (const double load : loads) {
+        const double wanted = leastWaste[load] / 2;
+        const double figure = shipped.at(load).wasted();
+        targets.push_back(target("wasted prefill share at " + fixed(load, 1)
+                                     + ", at most half of the best baseline",
+                                 wanted, figure, figure <= wanted));
+    }
+    const double during = outage->onTimeDownTo(1);
+    targets.push_back(target("tiers 0 and 1 on time while a domain is out, at least", 0.95, during,
+                             during >= 0.95));
+    written["targets"] = targets;
+    return written;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app{"Measures the scheduling policy in virtual time."};
+    std::string file;
+    app.add_option("--json", file, "File that the rows are written to as JSON");
+    CLI11_PARSE(app, argc, argv);
+    const json::object written = measure();
+    if (file.empty())
+        return 0;
+    std::ofstream out(file);
+    out << json::value(written) << '\n';
+    out.close();
+    if (!out) {
+        std::cerr << "cannot write " << file << '\n';
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/policy/policy_run.cpp
@@ -0,0 +1,304 @@
+#include "policy/policy_run.h"
+
+#include "policy/workload.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+using namespace comfreypass;
+using namespace comfreypass::scheduling;
+
+namespace {
+
+const core::upstream_name upstream{"assistente"};
+constexpr auto tickInterval = std::chrono::milliseconds{50};
+/** Also the age of a report when it is read. */
+constexpr auto reportInterval = std::chrono::seconds{1};
+
+core::engine_name engineName(std::size_t index)
+{
+    return core::engine_name{"engine-" + std::to_string(index)};
+}
+
+core::team_name teamName(std::size_t index)
+{
+    return core::team_name{"team-" + std::to_string(index)};
+}
+
+std::string generationName(std::size_t index)
+{
+    return "g" + std::to_string(index);
+}
+
+core::duration timeFor(double tokens, double rate)
+{
+    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(tokens / rate));
+}
+
+} // namespace
+
+policy_run::policy_run(std::vector<sample_request> requests, std::optional<baseline::rule> rule,
+                       std::optional<outage> out, std::uint64_t seed)
+    : m_requests(std::move(requests)), m_jobs(m_requests.size()), m_answers(m_requests.size()),
+      m_engines(workload::engineCount), m_views(workload::engineCount),
+      m_atReport(workload::engineCount), m_outage(out)
+{
+    if (rule)
+        m_baseline.emplace(*rule, seed);
+    for (std::size_t i = 0; i < m_engines.size(); ++i)
+        m_engines[i].facts = workload::facts(workload::generationOf(i));
+}
+
+std::vector<policy_run::answer> policy_run::run()
+{
+    for (std::size_t i = 0; i < m_requests.size(); ++i) {
+        schedule(m_requests[i].arrival, event_kind::Arrival, i);
+        schedule(m_requests[i].deadline, event_kind::Deadline, i);
+        m_end = std::max(m_end, m_requests[i].deadline);
+    }
+    if (m_outage) {
+        schedule(m_outage->begin, event_kind::OutageBegin);
+        schedule(m_outage->end, event_kind::OutageEnd);
+    }
+    schedule(m_now + reportInterval, event_kind::Report);
+    if (!m_baseline)
+        startScheduler();
+    while (!m_events.empty()) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.time;
+        handle(next);
+    }
+    return m_answers;
+}
+
+void policy_run::startScheduler()
+{
+    m_scheduler = std::make_unique<pool_scheduler>(upstream);
+    emit(m_scheduler->setSheet(makeSheet(false), m_now));
+    std::vector<sheet::engine_info> list;
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        const bool fails = m_outage && i < m_outage->engines;
+        list.push_back({engineName(i), upstream, core::domain_name{fails ? "braga" : "porto"},
+                        generationName(workload::generationOf(i)), "127.0.0.1:1", false});
+    }
+    emit(m_scheduler->setEngines(list, m_now));
+    emit(m_scheduler->setVoters(std::span{&m_node, 1}, 1, m_now));
+    emit(m_scheduler->start(m_now));
+    schedule(m_now, event_kind::Tick);
+}
+
+void policy_run::handle(const event &item)
+{
+    job &of = m_jobs.at(item.request);
+    switch (item.kind) {
+    case event_kind::PrefillDone: {
+        // An event of a request that has left its engine is void.
+        if (!of.engine || of.firstToken)
+            return;
+        engine &on = m_engines[*of.engine];
+        on.prefills.pop_front();
+        of.firstToken = m_now;
+        const sample_request &request = m_requests[item.request];
+        m_answers[item.request].prefillTokens = request.actual.prefillTokens;
+        schedule(m_now + timeFor(request.actual.decodeTokens, on.facts.decodeTokensPerSecond),
+                 event_kind::DecodeDone, item.request);
+        startPrefill(on);
+        return;
+    }
+    case event_kind::DecodeDone:
+        if (of.engine)
+            leave(item.request, outcome::OnTime);
+        return;
+    case event_kind::Deadline:
+        if (of.engine)
+            leave(item.request, outcome::Late);
+        return;
+    case event_kind::Tick:
+        emit(m_scheduler->tick(m_now));
+        if (m_now < m_end)
+            schedule(m_now + tickInterval, event_kind::Tick);
+        return;
+    case event_kind::Report:
+        report();
+        return;
+    case event_kind::OutageBegin:
+    case event_kind::OutageEnd:
+        setOutage(item.kind == event_kind::OutageBegin);
+        return;
+    case event_kind::Arrival:
+        arrive(item.request);
+        return;
+    }
+}
+
+void policy_run::arrive(std::size_t request)
+{
+    if (m_baseline) {
+        dispatch(request, m_baseline->choose(m_views));
+        return;
+    }
+    const sample_request &item = m_requests[request];
+    permit_request asked;
+    asked.request = request;
+    asked.upstream = upstream;
+    asked.tier = item.tier;
+    asked.team = teamName(item.team);
+    asked.cost = item.estimate;
+    asked.deadline = item.deadline;
+    emit(m_scheduler->onPermitRequest(m_node, asked, m_now));
+}
+
+void policy_run::report()
+{
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        engine &of = m_engines[i];
+        m_views[i].reported = std::exchange(m_atReport[i], of.running + of.waiting.size());
+        if (!m_scheduler || of.outOfService)
+            continue;
+        const auto running = static_cast<std::uint32_t>(m_views[i].reported);
+        emit(m_scheduler->onLoadReport({engineName(i), of.epoch, false, running, 0}, m_now));
+    }
+    if (m_now < m_end)
+        schedule(m_now + reportInterval, event_kind::Report);
+}
+
+void policy_run::setOutage(bool out)
+{
+    for (std::size_t i = 0; i < m_outage->engines; ++i) {
+        m_engines[i].outOfService = out;
+        m_engines[i].epoch += out ? 1 : 0;
+        m_views[i].inService = !out;
+    }
+    if (m_scheduler)
+        emit(m_scheduler->setSheet(makeSheet(out), m_now));
+    for (std::size_t i = 0; out && i < m_jobs.size(); ++i) {
+        if (m_jobs[i].engine && m_engines[*m_jobs[i].engine].outOfService)
+            leave(i, outcome::Failed);
+    }
+}
+
+void policy_run::dispatch(std::size_t request, std::size_t engine)
+{
+    m_jobs[request].engine = engine;
+    m_jobs[request].dispatched = m_now;
+    ++m_views[engine].inFlight;
+    m_engines[engine].waiting.push_back(request);
+    admit(m_engines[engine]);
+}
+
+void policy_run::admit(engine &on)
+{
+    while (on.running < on.facts.slots && !on.waiting.empty()) {
+        on.prefills.push_back(on.waiting.front());
+        on.waiting.pop_front();
+        ++on.running;
+        if (on.prefills.size() == 1)
+            startPrefill(on);
+    }
+}
+
+void policy_run::startPrefill(engine &on)
+{
+    if (on.prefills.empty())
+        return;
+    const std::size_t request = on.prefills.front();
+    m_jobs[request].prefillBegin = m_now;
+    schedule(
+        m_now + timeFor(m_requests[request].actual.prefillTokens, on.facts.prefillTokensPerSecond),
+        event_kind::PrefillDone, request);
+}
+
+void policy_run::leave(std::size_t request, outcome result)
+{
+    job &of = m_jobs[request];
+    engine &on = m_engines[*of.engine];
+    --m_views[*of.engine].inFlight;
+    of.engine.reset();
+    m_answers[request].result = result;
+    if (std::erase(on.waiting, request) == 0) {
+        --on.running;
+        const bool computing = !on.prefills.empty() && on.prefills.front() == request;
+        std::erase(on.prefills, request);
+        if (computing) {
+            const std::chrono::duration<double> spent = m_now - of.prefillBegin;
+            m_answers[request].prefillTokens = spent.count() * on.facts.prefillTokensPerSecond;
+            startPrefill(on);
+        }
+        admit(on);
+    }
+    if (!m_scheduler)
+        return;
+    permit_release release;
+    release.request = request;
+    release.permit = of.permit;
+    release.upstream = upstream;
+    release.result = dispatch_result::Cancelled;
+    if (result == outcome::OnTime)
+        release.result = dispatch_result::Completed;
+    else if (result == outcome::Failed)
+        release.result = dispatch_result::Failed;
+    release.actual = m_requests[request].actual;
+    if (of.firstToken)
+        release.firstToken = *of.firstToken - of.dispatched;
+    release.inTime = result == outcome::OnTime;
+    emit(m_scheduler->onRelease(m_node, release, m_now));
+}
+
+void policy_run::emit(const std::vector<outgoing> &messages)
+{
+    for (const outgoing &item : messages) {
+        if (const auto *poll = std::get_if<lease_poll>(&item.message)) {
+            lease_vote vote;
+            vote.upstream = upstream;
+            vote.sequence = poll->sequence;
+            vote.promised = true;
+            for (std::size_t i = 0; i < m_jobs.size(); ++i) {
+                const job &of = m_jobs[i];
+                if (!of.engine)
+                    continue;
+                const sample_request &request = m_requests[i];
+                vote.running.push_back({i, of.permit, engineName(*of.engine), request.tier,
+                                        teamName(request.team), request.estimate, request.deadline,
+                                        true});
+            }
+            emit(m_scheduler->onVote(m_node, vote, m_now));
+        } else if (const auto *grant = std::get_if<permit_grant>(&item.message)) {
+            m_jobs[grant->request].permit = grant->permit;
+            const auto name = grant->engine;
+            std::size_t index = 0;
+            while (engineName(index) != name)
+                ++index;
+            dispatch(grant->request, index);
+        } else if (const auto *refusal = std::get_if<permit_refusal>(&item.message)) {
+            m_answers[refusal->request].result = outcome::Refused;
+        } else if (const auto *order = std::get_if<preempt_order>(&item.message)) {
+            if (m_jobs[order->request].engine)
+                leave(order->request, outcome::Preempted);
+        }
+    }
+}
+
+void policy_run::schedule(time_point time, event_kind kind, std::size_t request)
+{
+    m_events.push({time, kind, request});
+}
+
+std::shared_ptr<const sheet::sheet> policy_run::makeSheet(bool out) const
+{
+    sheet::sheet made;
+    made.domains[core::domain_name{"braga"}] = {"norte", !out};
+    made.domains[core::domain_name{"porto"}] = {"norte", true};
+    made.upstreams[upstream] = {};
+    for (std::size_t i = 0; i < workload::generationCount; ++i)
+        made.generations[generationName(i)] = workload::facts(i);
+    for (std::size_t i = 0; i < workload::teamCount; ++i) {
+        sheet::team_facts team;
+        team.tiers.fill(sheet::team_facts::tier_limit{100'000});
+        made.teams[teamName(i)] = team;
+    }
+    return std::make_shared<const sheet::sheet>(std::move(made));
+}
--- /dev/null
+++ b/bench/policy/policy_run.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "policy/baseline.h"
+#include "policy/sample_request.h"
+#include "scheduling/pool_scheduler.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <tuple>
+#include <vector>
+
+/**
+ * Runs one policy on one list of requests in front of fake engines, in virtual time.
+ *
+ * An engine admits requests in order of arrival up to its slots, computes one prefill at a time and
+ * decodes all streams at the same speed each. Every policy cancels a request at its deadline.
+ * Messages take no time, and no prefix is cached. Not thread-safe.
+ */
+class policy_run
+{
+public:
+    using time_point = comfreypass::core::time_point;
+
+    /** Engines that fail at a time, lose what they run, and return idle at another. */
+    struct outage
+    {
+        std::size_t engines = 0;
+        time_point begin{};
+        time_point end{};
+    };
+
+    enum class outcome : std::uint8_t { None, OnTime, Late, Failed, Preempted, Refused };
+
+    struct answer
+    {
+        outcome result = outcome::None;
+        /** Prompt tokens that an engine computed. */
+        double prefillTokens = 0;
+    };
+
+    /** Without a baseline rule the run uses the pool scheduler. Precondition: there is a request.
+     */
+    policy_run(std::vector<sample_request> requests, std::optional<baseline::rule> rule,
+               std::optional<outage> out, std::uint64_t seed);
+
+    /** Returns what became of each request. */
+    std::vector<answer> run();
+
+private:
+    enum class event_kind : std::uint8_t {
+        PrefillDone,
+        DecodeDone,
+        Deadline,
+        Tick,
+        Report,
+        OutageEnd,
+        OutageBegin,
+        Arrival
+    };
+
+    struct event
+    {
+        time_point time{};
+        event_kind kind = event_kind::Arrival;
+        std::size_t request = 0;
+
+        bool operator>(const event &other) const
+        {
+            return std::tie(time, kind, request) > std::tie(other.time, other.kind, other.request);
+        }
+    };
+
+    struct job
+    {
+        std::optional<std::size_t> engine;
+        comfreypass::core::permit_id permit = 0;
+        time_point dispatched{};
+        time_point prefillBegin{};
+        std::optional<time_point> firstToken;
+    };
+
+    struct engine
+    {
+        comfreypass::sheet::generation_facts facts;
+        std::size_t running = 0;
+        std::deque<std::size_t> waiting;
+        std::deque<std::size_t> prefills;
+        std::uint64_t epoch = 1;
+        bool outOfService = false;
+    };
+
+    void startScheduler();
+    void handle(const event &item);
+    void arrive(std::size_t request);
+    void report();
+    void setOutage(bool out);
+    void dispatch(std::size_t request, std::size_t engine);
+    void admit(engine &on);
+    void startPrefill(engine &on);
+    void leave(std::size_t request, outcome result);
+    void emit(const std::vector<comfreypass::scheduling::outgoing> &messages);
+    void schedule(time_point time, event_kind kind, std::size_t request = 0);
+    std::shared_ptr<const comfreypass::sheet::sheet> makeSheet(bool out) const;
+
+    std::vector<sample_request> m_requests;
+    std::vector<job> m_jobs;
+    std::vector<answer> m_answers;
+    std::vector<engine> m_engines;
+    std::optional<baseline> m_baseline;
+    std::vector<baseline::view> m_views;
+    std::vector<std::size_t> m_atReport;
+    std::optional<outage> m_outage;
+    std::unique_ptr<comfreypass::scheduling::pool_scheduler> m_scheduler;
+    comfreypass::core::node_identity m_node{comfreypass::core::node_name{"entry-1"}, 1};
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    time_point m_now{};
+    time_point m_end{};
+};
--- /dev/null
+++ b/bench/policy/sample_request.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/tier.h"
+#include "core/time_point.h"
+#include "scheduling/request_cost.h"
+
+#include <cstddef>
+
+/** One request of the workload. */
+struct sample_request
+{
+    comfreypass::core::time_point arrival{};
+    comfreypass::core::time_point deadline{};
+    comfreypass::core::tier tier = 0;
+    std::size_t team = 0;
+    /** What the caller declares: the real prompt and the usual length of an answer of its kind. */
+    comfreypass::scheduling::request_cost estimate;
+    /** What the engine processes. */
+    comfreypass::scheduling::request_cost actual;
+};
