--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,12 @@
 lint: build
 	@scripts/lint.sh $(BUILD)
 
+measure: packages $(BUILD)/build.ninja
+	@cmake --build $(BUILD) --target bench_policy
+	@mkdir -p docs/measurements
+	@$(BUILD)/bench/policy/bench_policy --json docs/measurements/policy.json \
+	    > docs/measurements/policy.txt
+	@cat docs/measurements/policy.txt
+
 clean:
 	rm -rf $(BUILD) $(BUILD).configure.log
