Give each place of a cold engine to one listed node

Cause: the integration tests had to raise cold_slots to 6 to get any answer. With a limit of 1, the share floor(1 x votes / N) is 0 unless all N votes are held, and N never fell below entry_nodes. One node that was down, or a fleet smaller than the sheet says, stopped every cold start.

Change: place number p of engine e belongs to the node that rendezvous hashing over the instance list gives it; a scheduler may use the places whose keepers' settled votes it holds. N is the number of listed nodes once the list is known. All votes count as held when each listed node has voted, not by their number.

Conclusion: a missing node costs its own places only. While two nodes read different lists, a place may have two keepers for the lag of the list; a vote that was just gained does not count for cold engines, which covers the usual case.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -409,6 +409,11 @@
 {
     const core::time_point now = transport::monotonicNow();
     apply(m_membership.onInstanceList(listing.nodes, now));
+    std::vector<core::node_name> listed;
+    listed.reserve(listing.nodes.size());
+    for (const membership::listed_node &node : listing.nodes)
+        listed.push_back(node.name);
+    m_schedulers.setListed(listed, now);
     m_engines.setEngines(listing.engines);
     m_schedulers.setEngines(listing.engines, now);
 }
--- a/src/node/scheduler_host.cpp
+++ b/src/node/scheduler_host.cpp
@@ -48,6 +48,15 @@
     chooseUpstreams(now);
 }
 
+void scheduler_host::setListed(const std::vector<core::node_name> &names, core::time_point now)
+{
+    if (names == m_listed)
+        return;
+    m_listed = names;
+    for (auto &[name, pool] : m_pools)
+        send(pool.setListedNodes(m_listed, now));
+}
+
 void scheduler_host::onNodeLost(const core::node_identity &node, core::time_point now)
 {
     for (auto &[name, pool] : m_pools)
@@ -156,6 +165,7 @@
     send(pool.setSheet(m_sheet, now));
     send(pool.setEngines(m_engines, now));
     send(pool.setVoters(m_voters, m_listedCount, now));
+    send(pool.setListedNodes(m_listed, now));
     return pool;
 }
 
--- a/src/node/scheduler_host.h
+++ b/src/node/scheduler_host.h
@@ -32,6 +32,8 @@
     void setView(std::vector<core::node_identity> voters,
                  std::span<const core::node_name> candidates, std::size_t listedCount,
                  core::time_point now);
+    /** Names of the nodes of the instance list. */
+    void setListed(const std::vector<core::node_name> &names, core::time_point now);
     void onNodeLost(const core::node_identity &node, core::time_point now);
     /** Gives all upstreams up; this node is no candidate any more. */
     void stepDown(core::time_point now);
@@ -64,6 +66,7 @@
     std::vector<core::node_identity> m_voters;
     std::vector<core::node_name> m_candidates;
     std::size_t m_listedCount = 0;
+    std::vector<core::node_name> m_listed;
     std::map<core::upstream_name, scheduling::pool_scheduler> m_pools;
 };
 
--- a/src/scheduling/engine_table.cpp
+++ b/src/scheduling/engine_table.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/engine_table.h"
 
+#include "core/rendezvous.h"
 #include "scheduling/lease_holder.h"
 
 #include <algorithm>
@@ -77,6 +78,21 @@
     m_held = held;
     m_settled = settled;
     m_total = total;
+    refreshShares();
+}
+
+void engine_table::setKeepers(std::vector<core::node_name> listed,
+                              std::vector<core::node_name> settled)
+{
+    if (listed == m_listed && settled == m_settledNames)
+        return;
+    m_listed = std::move(listed);
+    m_settledNames = std::move(settled);
+    refreshShares();
+}
+
+void engine_table::refreshShares()
+{
     for (engine_id id = 0; id < m_engines.size(); ++id) {
         if (shareOf(m_engines[id]) != m_engines[id].share)
             refresh(id);
@@ -312,8 +328,25 @@
 
 std::uint32_t engine_table::shareOf(const engine &item) const
 {
-    const std::size_t votes = item.rise.cold() ? m_settled : m_held;
-    return item.usable ? lease_holder::share(item.rise.limit(), votes, m_total) : 0;
+    if (!item.usable)
+        return 0;
+    if (!item.rise.cold())
+        return lease_holder::share(item.rise.limit(), m_held, m_total);
+    if (m_listed.empty())
+        return lease_holder::share(item.rise.limit(), m_settled, m_total);
+    return keptPlaces(item);
+}
+
+// Every scheduler computes the same keeper for a place, so no place is counted twice.
+std::uint32_t engine_table::keptPlaces(const engine &item) const
+{
+    std::uint32_t kept = 0;
+    for (std::uint32_t place = 0; place < item.rise.limit(); ++place) {
+        const std::string key = item.info.name.text() + '#' + std::to_string(place);
+        const core::node_name keeper = core::rendezvousRank(key, m_listed, 1).front();
+        kept += std::binary_search(m_settledNames.begin(), m_settledNames.end(), keeper) ? 1 : 0;
+    }
+    return kept;
 }
 
 std::size_t engine_table::generationIndex(const sheet::engine_info &info)
--- a/src/scheduling/engine_table.h
+++ b/src/scheduling/engine_table.h
@@ -84,6 +84,12 @@
     void setEngines(std::span<const sheet::engine_info> engines);
     /** Votes that count for warm engines, those that count for cold ones, and the denominator. */
     void setVotes(std::size_t held, std::size_t settled, std::size_t total);
+    /**
+     * Gives each place of a cold engine to one listed node, and the nodes whose settled votes are
+     * held. A share of the limit would round down to no place at all as soon as one vote is
+     * missing. Both lists are sorted; without listed nodes the share is used.
+     */
+    void setKeepers(std::vector<core::node_name> listed, std::vector<core::node_name> settled);
 
     /** Finds an engine or adds it as not listed. */
     engine_id ensure(const core::engine_name &name);
@@ -136,6 +142,8 @@
 
     sheet::generation_facts factsOf(const sheet::engine_info &info) const;
     std::uint32_t shareOf(const engine &item) const;
+    std::uint32_t keptPlaces(const engine &item) const;
+    void refreshShares();
     std::size_t generationIndex(const sheet::engine_info &info);
     std::size_t groupOf(const engine &item) const;
     void applyFacts(engine_id id);
@@ -162,6 +170,8 @@
     std::vector<engine_id> m_unused;
     prefix_table m_prefixes;
 
+    std::vector<core::node_name> m_listed;
+    std::vector<core::node_name> m_settledNames;
     std::size_t m_held = 0;
     std::size_t m_settled = 0;
     std::size_t m_total = 1;
--- a/src/scheduling/lease_holder.cpp
+++ b/src/scheduling/lease_holder.cpp
@@ -38,6 +38,12 @@
     settleIfComplete();
 }
 
+void lease_holder::setListed(std::vector<core::node_name> names)
+{
+    m_listed = std::move(names);
+    settleIfComplete();
+}
+
 void lease_holder::start(core::time_point now)
 {
     using std::chrono::duration_cast, std::chrono::milliseconds;
@@ -150,10 +156,30 @@
 {
     // With the votes of all nodes held at once, every dispatch that another scheduler granted has
     // been listed by the node that runs it.
-    if (m_votes.size() < m_total)
+    if (!complete())
         return;
     for (auto &[node, vote] : m_votes)
         vote.settled = true;
 }
 
+bool lease_holder::complete() const
+{
+    if (m_listed.empty())
+        return m_votes.size() >= m_total;
+    return std::all_of(m_listed.begin(), m_listed.end(), [&](const core::node_name &name) {
+        const auto found = m_votes.lower_bound({name, 0});
+        return found != m_votes.end() && found->first.name == name;
+    });
+}
+
+std::vector<core::node_name> lease_holder::settledNames(core::time_point now) const
+{
+    std::vector<core::node_name> names;
+    for (const auto &[node, vote] : m_votes) {
+        if (vote.settled || now - vote.since >= m_settleTime)
+            names.push_back(node.name);
+    }
+    return names;
+}
+
 } // namespace comfreypass::scheduling
--- a/src/scheduling/lease_holder.h
+++ b/src/scheduling/lease_holder.h
@@ -39,6 +39,8 @@
     /** Sets the live nodes, and the number of nodes that the shares are divided by. */
     void setVoters(std::span<const core::node_identity> live, std::size_t total);
 
+    /** Names of the listed nodes, sorted; all votes are held when each of them has voted. */
+    void setListed(std::vector<core::node_name> names);
     /**
      * Starts polling. Sequences continue above those of an earlier lease holder of the same
      * process, because they start at the time in milliseconds.
@@ -78,6 +80,9 @@
     /** Votes under which no other scheduler's dispatch can still run unknown to this one. */
     std::size_t settled(core::time_point now) const;
 
+    /** Names of the nodes whose votes are settled, sorted. */
+    std::vector<core::node_name> settledNames(core::time_point now) const;
+
     /** floor(limit x votes / total). Thread-safe. */
     static std::uint32_t share(std::uint32_t limit, std::size_t votes, std::size_t total);
 
@@ -92,6 +97,7 @@
     };
 
     void settleIfComplete();
+    bool complete() const;
 
     core::duration m_lease;
     core::duration m_pollInterval;
@@ -102,6 +108,7 @@
     std::deque<std::pair<std::uint64_t, core::time_point>> m_rounds;
     std::vector<core::node_identity> m_live;
     std::size_t m_total = 1;
+    std::vector<core::node_name> m_listed;
     std::map<core::node_identity, held_vote> m_votes;
     std::set<core::node_identity> m_refused;
     /** No vote expires before this time. */
--- a/src/scheduling/pool_scheduler.cpp
+++ b/src/scheduling/pool_scheduler.cpp
@@ -114,6 +114,20 @@
     return out;
 }
 
+std::vector<outgoing> pool_scheduler::setListedNodes(std::vector<core::node_name> names,
+                                                     core::time_point now)
+{
+    outbox out;
+    std::sort(names.begin(), names.end());
+    m_listedNames = std::move(names);
+    const std::vector<core::node_identity> live(m_lease.live().begin(), m_lease.live().end());
+    m_lease.setListed(m_listedNames);
+    m_lease.setVoters(live, totalNodes());
+    updateShares(now);
+    dispatchQueued(now, out);
+    return out;
+}
+
 std::vector<outgoing> pool_scheduler::onPermitRequest(const core::node_identity &from,
                                                       const permit_request &request,
                                                       core::time_point now)
@@ -312,12 +326,16 @@
 
 std::size_t pool_scheduler::totalNodes() const
 {
+    if (!m_listedNames.empty())
+        return m_listedNames.size();
     return std::max<std::size_t>(m_listedNodes, m_sheet ? m_sheet->entryNodes : 1);
 }
 
 void pool_scheduler::updateShares(core::time_point now)
 {
     m_engines.setVotes(m_lease.held(), m_lease.settled(now), m_lease.total());
+    if (!m_listedNames.empty())
+        m_engines.setKeepers(m_listedNames, m_lease.settledNames(now));
 }
 
 void pool_scheduler::advance(core::time_point now, outbox &out)
--- a/src/scheduling/pool_scheduler.h
+++ b/src/scheduling/pool_scheduler.h
@@ -62,6 +62,10 @@
     std::vector<outgoing> setVoters(std::span<const core::node_identity> live,
                                     std::size_t listedCount, core::time_point now);
 
+    /** Names of the nodes of the instance list; with them, no vote share of a cold engine is lost.
+     */
+    std::vector<outgoing> setListedNodes(std::vector<core::node_name> names, core::time_point now);
+
     std::vector<outgoing> onPermitRequest(const core::node_identity &from,
                                           const permit_request &request, core::time_point now);
     std::vector<outgoing> onRelease(const core::node_identity &from, const permit_release &release,
@@ -134,6 +138,8 @@
     scheduler_options m_options;
     std::shared_ptr<const sheet::sheet> m_sheet;
     std::size_t m_listedNodes = 1;
+    /** Sorted; empty until the owner knows the instance list. */
+    std::vector<core::node_name> m_listedNames;
 
     lease_holder m_lease;
     tier_queue m_queue;
--- a/tests/scheduling/pool_scheduler_test.cpp
+++ b/tests/scheduling/pool_scheduler_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(largeRequestsLeaveAPlaceForSmallOnes);
     CPPUNIT_TEST(fullQueueDisplacesTheLowestTier);
     CPPUNIT_TEST(fullQueuePreemptsBeforeItRefuses);
+    CPPUNIT_TEST(missingVoteCostsOnlyItsColdPlaces);
     CPPUNIT_TEST(withdrawnRequestLeavesTheQueue);
     CPPUNIT_TEST(hopelessRequestPreemptsNothing);
     CPPUNIT_TEST(urgentRequestPreemptsLowerTier);
@@ -138,6 +139,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_pool->snapshot(m_now).queued[1]);
     }
 
+    // Guards against a cold engine that gets no request at all while one listed node is down, and
+    // against places of the node that is down being used.
+    void missingVoteCostsOnlyItsColdPlaces()
+    {
+        m_sheet.upstreams[upstream()].coldSlots = 1;
+        m_pool->setSheet(std::make_shared<const sheet::sheet>(m_sheet), m_now);
+        std::vector<core::node_name> listed;
+        for (const core::node_identity &node : m_nodes)
+            listed.push_back(node.name);
+        std::vector<sheet::engine_info> engines;
+        for (int number = 0; number < 40; ++number) {
+            sheet::engine_info engine;
+            engine.name = core::engine_name("cold-" + std::to_string(number));
+            engine.upstream = upstream();
+            engine.domain = core::domain_name("braga");
+            engine.generation = "g1";
+            engines.push_back(engine);
+        }
+        m_pool->setListedNodes(listed, m_now);
+        m_pool->setEngines(engines, m_now);
+        CPPUNIT_ASSERT_EQUAL(40U, coldShares());
+
+        m_pool->onNodeLost(m_nodes[1], m_now);
+        const std::uint32_t left = coldShares();
+        CPPUNIT_ASSERT(left > 0 && left < 40);
+
+        m_pool->setListedNodes({m_nodes[0].name}, m_now);
+        CPPUNIT_ASSERT_EQUAL(40U, coldShares());
+    }
+
     // Guards against a permit for a request whose caller has gone.
     void withdrawnRequestLeavesTheQueue()
     {
@@ -277,6 +308,14 @@
         return m_pool->onPermitRequest(m_nodes[0], request(id, tier, cost, deadline), m_now);
     }
 
+    std::uint32_t coldShares() const
+    {
+        std::uint32_t sum = 0;
+        for (const pool_snapshot::engine &engine : m_pool->snapshot(m_now).engines)
+            sum += engine.share;
+        return sum;
+    }
+
     void fill(core::tier tier)
     {
         for (std::uint64_t id = 1; id <= 4; ++id)
