Export the metrics of a node process and log by named events

GET /metrics answered with an empty body, and the log ignored its format and level in the settings.

The process refreshes and writes the registry for each GET /metrics and counts every ended request. It logs with log_setup and logEvent to standard error. The field of the node concerned is named member, because node names the writer of the line.

--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,14 +1,25 @@
 #include "node/node_process.h"
 
 #include "membership/incarnation_order.h"
+#include "node/node_metrics.h"
 #include "node/operator_api.h"
+#include "observe/log_setup.h"
+#include "observe/metric_registry.h"
+#include "transport/clock.h"
 #include "transport/reactor_timer.h"
 #include "transport/signal_watch.h"
 
-#include <boost/log/trivial.hpp>
+#include <boost/core/null_deleter.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
 
+#include <array>
 #include <chrono>
+#include <cstddef>
+#include <iostream>
 #include <random>
+#include <sstream>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace comfreypass::node {
@@ -24,12 +35,91 @@
     return membership::makeIncarnation(static_cast<std::uint64_t>(seconds), random);
 }
 
+observe::log_format formatOf(const sheet::settings &settings)
+{
+    return settings.log.format == sheet::settings::log_format::Json ? observe::log_format::Json
+                                                                    : observe::log_format::Text;
+}
+
+observe::log_level levelOf(const sheet::settings &settings)
+{
+    switch (settings.log.level) {
+    case sheet::settings::log_level::Debug:
+        return observe::log_level::Debug;
+    case sheet::settings::log_level::Info:
+        return observe::log_level::Info;
+    case sheet::settings::log_level::Warning:
+        return observe::log_level::Warning;
+    case sheet::settings::log_level::Error:
+        break;
+    }
+    return observe::log_level::Error;
+}
+
+observe::log_level levelOf(membership::event_kind kind)
+{
+    using membership::event_kind;
+    switch (kind) {
+    case event_kind::Suspect:
+    case event_kind::Dead:
+    case event_kind::SheetConflict:
+    case event_kind::SheetRejected:
+    case event_kind::Paused:
+    case event_kind::IncarnationRaised:
+        return observe::log_level::Warning;
+    case event_kind::Superseded:
+        return observe::log_level::Error;
+    default:
+        return observe::log_level::Info;
+    }
+}
+
+std::string_view messageOf(membership::event_kind kind)
+{
+    static constexpr std::array<std::string_view, 12> messages = {
+        "a node joined",
+        "a node does not answer",
+        "a node is dead",
+        "a node leaves",
+        "a node is back",
+        "a dead node was forgotten",
+        "a new sheet is in force",
+        "two different sheets have the same revision",
+        "a sheet was refused",
+        "this process was paused",
+        "this node takes a greater incarnation",
+        "another process runs under this node's name",
+    };
+    return messages.at(static_cast<std::size_t>(kind));
+}
+
+// The field "node" of each line names the node that writes it.
+void logMembership(const membership::membership_event &event)
+{
+    observe::logEvent(levelOf(event.kind), toString(event.kind), messageOf(event.kind),
+                      {{"member", event.node.name.text()},
+                       {"revision", std::to_string(event.sheet.revision)},
+                       {"detail", event.detail}});
+}
+
+std::string metricsText(observe::metric_registry &registry, node_metrics &metrics,
+                        const entry_node &node)
+{
+    metrics.refresh(node, transport::monotonicNow());
+    std::ostringstream text;
+    registry.writeText(text, std::chrono::system_clock::now());
+    return text.str();
+}
+
 } // namespace
 
 node_process::node_process(sheet::settings settings) : m_settings(std::move(settings)) { }
 
 core::result<void> node_process::run()
 {
+    const observe::log_setup log(
+        formatOf(m_settings), levelOf(m_settings), m_settings.name.text(),
+        boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
     std::random_device entropy;
     core::incarnation life = newIncarnation(entropy());
     for (;;) {
@@ -52,20 +142,27 @@
 core::result<entry_node::defect> node_process::runLife(core::incarnation life)
 {
     std::random_device entropy;
+    observe::metric_registry registry({m_settings.name, life});
+    node_metrics metrics(registry);
     entry_node node(m_reactor.get(), m_settings, life, entropy());
-    node.onEvent([this](const membership::membership_event &event) { logEvent(event); });
-    node.onRecord([this](const request_record &record) { m_decisions.add(record); });
-    operator_api operators(m_reactor.get(), node, m_decisions, {});
+    node.onEvent(logMembership);
+    node.onRecord([this, &metrics](const request_record &record) {
+        m_decisions.add(record);
+        metrics.onRecord(record);
+    });
+    operator_api operators(m_reactor.get(), node, m_decisions,
+                           [&] { return metricsText(registry, metrics, node); });
 
     if (core::result<void> started = node.start(); !started)
         return started.error();
     if (const core::result<std::uint16_t> bound = operators.listen(); !bound)
         return bound.error();
-    BOOST_LOG_TRIVIAL(info) << "event=started node=" << m_settings.name.text()
-                            << " callers=" << m_settings.listen.callers << " incarnation=" << life;
+    observe::logEvent(
+        observe::log_level::Info, "started", "the node takes part",
+        {{"callers", m_settings.listen.callers}, {"incarnation", std::to_string(life)}});
 
     const transport::signal_watch signals(m_reactor.get(), [&node] {
-        BOOST_LOG_TRIVIAL(info) << "event=draining";
+        observe::logEvent(observe::log_level::Info, "draining", "the node leaves the fleet");
         node.beginDrain();
     });
     // Draining ends by time as well as by requests, so the reactor is woken to look.
@@ -73,16 +170,9 @@
     wakeUp.startRepeating(drainCheckInterval);
     m_reactor.runUntil(
         [&node] { return node.drained() || node.foundDefect() != entry_node::defect::None; });
-    BOOST_LOG_TRIVIAL(info) << "event=stopped requests=" << node.totals().requests;
+    observe::logEvent(observe::log_level::Info, "stopped", "the node has stopped",
+                      {{"requests", std::to_string(node.totals().requests)}});
     return node.foundDefect();
 }
 
-void node_process::logEvent(const membership::membership_event &event)
-{
-    BOOST_LOG_TRIVIAL(info) << "event=" << toString(event.kind)
-                            << " node=" << event.node.name.text()
-                            << " revision=" << event.sheet.revision << " detail=\"" << event.detail
-                            << '"';
-}
-
 } // namespace comfreypass::node
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -24,7 +24,6 @@
 
 private:
     core::result<entry_node::defect> runLife(core::incarnation life);
-    void logEvent(const membership::membership_event &event);
 
     sheet::settings m_settings;
     transport::epoll_reactor m_reactor;
