--- a/tests/scheduling/fleet_simulation.cpp
+++ b/tests/scheduling/fleet_simulation.cpp
@@ -117,6 +117,12 @@
             live.push_back(other.identity);
     }
     emit(indexOf(item.identity.name), item.scheduler->setVoters(live, m_nodes.size(), clock(item)));
+    if (!m_options.listedNames)
+        return;
+    std::vector<core::node_name> listed;
+    for (const node &other : m_nodes)
+        listed.push_back(other.identity.name);
+    emit(indexOf(item.identity.name), item.scheduler->setListedNodes(listed, clock(item)));
 }
 
 void fleet_simulation::happen()
--- a/tests/scheduling/fleet_simulation.h
+++ b/tests/scheduling/fleet_simulation.h
@@ -19,6 +19,9 @@
     std::size_t nodes = 5;
     std::size_t engines = 4;
     std::uint32_t slots = 64;
+    /** The schedulers know the names of the listed nodes, and places of cold engines have keepers.
+     */
+    bool listedNames = false;
     std::size_t schedulers = 3;
     double requestsPerNodeAndSecond = 20;
     std::size_t queueCapacity = 64;
--- a/tests/scheduling/fleet_test.cpp
+++ b/tests/scheduling/fleet_test.cpp
@@ -8,6 +8,7 @@
 {
     CPPUNIT_TEST_SUITE(fleet_test);
     CPPUNIT_TEST(coldEnginesStayWithinTheirLimit);
+    CPPUNIT_TEST(coldPlacesWithKeepersStayWithinTheLimit);
     CPPUNIT_TEST(coldEnginesStayWithinTheirLimitInFrequentChanges);
     CPPUNIT_TEST(higherTierIsNotRefusedForLowerTier);
     CPPUNIT_TEST_SUITE_END();
@@ -27,6 +28,23 @@
         CPPUNIT_ASSERT(dispatches > 1'000);
     }
 
+    // Guards against two schedulers that both use a place which has one keeper.
+    void coldPlacesWithKeepersStayWithinTheLimit()
+    {
+        simulation_options options;
+        options.listedNames = true;
+        std::size_t dispatches = 0;
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            options.roleChanges = seed % 2 == 0 ? 0.4 : 0.05;
+            fleet_simulation fleet(options, seed);
+            fleet.run();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::size_t{0},
+                                         fleet.overloads);
+            dispatches += fleet.dispatches;
+        }
+        CPPUNIT_ASSERT(dispatches > 1'000);
+    }
+
     // Guards against a new scheduler that counts shares under which an earlier one's work runs.
     void coldEnginesStayWithinTheirLimitInFrequentChanges()
     {
