Keep ACE's messages out of the log

Cause: SIGTERM printed 'work_pending_i: Interrupted system call' between the lines of a JSON log. The burn report's texts spoke of targets of the sheet; the node counts an answer as good if it is whole and in time.

Change: ACE's own messages are masked in the node process; the texts say what is counted.

Conclusion: standard error holds log lines only.

--- a/src/app/report_command.h
+++ b/src/app/report_command.h
@@ -15,7 +15,7 @@
     static constexpr const char *footer
         = "Each file is a saved answer of GET /metrics of one node; save each node at least "
           "twice.\n"
-          "A request counts as good if it was answered within the targets of the sheet. An alert\n"
+          "A request counts as good if it was answered whole before its deadline. An alert\n"
           "fires if the burn rate exceeds its threshold in a long and a short window.\n"
           "Examples:\n"
           "  curl -s http://127.0.0.1:8301/metrics > entry-1.0900.prom\n"
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -10,6 +10,7 @@
 #include "transport/reactor_timer.h"
 #include "transport/signal_watch.h"
 
+#include <ace/Log_Msg.h>
 #include <boost/core/null_deleter.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 
@@ -119,6 +120,8 @@
 
 core::result<void> node_process::run()
 {
+    // ACE reports each interrupted wait on standard error, between the lines of the log.
+    ACE_LOG_MSG->priority_mask(0, ACE_Log_Msg::PROCESS);
     const observe::log_setup log(
         formatOf(m_settings), levelOf(m_settings), m_settings.name.text(),
         boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
--- a/src/observe/burn_report.h
+++ b/src/observe/burn_report.h
@@ -16,7 +16,7 @@
 /**
  * How fast the error budget is used, by tier, team, half and upstream.
  *
- * A request is good if it was answered within the targets of the sheet. Requests refused for a
+ * A request is good if it was answered whole before its deadline. Requests refused for a
  * limit of their own team do not count. A burn rate of 1 uses up the budget of 30 days in 30 days.
  */
 struct burn_report
