--- a/src/app/explain_command.h
+++ b/src/app/explain_command.h
@@ -20,7 +20,7 @@
           "unless their load says cold.\n"
           "Examples:\n"
           "  comfreypass explain --sheet examples/acib-rutas.sheet.json \\\n"
-          "      --snapshot examples/acib-rutas.snapshot.json --team permisos --model asesor-14b\n"
+          "      --snapshot docs/examples/acib-rutas.snapshot.json --team permisos --model asesor-14b\n"
           "Exit codes:\n"
           "  0  at least one engine could take the request\n"
           "  1  no engine could take it, or the team may not make it\n"
