--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "node/operator_api.h"
 
+#include "node/bearer_token.h"
 #include "node/problems.h"
 #include "node/state_page.h"
 #include "node/token_hash.h"
@@ -77,11 +78,7 @@
     const auto &expected = m_node.settings().operatorTokenSha256;
     if (!expected)
         return true;
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string_view value = request.headers.find("Authorization").value_or("");
-    if (!value.starts_with(scheme))
-        return false;
-    const std::string given = tokenHash(value.substr(scheme.size()));
+    const std::string given = tokenHash(bearerToken(request.headers));
     return given.size() == expected->size()
            && sodium_memcmp(given.data(), expected->data(), given.size()) == 0;
 }
--- a/src/node/request_reader.cpp
+++ b/src/node/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "node/request_reader.h"
 
+#include "node/bearer_token.h"
 #include "node/chat_request.h"
 #include "node/problems.h"
 #include "transport/request_target.h"
@@ -26,13 +27,6 @@
     return number;
 }
 
-std::string_view bearerToken(const transport::http_headers &headers)
-{
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string_view value = headers.find("Authorization").value_or("");
-    return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string_view();
-}
-
 transport::problem routeProblem(const core::error &error)
 {
     if (error.code == core::errc::Refused)
