--- a/src/sheet/policy_facts.h
+++ b/src/sheet/policy_facts.h
@@ -16,9 +16,9 @@
     std::uint32_t smallRequestTokens = 600;
     /** Deadline of a request that names none. */
     std::chrono::milliseconds defaultDeadline{30'000};
-    /** First-token target that goodput is counted against. */
+    /** First-token target; read by no library yet. */
     std::chrono::milliseconds firstTokenTarget{1'600};
-    /** Target between two tokens that goodput is counted against. */
+    /** Target between two tokens; read by no library yet. */
     std::chrono::milliseconds tokenGapTarget{29};
 };
 
--- a/src/sheet/sheet.h
+++ b/src/sheet/sheet.h
@@ -22,7 +22,8 @@
 struct sheet
 {
     std::uint64_t revision = 0;
-    /** Entry nodes of the fleet; the denominator of vote shares. */
+    /** Entry nodes of the fleet; the denominator of vote shares until the instance list is known.
+     */
     std::uint32_t entryNodes = 1;
     std::vector<core::half_name> halves;
     std::map<core::domain_name, domain_facts> domains;
