--- a/src/sheet/upstream_facts.h
+++ b/src/sheet/upstream_facts.h
@@ -10,7 +10,8 @@
 
 enum class upstream_kind : std::uint8_t { Model, Service };
 
-/** How the instances of an upstream treat an order with an old fencing number or from a stranger.
+/** How the instances of an upstream treat an order with an old fencing number or from an unverified
+ * sender.
  */
 enum class order_check : std::uint8_t { Refuses, Ignores };
 
