Keep a socket watch valid after its socket is closed

A trace of remove_handler showed EBADF: libcurl closes a socket whose connection failed before it reports CURL_POLL_REMOVE, the reactor cannot remove the closed descriptor and gives the old handler the events of the next socket. Ruled out: the order of destruction in http_client, and CURLOPT_CLOSESOCKETFUNCTION, which libcurl 7.88 does not call there (both tried, faults remained).

Change: socket_watch registers a duplicate of the descriptor. The reactor is made for at most as many descriptors as the process may open, and is checked. engine_table::ensure builds entries in place (maybe-uninitialized under -O3).

--- a/src/scheduling/engine_table.cpp
+++ b/src/scheduling/engine_table.cpp
@@ -99,25 +99,30 @@
     }
 }
 
+engine_table::engine engine_table::newEngine(const core::engine_name &name) const
+{
+    sheet::engine_info info;
+    info.name = name;
+    return {.info = std::move(info),
+            .rise = ramp(name, 1, 1),
+            .estimate = engine_estimate(m_serviceFacts)};
+}
+
 engine_table::engine_id engine_table::ensure(const core::engine_name &name)
 {
     const auto found = m_ids.find(name);
     if (found != m_ids.end())
         return found->second;
 
-    engine item{.info = {}, .rise = ramp(name, 1, 1), .estimate = engine_estimate(m_serviceFacts)};
-    item.info.name = name;
-    engine_id id = 0;
     if (m_unused.empty()) {
-        id = static_cast<engine_id>(m_engines.size());
-        m_engines.push_back(std::move(item));
+        m_unused.push_back(static_cast<engine_id>(m_engines.size()));
+        m_engines.push_back(newEngine(name));
         m_sentVersions.push_back(0);
-    } else {
-        id = m_unused.back();
-        m_unused.pop_back();
-        m_engines[id] = std::move(item);
-        m_sentVersions[id] = 0;
     }
+    const engine_id id = m_unused.back();
+    m_unused.pop_back();
+    m_engines[id] = newEngine(name);
+    m_sentVersions[id] = 0;
     m_ids.emplace(name, id);
     return id;
 }
--- a/src/scheduling/engine_table.h
+++ b/src/scheduling/engine_table.h
@@ -92,6 +92,7 @@
     void setKeepers(std::vector<core::node_name> listed, std::vector<core::node_name> settled);
 
     /** Finds an engine or adds it as not listed. */
+    engine newEngine(const core::engine_name &name) const;
     engine_id ensure(const core::engine_name &name);
     std::optional<engine_id> find(const core::engine_name &name) const;
     const engine &at(engine_id id) const { return m_engines.at(id); }
--- a/src/transport/epoll_reactor.cpp
+++ b/src/transport/epoll_reactor.cpp
@@ -1,5 +1,7 @@
 #include "transport/epoll_reactor.h"
 
+#include "core/invariant.h"
+
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler_Handle_Timeout_Upcall.h>
 #include <ace/Monotonic_Time_Policy.h>
@@ -7,6 +9,9 @@
 #include <ace/Time_Value.h>
 #include <ace/Timer_Heap_T.h>
 #include <ace/Timer_Queue.h>
+#include <sys/resource.h>
+
+#include <algorithm>
 
 namespace comfreypass::transport {
 
@@ -45,6 +50,15 @@
     ACE_Time_Value m_timeout;
 };
 
+/** Descriptors that the process may open. */
+std::size_t descriptorLimit()
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return epoll_reactor::defaultDescriptors;
+    return static_cast<std::size_t>(limit.rlim_cur);
+}
+
 /** Longest time between two questions whether a loop is done. */
 constexpr suseconds_t longestTurnMicroseconds = 20'000;
 
@@ -53,8 +67,11 @@
 epoll_reactor::epoll_reactor(std::size_t descriptors)
     : m_timers(std::make_unique<monotonic_timers>())
 {
+    // ACE cannot make a reactor for more descriptors than the process may open.
+    const std::size_t size = std::min(descriptors, descriptorLimit());
     auto implementation
-        = std::make_unique<ACE_Dev_Poll_Reactor>(descriptors, false, nullptr, m_timers.get());
+        = std::make_unique<ACE_Dev_Poll_Reactor>(size, false, nullptr, m_timers.get());
+    COMFREYPASS_INVARIANT(implementation->initialized());
     m_reactor = std::make_unique<ACE_Reactor>(implementation.release(), true);
 }
 
--- a/src/transport/epoll_reactor.h
+++ b/src/transport/epoll_reactor.h
@@ -15,7 +15,10 @@
 class epoll_reactor
 {
 public:
-    /** Largest descriptor number + 1 that can be registered, if none is given. */
+    /**
+     * Largest descriptor number + 1 that can be registered, if none is given. The limit of the
+     * process on open descriptors cuts it.
+     */
     static constexpr std::size_t defaultDescriptors = 8'192;
 
     explicit epoll_reactor(std::size_t descriptors = defaultDescriptors);
--- a/src/transport/socket_watch.h
+++ b/src/transport/socket_watch.h
@@ -8,8 +8,12 @@
 namespace comfreypass::transport {
 
 /**
- * Registration of a descriptor with a reactor; ends with the object. The descriptor belongs to
- * someone else and must stay open as long as the watch. Not thread-safe.
+ * Registration of a descriptor with a reactor; ends with the object. Not thread-safe.
+ *
+ * The descriptor belongs to someone else and may be closed before the watch ends: the watch
+ * registers a duplicate of its own. libcurl closes sockets whose connection failed before it says
+ * that it no longer watches them, and the reactor cannot remove a closed descriptor; it would give
+ * the old handler the events of the next socket with the same number.
  */
 class socket_watch : private ACE_Event_Handler
 {
@@ -30,6 +34,7 @@
     int handle_output(ACE_HANDLE descriptor) override;
 
     ACE_Reactor &m_reactor;
+    /** The duplicate; ACE_INVALID_HANDLE if there is none. */
     ACE_HANDLE m_descriptor;
     ready_function m_ready;
     ACE_Reactor_Mask m_mask = NULL_MASK;
