Add HTTP/1.1 connections on Boost.Beast's parsers

Cause: the gateway must relay bytes exactly, see callers leave while their request waits, and tell late, cut and extra answers apart; libmicrohttpd and libcurl hide that (docs/clashes.md).

Change: http1 has server and client connections, a listener and the list of fields that a proxy passes on. One request at a time for each connection.

--- /dev/null
+++ b/src/http1/byte_channel.cpp
@@ -0,0 +1,249 @@
+#include "http1/byte_channel.h"
+
+#include "core/invariant.h"
+#include "transport/callback_guard.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace comfreypass::http1 {
+
+namespace {
+
+/** Bytes read from the kernel in one call; more than an event of a stream or a usual request. */
+constexpr std::size_t readBlockBytes = 16'384;
+
+/** Consumed bytes at the front of the input that are worth moving the rest. */
+constexpr std::size_t compactBytes = 65'536;
+
+/**
+ * Unacknowledged output ends the connection after this time in milliseconds. A peer without power
+ * never answers; this is the time limit of the shortest requests.
+ */
+constexpr unsigned unacknowledgedTimeoutMs = 3'000;
+
+void setOption(int descriptor, int level, int option, int value)
+{
+    ::setsockopt(descriptor, level, option, &value, sizeof value);
+}
+
+void tune(int descriptor)
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedTimeoutMs);
+}
+
+bool wouldBlock(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+byte_channel::byte_channel(ACE_Reactor &reactor, socket_handle connection, channel_events &events)
+    : m_reactor(reactor), m_events(events), m_socket(std::move(connection)), m_connected(true)
+{
+    tune(m_socket.get());
+    updateMask();
+}
+
+byte_channel::byte_channel(ACE_Reactor &reactor, const endpoint &target, channel_events &events)
+    : m_reactor(reactor), m_events(events),
+      m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+{
+    if (!m_socket.valid())
+        return;
+    tune(m_socket.get());
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(target.port);
+    address.sin_addr.s_addr = htonl(target.address);
+    // An immediate failure shows as an event of the socket, like a later one.
+    static_cast<void>(
+        ::connect(m_socket.get(), reinterpret_cast<const sockaddr *>(&address), sizeof address));
+    updateMask();
+}
+
+byte_channel::~byte_channel()
+{
+    close();
+}
+
+void byte_channel::send(std::string_view bytes)
+{
+    if (!isOpen() || bytes.empty())
+        return;
+    const bool idle = unsentBytes() == 0;
+    if (idle && m_connected) {
+        const ssize_t sent = ::send(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent == static_cast<ssize_t>(bytes.size()))
+            return;
+        if (sent > 0)
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        // A failed connection is reported by the reactor, so the caller never loses it in a call.
+    }
+    m_output.append(bytes);
+    updateMask();
+}
+
+void byte_channel::consume(std::size_t count)
+{
+    COMFREYPASS_INVARIANT(count <= m_input.size() - m_consumed);
+    m_consumed += count;
+    if (m_consumed == m_input.size()) {
+        m_input.clear();
+        m_consumed = 0;
+    } else if (m_consumed >= compactBytes) {
+        m_input.erase(0, m_consumed);
+        m_consumed = 0;
+    }
+}
+
+void byte_channel::setReading(bool reading)
+{
+    if (m_reading == reading)
+        return;
+    m_reading = reading;
+    updateMask();
+}
+
+void byte_channel::closeSending()
+{
+    if (!isOpen())
+        return;
+    m_closeAfterOutput = true;
+    if (unsentBytes() == 0)
+        ::shutdown(m_socket.get(), SHUT_WR);
+}
+
+void byte_channel::close() noexcept
+{
+    if (!isOpen())
+        return;
+    if (m_mask != ACE_Event_Handler::NULL_MASK)
+        m_reactor.remove_handler(this,
+                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    m_mask = ACE_Event_Handler::NULL_MASK;
+    m_socket.reset();
+}
+
+void byte_channel::abort() noexcept
+{
+    if (!isOpen())
+        return;
+    const linger immediate{1, 0};
+    ::setsockopt(m_socket.get(), SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
+    close();
+}
+
+int byte_channel::handle_input(ACE_HANDLE)
+{
+    transport::guarded("connection input", [this] {
+        if (!m_connected) {
+            finishConnect();
+            return;
+        }
+        std::array<char, readBlockBytes> block; // NOLINT(*-member-init): filled by recv
+        const ssize_t count = ::recv(m_socket.get(), block.data(), block.size(), 0);
+        if (count > 0) {
+            m_input.append(block.data(), static_cast<std::size_t>(count));
+            m_events.onInput();
+        } else if (count == 0) {
+            end(channel_end::Closed);
+        } else if (!wouldBlock(errno)) {
+            end(channel_end::Reset);
+        }
+    });
+    return 0;
+}
+
+int byte_channel::handle_output(ACE_HANDLE)
+{
+    transport::guarded("connection output", [this] {
+        if (!m_connected)
+            finishConnect();
+        else
+            flush();
+    });
+    return 0;
+}
+
+void byte_channel::finishConnect()
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    const int failed = ::getsockopt(m_socket.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (failed != 0 || error != 0) {
+        end(channel_end::ConnectFailed);
+        return;
+    }
+    sockaddr_in peer{};
+    socklen_t peerSize = sizeof peer;
+    // Some events arrive before the connection is up.
+    if (::getpeername(m_socket.get(), reinterpret_cast<sockaddr *>(&peer), &peerSize) != 0)
+        return;
+    m_connected = true;
+    flush();
+    if (isOpen())
+        m_events.onConnected();
+}
+
+void byte_channel::flush()
+{
+    while (unsentBytes() > 0) {
+        const ssize_t sent
+            = ::send(m_socket.get(), m_output.data() + m_sent, unsentBytes(), MSG_NOSIGNAL);
+        if (sent < 0) {
+            if (wouldBlock(errno))
+                break;
+            end(channel_end::Reset);
+            return;
+        }
+        m_sent += static_cast<std::size_t>(sent);
+    }
+    const bool wasWaiting = !m_output.empty();
+    if (unsentBytes() == 0) {
+        m_output.clear();
+        m_sent = 0;
+    }
+    updateMask();
+    if (unsentBytes() > 0 || !wasWaiting)
+        return;
+    if (m_closeAfterOutput)
+        ::shutdown(m_socket.get(), SHUT_WR);
+    m_events.onSent();
+}
+
+void byte_channel::end(channel_end reason)
+{
+    close();
+    m_events.onEnd(reason);
+}
+
+void byte_channel::updateMask()
+{
+    if (!isOpen())
+        return;
+    ACE_Reactor_Mask wanted = ACE_Event_Handler::NULL_MASK;
+    if (m_connected && m_reading)
+        wanted |= ACE_Event_Handler::READ_MASK;
+    if (!m_connected || unsentBytes() > 0)
+        wanted |= ACE_Event_Handler::WRITE_MASK;
+    if (wanted == m_mask)
+        return;
+    const ACE_Reactor_Mask removed = m_mask & ~wanted;
+    const ACE_Reactor_Mask added = wanted & ~m_mask;
+    m_mask = wanted;
+    if (removed != ACE_Event_Handler::NULL_MASK)
+        m_reactor.remove_handler(this, removed | ACE_Event_Handler::DONT_CALL);
+    if (added != ACE_Event_Handler::NULL_MASK)
+        m_reactor.register_handler(this, added);
+}
+
+} // namespace comfreypass::http1
--- /dev/null
+++ b/src/http1/client_connection.cpp
@@ -0,0 +1,148 @@
+#include "http1/client_connection.h"
+
+#include <array>
+#include <cstddef>
+#include <utility>
+
+namespace comfreypass::http1 {
+
+namespace {
+
+/** Bound on the header of a response; larger than any that the usual servers send. */
+constexpr std::size_t responseHeaderBytes = 65'536;
+
+constexpr unsigned firstFinalStatus = 200;
+
+} // namespace
+
+std::string_view toString(exchange_failure failure) noexcept
+{
+    static constexpr std::array<std::string_view, 4> names
+        = {"connect_failed", "no_response", "incomplete", "malformed"};
+    return names.at(static_cast<std::size_t>(failure));
+}
+
+client_connection::client_connection(ACE_Reactor &reactor, const endpoint &target)
+    : m_channel(reactor, target, *this)
+{ }
+
+void client_connection::start(std::string_view request, client_events &events)
+{
+    m_events = &events;
+    m_headTaken = false;
+    m_skipping = false;
+    m_parser.reset();
+    m_channel.send(request);
+}
+
+void client_connection::cancel() noexcept
+{
+    m_events = nullptr;
+    m_channel.close();
+}
+
+bool client_connection::usable() const noexcept
+{
+    return m_events == nullptr && !m_spoiled && m_channel.isOpen() && m_channel.input().empty();
+}
+
+void client_connection::onInput()
+{
+    if (m_events == nullptr) {
+        // Bytes after a whole response belong to no request.
+        m_spoiled = true;
+        m_channel.close();
+        return;
+    }
+    readResponse();
+}
+
+void client_connection::readResponse()
+{
+    while (m_events != nullptr && !m_channel.input().empty()) {
+        if (!m_parser) {
+            m_headTaken = false;
+            m_skipping = false;
+            m_parser.emplace(message_kind::Response, responseHeaderBytes,
+                             [this](std::string_view bytes) {
+                                 if (takeHead() && m_events != nullptr)
+                                     m_events->onBody(bytes);
+                             });
+        }
+        const core::result<std::size_t> used = m_parser->parse(m_channel.input());
+        if (!used) {
+            fail(exchange_failure::Malformed);
+            return;
+        }
+        if (!m_channel.isOpen())
+            return;
+        m_channel.consume(used.value());
+        if (m_parser->hasHead())
+            takeHead();
+        if (m_events == nullptr || !m_parser->complete())
+            return;
+        if (!m_skipping) {
+            finish();
+            return;
+        }
+        m_parser.reset();
+    }
+}
+
+// Reports the header once, before the first part of the body. True if the response is wanted.
+bool client_connection::takeHead()
+{
+    if (std::exchange(m_headTaken, true))
+        return !m_skipping;
+    const message_head &head = m_parser->head();
+    m_skipping = head.status < firstFinalStatus || m_events->onHead(head) == head_verdict::Skip;
+    return !m_skipping;
+}
+
+void client_connection::finish()
+{
+    const bool reusable = m_parser->head().keepAlive && m_channel.isOpen()
+                          && m_channel.input().empty() && m_channel.unsentBytes() == 0;
+    m_parser.reset();
+    client_events &events = *std::exchange(m_events, nullptr);
+    if (!reusable) {
+        m_spoiled = true;
+        m_channel.close();
+    }
+    events.onComplete(reusable);
+}
+
+void client_connection::fail(exchange_failure failure)
+{
+    m_spoiled = true;
+    m_channel.close();
+    if (client_events *events = std::exchange(m_events, nullptr))
+        events->onFailed(failure);
+}
+
+void client_connection::onEnd(channel_end end)
+{
+    m_spoiled = true;
+    if (m_events == nullptr)
+        return;
+    if (end == channel_end::ConnectFailed) {
+        fail(exchange_failure::ConnectFailed);
+        return;
+    }
+    const bool started = m_parser && m_parser->started();
+    if (!started || m_skipping) {
+        fail(exchange_failure::NoResponse);
+        return;
+    }
+    // A response without a length ends with its connection, but not with a reset.
+    const bool whole = end == channel_end::Closed && m_parser->hasHead() && m_parser->finishAtEnd();
+    if (!whole) {
+        fail(exchange_failure::Incomplete);
+        return;
+    }
+    takeHead();
+    client_events &events = *std::exchange(m_events, nullptr);
+    events.onComplete(false);
+}
+
+} // namespace comfreypass::http1
--- /dev/null
+++ b/src/http1/message_head.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "transport/http_headers.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace comfreypass::http1 {
+
+/** Start line and header fields of a request or a response. */
+struct message_head
+{
+    /** Request: method and target as sent. */
+    std::string method;
+    std::string target;
+    /** Response: status code and reason phrase. */
+    unsigned status = 0;
+    std::string reason;
+    transport::http_headers headers;
+    /** The sender allows another message on the same connection. */
+    bool keepAlive = true;
+    bool chunked = false;
+    std::optional<std::uint64_t> contentLength;
+};
+
+} // namespace comfreypass::http1
--- /dev/null
+++ b/src/http1/message_parser.cpp
@@ -0,0 +1,194 @@
+#include "http1/message_parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <limits>
+#include <string>
+#include <utility>
+
+namespace comfreypass::http1 {
+
+namespace {
+
+namespace beast = boost::beast;
+using beast_error = beast::error_code;
+
+std::string_view toView(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+class message_parser::implementation
+{
+public:
+    implementation() = default;
+    virtual ~implementation() = default;
+    implementation(const implementation &) = delete;
+    implementation &operator=(const implementation &) = delete;
+
+    virtual std::size_t put(std::string_view bytes, beast_error &error) = 0;
+    virtual void putEnd(beast_error &error) = 0;
+    virtual bool hasHead() const = 0;
+    virtual bool complete() const = 0;
+    virtual bool started() const = 0;
+
+    message_head head;
+};
+
+template<bool isRequest>
+class message_parser::beast_implementation final : public implementation,
+                                                   private beast::http::basic_parser<isRequest>
+{
+    using parser = beast::http::basic_parser<isRequest>;
+
+public:
+    beast_implementation(std::size_t headerBytes, body_function onBody)
+        : m_onBody(std::move(onBody))
+    {
+        // basic_parser counts in 32 bits.
+        constexpr std::size_t most = std::numeric_limits<std::uint32_t>::max();
+        this->header_limit(static_cast<std::uint32_t>(headerBytes < most ? headerBytes : most));
+        this->body_limit(boost::none);
+        this->eager(true);
+    }
+
+    std::size_t put(std::string_view bytes, beast_error &error) override
+    {
+        return parser::put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    }
+
+    void putEnd(beast_error &error) override
+    {
+        if (!parser::got_some()) {
+            error = beast::http::error::end_of_stream;
+            return;
+        }
+        parser::put_eof(error);
+    }
+
+    bool hasHead() const override { return parser::is_header_done(); }
+    bool complete() const override { return parser::is_done(); }
+    bool started() const override { return parser::got_some(); }
+
+private:
+    void on_request_impl(beast::http::verb /*method*/, beast::string_view method,
+                         beast::string_view target, int /*version*/,
+                         beast_error & /*error*/) override
+    {
+        head.method = toView(method);
+        head.target = toView(target);
+    }
+
+    void on_response_impl(int code, beast::string_view reason, int /*version*/,
+                          beast_error & /*error*/) override
+    {
+        head.status = static_cast<unsigned>(code);
+        head.reason = toView(reason);
+    }
+
+    void on_field_impl(beast::http::field /*id*/, beast::string_view name, beast::string_view value,
+                       beast_error & /*error*/) override
+    {
+        // Trailer fields come after the header and are dropped.
+        if (!m_headerDone)
+            head.headers.add(std::string(toView(name)), std::string(toView(value)));
+    }
+
+    void on_header_impl(beast_error & /*error*/) override
+    {
+        m_headerDone = true;
+        head.keepAlive = parser::keep_alive();
+        head.chunked = parser::chunked();
+        if (const auto length = parser::content_length())
+            head.contentLength = *length;
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+                           beast_error & /*error*/) override
+    { }
+
+    std::size_t on_body_impl(beast::string_view body, beast_error & /*error*/) override
+    {
+        m_onBody(toView(body));
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
+                              beast_error & /*error*/) override
+    { }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/, beast::string_view body,
+                                   beast_error & /*error*/) override
+    {
+        if (!body.empty())
+            m_onBody(toView(body));
+        return body.size();
+    }
+
+    void on_finish_impl(beast_error & /*error*/) override { }
+
+    body_function m_onBody;
+    bool m_headerDone = false;
+};
+
+message_parser::message_parser(message_kind kind, std::size_t headerBytes, body_function onBody)
+{
+    if (kind == message_kind::Request)
+        m_implementation
+            = std::make_unique<beast_implementation<true>>(headerBytes, std::move(onBody));
+    else
+        m_implementation
+            = std::make_unique<beast_implementation<false>>(headerBytes, std::move(onBody));
+}
+
+message_parser::~message_parser() = default;
+
+core::result<std::size_t> message_parser::parse(std::string_view bytes)
+{
+    if (bytes.empty() || m_implementation->complete())
+        return std::size_t{0};
+    beast_error error;
+    const std::size_t used = m_implementation->put(bytes, error);
+    if (!error || error == beast::http::error::need_more)
+        return used;
+    const bool isTooLarge = error == beast::http::error::header_limit;
+    return core::error{isTooLarge ? core::errc::TooLarge : core::errc::ParseFailed, "HTTP message",
+                       error.message(), ""};
+}
+
+core::result<void> message_parser::finishAtEnd()
+{
+    if (m_implementation->complete())
+        return boost::outcome_v2::success();
+    beast_error error;
+    m_implementation->putEnd(error);
+    if (error)
+        return core::error{core::errc::ParseFailed, "HTTP message", error.message(), ""};
+    return boost::outcome_v2::success();
+}
+
+bool message_parser::hasHead() const noexcept
+{
+    return m_implementation->hasHead();
+}
+
+bool message_parser::complete() const noexcept
+{
+    return m_implementation->complete();
+}
+
+bool message_parser::started() const noexcept
+{
+    return m_implementation->started();
+}
+
+const message_head &message_parser::head() const noexcept
+{
+    return m_implementation->head;
+}
+
+} // namespace comfreypass::http1
--- /dev/null
+++ b/src/http1/server_connection.cpp
@@ -0,0 +1,231 @@
+#include "http1/server_connection.h"
+
+#include "http1/forwarded_headers.h"
+
+#include <boost/beast/http/status.hpp>
+
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace comfreypass::http1 {
+
+namespace {
+
+/** Time for the caller to read the last answer and close its side. */
+constexpr auto lingerTimeout = std::chrono::seconds(2);
+
+/** Bytes that a caller may send ahead of the answer before reading from it stops. */
+constexpr std::size_t mostEarlyBytes = 65'536;
+
+constexpr unsigned badRequest = 400;
+constexpr unsigned requestTimeout = 408;
+constexpr unsigned bodyTooLarge = 413;
+constexpr unsigned headerTooLarge = 431;
+constexpr unsigned noContent = 204;
+constexpr unsigned notModified = 304;
+
+std::string_view reasonOf(unsigned status)
+{
+    const auto text
+        = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+server_connection::server_connection(ACE_Reactor &reactor, socket_handle connection,
+                                     const server_limits &limits, clock_function clock,
+                                     server_events &events)
+    : m_limits(limits), m_clock(std::move(clock)), m_events(events), m_lastActivity(m_clock()),
+      m_channel(reactor, std::move(connection), *this)
+{ }
+
+void server_connection::respond(unsigned status, const transport::http_headers &headers,
+                                std::string_view body)
+{
+    std::string answer = answerHead(status, headers);
+    if (status != noContent && status != notModified)
+        appendField(answer, "Content-Length", std::to_string(body.size()));
+    answer.append("\r\n").append(body);
+    m_channel.send(answer);
+    endAnswer();
+}
+
+void server_connection::beginStream(unsigned status, const transport::http_headers &headers)
+{
+    std::string answer = answerHead(status, headers);
+    appendField(answer, "Transfer-Encoding", "chunked");
+    answer.append("\r\n");
+    m_channel.send(answer);
+}
+
+void server_connection::write(std::string_view bytes)
+{
+    if (bytes.empty())
+        return;
+    std::array<char, 2 * sizeof(std::size_t)> digits{};
+    const auto end
+        = std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), 16).ptr;
+    std::string chunk;
+    chunk.reserve(bytes.size() + digits.size() + 4);
+    chunk.append(digits.data(), end).append("\r\n").append(bytes).append("\r\n");
+    m_channel.send(chunk);
+}
+
+void server_connection::finishStream()
+{
+    m_channel.send("0\r\n\r\n");
+    endAnswer();
+}
+
+void server_connection::abort()
+{
+    m_answering = false;
+    m_channel.abort();
+    closeNow();
+}
+
+void server_connection::checkTimeouts(core::time_point now)
+{
+    if (m_answering || m_ended)
+        return;
+    const core::duration quiet = now - m_lastActivity;
+    if (m_closing) {
+        if (quiet > lingerTimeout)
+            closeNow();
+        return;
+    }
+    if (idle()) {
+        if (quiet > m_limits.idleTimeout)
+            closeNow();
+        return;
+    }
+    if (quiet > m_limits.readTimeout)
+        refuse(requestTimeout, "the request took too long to arrive");
+}
+
+void server_connection::closeIfIdle()
+{
+    if (idle() && !m_closing)
+        closeNow();
+}
+
+bool server_connection::idle() const noexcept
+{
+    return !m_answering && !m_parser && m_channel.input().empty();
+}
+
+void server_connection::onInput()
+{
+    if (m_closing) {
+        m_channel.consume(m_channel.input().size());
+        return;
+    }
+    if (m_answering) {
+        if (m_channel.input().size() > mostEarlyBytes)
+            m_channel.setReading(false);
+        return;
+    }
+    readRequest();
+}
+
+void server_connection::readRequest()
+{
+    // A request that is answered at once leads back here through endAnswer.
+    if (m_reading)
+        return;
+    m_reading = true;
+    while (!m_answering && !m_closing && m_channel.isOpen() && !m_channel.input().empty()) {
+        beginRequest();
+        const core::result<std::size_t> used = m_parser->parse(m_channel.input());
+        if (!used) {
+            const bool tooLarge = used.error().code == core::errc::TooLarge;
+            refuse(tooLarge ? headerTooLarge : badRequest, used.error().detail);
+            break;
+        }
+        m_channel.consume(used.value());
+        m_lastActivity = m_clock();
+        const bool hasHead = m_parser->hasHead();
+        const std::uint64_t announced
+            = hasHead ? m_parser->head().contentLength.value_or(0) : std::uint64_t{0};
+        if (announced > m_limits.bodyBytes || m_body.size() > m_limits.bodyBytes) {
+            refuse(bodyTooLarge, "the body is larger than the limit");
+            break;
+        }
+        if (!m_parser->complete())
+            break;
+        message_head head = m_parser->head();
+        m_parser.reset();
+        m_keepAlive = head.keepAlive;
+        m_answering = true;
+        m_events.onRequest(*this, std::move(head), std::exchange(m_body, {}));
+    }
+    m_reading = false;
+}
+
+void server_connection::beginRequest()
+{
+    if (m_parser)
+        return;
+    m_body.clear();
+    m_parser.emplace(message_kind::Request, m_limits.headerBytes, [this](std::string_view bytes) {
+        if (m_body.size() <= m_limits.bodyBytes)
+            m_body.append(bytes);
+    });
+}
+
+void server_connection::refuse(unsigned status, std::string_view reason)
+{
+    m_parser.reset();
+    m_answering = true;
+    m_keepAlive = false;
+    respond(status, {{"Content-Type", "text/plain"}}, std::string(reason) + "\n");
+}
+
+std::string server_connection::answerHead(unsigned status, const transport::http_headers &headers)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text.append(reasonOf(status)).append("\r\n");
+    for (const auto &[name, value] : headers)
+        appendField(text, name, value);
+    if (!m_keepAlive || m_closeAfterAnswer)
+        appendField(text, "Connection", "close");
+    return text;
+}
+
+void server_connection::endAnswer()
+{
+    m_answering = false;
+    m_lastActivity = m_clock();
+    if (!m_channel.isOpen()) {
+        closeNow();
+        return;
+    }
+    if (!m_keepAlive || m_closeAfterAnswer) {
+        m_closing = true;
+        m_channel.setReading(true);
+        m_channel.closeSending();
+        return;
+    }
+    m_channel.setReading(true);
+    readRequest();
+}
+
+void server_connection::onEnd(channel_end /*end*/)
+{
+    if (std::exchange(m_answering, false))
+        m_events.onCallerGone(*this);
+    closeNow();
+}
+
+void server_connection::closeNow()
+{
+    if (std::exchange(m_ended, true))
+        return;
+    m_channel.close();
+    m_events.onClosed(*this);
+}
+
+} // namespace comfreypass::http1
--- /dev/null
+++ b/src/http1/socket_handle.cpp
@@ -0,0 +1,33 @@
+#include "http1/socket_handle.h"
+
+#include <unistd.h>
+
+#include <utility>
+
+namespace comfreypass::http1 {
+
+socket_handle::~socket_handle()
+{
+    reset();
+}
+
+socket_handle::socket_handle(socket_handle &&other) noexcept
+    : m_descriptor(std::exchange(other.m_descriptor, -1))
+{ }
+
+socket_handle &socket_handle::operator=(socket_handle &&other) noexcept
+{
+    if (this != &other) {
+        reset();
+        m_descriptor = std::exchange(other.m_descriptor, -1);
+    }
+    return *this;
+}
+
+void socket_handle::reset() noexcept
+{
+    if (m_descriptor >= 0)
+        ::close(std::exchange(m_descriptor, -1));
+}
+
+} // namespace comfreypass::http1
--- /dev/null
+++ b/src/http1/socket_handle.h
@@ -0,0 +1,28 @@
+#pragma once
+
+namespace comfreypass::http1 {
+
+/** Owns a descriptor and closes it. Not thread-safe. */
+class socket_handle
+{
+public:
+    socket_handle() = default;
+    explicit socket_handle(int descriptor) noexcept : m_descriptor(descriptor) { }
+    ~socket_handle();
+    socket_handle(socket_handle &&other) noexcept;
+    socket_handle &operator=(socket_handle &&other) noexcept;
+    socket_handle(const socket_handle &) = delete;
+    socket_handle &operator=(const socket_handle &) = delete;
+
+    /** -1 if it owns nothing. */
+    int get() const noexcept { return m_descriptor; }
+    bool valid() const noexcept { return m_descriptor >= 0; }
+
+    /** Closes the descriptor. */
+    void reset() noexcept;
+
+private:
+    int m_descriptor = -1;
+};
+
+} // namespace comfreypass::http1
--- /dev/null
+++ b/tests/http1/client_connection_test.cpp
@@ -0,0 +1,205 @@
+#include "http1/client_connection.h"
+#include "http1/forwarded_headers.h"
+#include "support/listening_socket.h"
+#include "support/loopback.h"
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::http1;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/** Accepts answers whose field Id is "mine" or missing. */
+class recording_events : public client_events
+{
+public:
+    head_verdict onHead(const message_head &head) override
+    {
+        const auto id = head.headers.find("Id");
+        if (id && *id != "mine")
+            return head_verdict::Skip;
+        status = head.status;
+        return head_verdict::Accept;
+    }
+
+    void onBody(std::string_view bytes) override { body.append(bytes); }
+
+    void onComplete(bool isReusable) override
+    {
+        done = true;
+        reusable = isReusable;
+    }
+
+    void onFailed(exchange_failure reason) override
+    {
+        done = true;
+        failure = reason;
+    }
+
+    unsigned status = 0;
+    std::string body;
+    bool done = false;
+    bool reusable = false;
+    std::optional<exchange_failure> failure;
+};
+
+} // namespace
+
+class client_connection_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(client_connection_test);
+    CPPUNIT_TEST(connectionServesAgainAfterAWholeAnswer);
+    CPPUNIT_TEST(lateAnswerToAnEarlierRequestIsSkipped);
+    CPPUNIT_TEST(bytesAfterAWholeAnswerSpoilTheConnection);
+    CPPUNIT_TEST(answersThatBreakOffAreToldApart);
+    CPPUNIT_TEST(earlyAnswerEndsTheConnection);
+    CPPUNIT_TEST(refusedConnectionSendsNothing);
+    CPPUNIT_TEST(connectionFieldsAreNotForwarded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a new connection for each request.
+    void connectionServesAgainAfterAWholeAnswer()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        for (int i = 0; i < 2; ++i) {
+            recording_events events;
+            connection.start(request, events);
+            m_loop.waitFor("request", [&] { return !engine.receive().empty(); });
+            engine.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            m_loop.waitFor("answer", [&] { return events.done; });
+            CPPUNIT_ASSERT(events.reusable);
+            CPPUNIT_ASSERT_EQUAL(std::string("ok"), events.body);
+            CPPUNIT_ASSERT(connection.usable());
+        }
+    }
+
+    // Guards against an answer that reaches the caller of another request.
+    void lateAnswerToAnEarlierRequestIsSkipped()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        connection.start(request, events);
+        engine.send("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"
+                    "HTTP/1.1 201 Created\r\nId: mine\r\nContent-Length: 5\r\n\r\nright");
+        m_loop.waitFor("answer", [&] { return events.done; });
+        CPPUNIT_ASSERT_EQUAL(201U, events.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("right"), events.body);
+    }
+
+    // Guards against a second answer or garbage that the next request would read.
+    void bytesAfterAWholeAnswerSpoilTheConnection()
+    {
+        {
+            client_connection connection(m_loop.reactor(), target());
+            tests::raw_socket engine = m_listener.accept();
+            recording_events events;
+            connection.start(request, events);
+            engine.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+            m_loop.waitFor("answer", [&] { return events.done; });
+            CPPUNIT_ASSERT(!events.reusable);
+            CPPUNIT_ASSERT(!connection.usable());
+        }
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        connection.start(request, events);
+        engine.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        m_loop.waitFor("answer", [&] { return events.done; });
+        engine.send("late garbage");
+        m_loop.waitFor("notice", [&] { return !connection.usable(); });
+    }
+
+    // Guards against a broken answer that passes for whole, and against a wrong reason for it.
+    void answersThatBreakOffAreToldApart()
+    {
+        const std::vector<std::pair<std::string, exchange_failure>> cases = {
+            {"", exchange_failure::NoResponse},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", exchange_failure::Incomplete},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+             exchange_failure::Incomplete},
+            {"no HTTP at all\r\n\r\n", exchange_failure::Malformed},
+        };
+        for (const auto &[answer, expected] : cases) {
+            client_connection connection(m_loop.reactor(), target());
+            tests::raw_socket engine = m_listener.accept();
+            recording_events events;
+            connection.start(request, events);
+            m_loop.waitFor("request", [&] { return !engine.receive().empty(); });
+            engine.send(answer);
+            engine.close();
+            m_loop.waitFor("end", [&] { return events.done; });
+            CPPUNIT_ASSERT(events.failure == expected);
+        }
+    }
+
+    // Guards against a kept connection on which the rest of a long body is still due.
+    void earlyAnswerEndsTheConnection()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        const std::string body(8'388'608, 'a');
+        connection.start("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                             + std::to_string(body.size()) + "\r\n\r\n" + body,
+                         events);
+        m_loop.waitFor("connection", [&] { return connection.connected(); });
+        engine.send("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
+        m_loop.waitFor("answer", [&] { return events.done; });
+        CPPUNIT_ASSERT_EQUAL(413U, events.status);
+        CPPUNIT_ASSERT(!events.reusable);
+    }
+
+    // Guards against "may have run" for a request that never left.
+    void refusedConnectionSendsNothing()
+    {
+        std::uint16_t port = 0;
+        {
+            const tests::listening_socket closed;
+            port = closed.port();
+        }
+        client_connection connection(m_loop.reactor(), {INADDR_LOOPBACK, port});
+        recording_events events;
+        connection.start(request, events);
+        m_loop.waitFor("failure", [&] { return events.done; });
+        CPPUNIT_ASSERT(events.failure == exchange_failure::ConnectFailed);
+    }
+
+    // Guards against fields of one connection that leak to another.
+    void connectionFieldsAreNotForwarded()
+    {
+        const transport::http_headers headers = forwardedHeaders({{"Connection", "close, X-Hop"},
+                                                                  {"X-Hop", "1"},
+                                                                  {"Keep-Alive", "timeout=5"},
+                                                                  {"transfer-encoding", "chunked"},
+                                                                  {"Content-Length", "3"},
+                                                                  {"Content-Type", "text/plain"},
+                                                                  {"Set-Cookie", "a"},
+                                                                  {"Set-Cookie", "b"}});
+        std::string names;
+        for (const auto &[name, value] : headers)
+            names += name + "=" + value + " ";
+        CPPUNIT_ASSERT_EQUAL(std::string("Content-Type=text/plain Set-Cookie=a Set-Cookie=b "),
+                             names);
+    }
+
+private:
+    endpoint target() const { return {INADDR_LOOPBACK, m_listener.port()}; }
+
+    tests::loopback m_loop;
+    tests::listening_socket m_listener;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(client_connection_test);
--- /dev/null
+++ b/tests/http1/message_parser_test.cpp
@@ -0,0 +1,140 @@
+#include "http1/message_parser.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::http1;
+
+namespace {
+
+constexpr std::size_t headerBytes = 1'024;
+
+struct parsed
+{
+    message_head head;
+    std::string body;
+    bool complete = false;
+    bool failed = false;
+    std::string rest;
+};
+
+/** Feeds a text in pieces of `step` bytes, as a socket buffer would. */
+parsed feed(message_kind kind, const std::string &text, std::size_t step)
+{
+    parsed result;
+    message_parser parser(kind, headerBytes,
+                          [&result](std::string_view bytes) { result.body.append(bytes); });
+    std::string buffer;
+    for (std::size_t at = 0; at < text.size(); at += step) {
+        buffer += text.substr(at, step);
+        const auto used = parser.parse(buffer);
+        if (!used) {
+            result.failed = true;
+            return result;
+        }
+        buffer.erase(0, used.value());
+    }
+    result.complete = parser.complete();
+    if (parser.hasHead())
+        result.head = parser.head();
+    result.rest = buffer;
+    return result;
+}
+
+} // namespace
+
+class message_parser_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(message_parser_test);
+    CPPUNIT_TEST(fragmentsDoNotMatter);
+    CPPUNIT_TEST(bytesBehindAMessageStay);
+    CPPUNIT_TEST(conflictingLengthsFail);
+    CPPUNIT_TEST(largeHeaderIsToldApart);
+    CPPUNIT_TEST(responseWithoutLengthEndsWithItsConnection);
+    CPPUNIT_TEST(cutResponseIsIncomplete);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a body that depends on how the network split it.
+    void fragmentsDoNotMatter()
+    {
+        const std::string text
+            = "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "5\r\nhello\r\n6;note=1\r\n world\r\n0\r\nTrailer-Field: 1\r\n\r\n";
+        for (std::size_t step = 1; step <= text.size(); ++step) {
+            const parsed result = feed(message_kind::Request, text, step);
+            CPPUNIT_ASSERT(result.complete);
+            CPPUNIT_ASSERT_EQUAL(std::string("hello world"), result.body);
+            CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d"), result.head.target);
+            CPPUNIT_ASSERT(result.head.chunked);
+            CPPUNIT_ASSERT(!result.head.headers.find("Trailer-Field"));
+        }
+    }
+
+    // Guards against a request that is smuggled inside the body of another.
+    void bytesBehindAMessageStay()
+    {
+        const std::string inner = "GET /inner HTTP/1.1\r\nHost: y\r\n\r\n";
+        const std::string outer = "POST /outer HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                                  + std::to_string(inner.size()) + "\r\n\r\n" + inner;
+        const parsed result
+            = feed(message_kind::Request, outer + inner, outer.size() + inner.size());
+        CPPUNIT_ASSERT(result.complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("/outer"), result.head.target);
+        CPPUNIT_ASSERT_EQUAL(inner, result.body);
+        CPPUNIT_ASSERT_EQUAL(inner, result.rest);
+    }
+
+    // Guards against a message whose end two readers would see at different places.
+    void conflictingLengthsFail()
+    {
+        const std::string both = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        CPPUNIT_ASSERT(feed(message_kind::Request, both, both.size()).failed);
+        const std::string two = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+                                "Content-Length: 5\r\n\r\nabcde";
+        CPPUNIT_ASSERT(feed(message_kind::Request, two, two.size()).failed);
+    }
+
+    // Guards against a header bound that is reported like a syntax error.
+    void largeHeaderIsToldApart()
+    {
+        message_parser parser(message_kind::Request, headerBytes, [](std::string_view) {});
+        const std::string text = "GET / HTTP/1.1\r\nHost: x\r\nLong: "
+                                 + std::string(2 * headerBytes, 'a') + "\r\n\r\n";
+        const auto used = parser.parse(text);
+        CPPUNIT_ASSERT(!used);
+        CPPUNIT_ASSERT(used.error().code == core::errc::TooLarge);
+    }
+
+    // Guards against an unframed answer that never ends.
+    void responseWithoutLengthEndsWithItsConnection()
+    {
+        std::string body;
+        message_parser parser(message_kind::Response, headerBytes,
+                              [&body](std::string_view bytes) { body.append(bytes); });
+        const std::string text = "HTTP/1.1 200 OK\r\n\r\nwhole body";
+        CPPUNIT_ASSERT_EQUAL(text.size(), parser.parse(text).value());
+        CPPUNIT_ASSERT(!parser.complete());
+        CPPUNIT_ASSERT(parser.finishAtEnd());
+        CPPUNIT_ASSERT(parser.complete());
+        CPPUNIT_ASSERT_EQUAL(std::string("whole body"), body);
+    }
+
+    // Guards against a truncated answer that passes for whole.
+    void cutResponseIsIncomplete()
+    {
+        for (const std::string &text :
+             {std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
+              std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+              std::string("HTTP/1.1 200 OK\r\nContent-Le")}) {
+            message_parser parser(message_kind::Response, headerBytes, [](std::string_view) {});
+            CPPUNIT_ASSERT(parser.parse(text));
+            CPPUNIT_ASSERT(!parser.finishAtEnd());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(message_parser_test);
--- /dev/null
+++ b/tests/http1/server_connection_test.cpp
@@ -0,0 +1,214 @@
+#include "http1/deferred_deleter.h"
+#include "http1/listener.h"
+#include "http1/server_connection.h"
+#include "support/loopback.h"
+#include "support/raw_socket.h"
+#include "transport/clock.h"
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace comfreypass;
+using namespace comfreypass::http1;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr endpoint anyPort{INADDR_LOOPBACK, 0};
+
+/** Accepts connections and keeps what they ask. */
+class recording_server : public server_events
+{
+public:
+    explicit recording_server(ACE_Reactor &reactor)
+        : m_reactor(reactor),
+          m_listener(reactor, [this](socket_handle socket) { accept(std::move(socket)); })
+    {
+        m_port = m_listener.listen(anyPort).value();
+    }
+
+    std::uint16_t port() const { return m_port; }
+
+    void onRequest(server_connection &connection, message_head head, std::string body) override
+    {
+        heads.push_back(std::move(head));
+        bodies.push_back(std::move(body));
+        current = &connection;
+        if (answersAtOnce)
+            connection.respond(200, {}, heads.back().target);
+    }
+
+    void onCallerGone(server_connection & /*connection*/) override { ++gone; }
+
+    void onClosed(server_connection &connection) override
+    {
+        ++closed;
+        if (current == &connection)
+            current = nullptr;
+    }
+
+    server_limits limits;
+    std::vector<message_head> heads;
+    std::vector<std::string> bodies;
+    std::vector<std::shared_ptr<server_connection>> connections;
+    server_connection *current = nullptr;
+    bool answersAtOnce = false;
+    int gone = 0;
+    int closed = 0;
+
+private:
+    void accept(socket_handle socket)
+    {
+        connections.push_back(std::make_shared<server_connection>(
+            m_reactor, std::move(socket), limits, [] { return transport::monotonicNow(); }, *this));
+    }
+
+    ACE_Reactor &m_reactor;
+    listener m_listener;
+    std::uint16_t m_port = 0;
+};
+
+} // namespace
+
+class server_connection_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(server_connection_test);
+    CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
+    CPPUNIT_TEST(cutRequestIsNotHandedOn);
+    CPPUNIT_TEST(leavingCallerIsNoticedWhileItWaits);
+    CPPUNIT_TEST(abortedStreamDoesNotLookComplete);
+    CPPUNIT_TEST(badRequestsAreRefusedAndClosed);
+    CPPUNIT_TEST(closeAfterAnswerIsAnnounced);
+    CPPUNIT_TEST(timeoutsFollowTheLimits);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against answers that cross on a kept connection.
+    void pipelinedRequestsAreAnsweredInOrder()
+    {
+        recording_server server(m_loop.reactor());
+        server.answersAtOnce = true;
+        tests::raw_socket caller(server.port());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nPOST /2 HTTP/1.1\r\nHost: x\r\n"
+                    "Content-Length: 3\r\n\r\nabcGET /3 HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("three answers", [&] { return caller.receive().ends_with("/3"); });
+        const std::string &text = caller.receive();
+        CPPUNIT_ASSERT(text.find("/1") < text.find("/2"));
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), server.bodies.at(1));
+    }
+
+    // Guards against an engine that gets the first half of a request.
+    void cutRequestIsNotHandedOn()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf");
+        m_loop.waitFor("connection", [&] { return !server.connections.empty(); });
+        m_loop.runFor(20ms);
+        caller.close();
+        m_loop.waitFor("end", [&] { return server.closed == 1; });
+        CPPUNIT_ASSERT(server.heads.empty());
+        CPPUNIT_ASSERT_EQUAL(0, server.gone);
+    }
+
+    // Guards against engines that work on for a caller that has left.
+    void leavingCallerIsNoticedWhileItWaits()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("request", [&] { return server.current != nullptr; });
+        caller.close();
+        m_loop.waitFor("notice", [&] { return server.gone == 1; });
+        CPPUNIT_ASSERT_EQUAL(1, server.closed);
+    }
+
+    // Guards against a broken stream that a caller takes for the whole answer.
+    void abortedStreamDoesNotLookComplete()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("request", [&] { return server.current != nullptr; });
+        server.current->beginStream(200, {{"Content-Type", "text/event-stream"}});
+        server.current->write("id: 1\n\n");
+        m_loop.waitFor("event", [&] { return caller.receive().ends_with("id: 1\n\n\r\n"); });
+        server.current->abort();
+        m_loop.waitFor("end", [&] {
+            caller.receive();
+            return caller.ended();
+        });
+        CPPUNIT_ASSERT(!caller.receive().ends_with("0\r\n\r\n"));
+    }
+
+    // Guards against a malformed request that reaches an engine or leaves the connection usable.
+    void badRequestsAreRefusedAndClosed()
+    {
+        recording_server server(m_loop.reactor());
+        server.limits.bodyBytes = 8;
+        const std::vector<std::pair<std::string, std::string>> cases = {
+            {"GARBAGE\r\n\r\n", "HTTP/1.1 400 "},
+            {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n", "HTTP/1.1 413 "},
+            {"GET / HTTP/1.1\r\nLong: " + std::string(20'000, 'a') + "\r\n\r\n", "HTTP/1.1 431 "},
+        };
+        for (const auto &[request, answer] : cases) {
+            tests::raw_socket caller(server.port());
+            caller.send(request);
+            m_loop.waitFor(answer, [&] { return caller.receive().starts_with(answer); });
+            caller.closeSending();
+            m_loop.waitFor("end", [&] {
+                caller.receive();
+                return caller.ended();
+            });
+        }
+        CPPUNIT_ASSERT(server.heads.empty());
+    }
+
+    // Guards against callers that send on a connection of a node that leaves.
+    void closeAfterAnswerIsAnnounced()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("request", [&] { return server.current != nullptr; });
+        server.current->closeAfterAnswer();
+        server.current->respond(200, {}, "done");
+        m_loop.waitFor("end", [&] {
+            caller.receive();
+            return caller.ended();
+        });
+        CPPUNIT_ASSERT(caller.receive().find("Connection: close\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(caller.receive().ends_with("done"));
+    }
+
+    // Guards against connections that stay for ever, and against closing those that may be reused.
+    void timeoutsFollowTheLimits()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket idle(server.port());
+        m_loop.waitFor("connection", [&] { return server.connections.size() == 1; });
+        const core::time_point now = transport::monotonicNow();
+        server.connections.at(0)->checkTimeouts(now + server.limits.idleTimeout * 4 / 5);
+        CPPUNIT_ASSERT_EQUAL(0, server.closed);
+        server.connections.at(0)->checkTimeouts(now + server.limits.idleTimeout + 1s);
+        CPPUNIT_ASSERT_EQUAL(1, server.closed);
+
+        tests::raw_socket slow(server.port());
+        m_loop.waitFor("connection", [&] { return server.connections.size() == 2; });
+        slow.send("GET /slow HTTP/1.1\r\n");
+        m_loop.waitFor("bytes", [&] { return !server.connections.at(1)->idle(); });
+        server.connections.at(1)->checkTimeouts(transport::monotonicNow()
+                                                + server.limits.readTimeout + 1s);
+        m_loop.waitFor("refusal", [&] { return slow.receive().starts_with("HTTP/1.1 408 "); });
+    }
+
+private:
+    tests::loopback m_loop;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(server_connection_test);
