--- /dev/null
+++ b/src/dispatch/admission.cpp
@@ -0,0 +1,195 @@
+#include "dispatch/admission.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+
+namespace comfreypass::dispatch {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Waiting requests of one upstream at one node; a node of the planned size takes 10 a second. */
+constexpr std::size_t mostWaiting = 512;
+
+/** Time constant of the smoothed rate of ends, in seconds; about one usual generation. */
+constexpr double endRateSeconds = 2;
+
+/** A node that has seen no end yet expects this many per second. */
+constexpr double leastEndRate = 2;
+
+/** Bounds of the advice to come back. */
+constexpr core::duration leastRetryAfter = 300ms;
+constexpr core::duration mostRetryAfter = 4s;
+
+double seconds(core::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+core::duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(value));
+}
+
+} // namespace
+
+std::string_view toString(refusal_cause cause) noexcept
+{
+    static constexpr std::array<std::string_view, 4> words
+        = {"none", "no_engine", "queue_full", "wait_too_long"};
+    return words.at(static_cast<std::size_t>(cause));
+}
+
+admission::admission(engine_board &board, const fleet_view &fleet, std::uint32_t seed)
+    : m_board(board), m_fleet(fleet), m_random(seed)
+{ }
+
+admission_decision admission::submit(const admission_request &request, core::time_point now)
+{
+    pool &state = m_pools[request.upstream];
+    admission_decision decision;
+    const bool waits = mustWait(request, state, now);
+    if (!waits) {
+        decision.basis = m_board.choose(
+            {.upstream = request.upstream, .excluded = request.excluded}, m_fleet.share(now), now);
+        if (decision.basis.outcome == pick_outcome::Picked) {
+            decision.outcome = admission_outcome::Start;
+            decision.engine = *decision.basis.engine;
+            m_board.onStart(decision.engine.id, now);
+            return decision;
+        }
+    }
+    decision.ahead = state.queue.ahead(request.priority);
+    decision.expectedWait = expectedWait(state, decision.ahead, now);
+    decision.retryAfter = retryAfter(request.upstream, now);
+    if (state.queue.size() >= mostWaiting) {
+        decision.cause = refusal_cause::QueueFull;
+        return decision;
+    }
+    if (decision.ahead > 0 && now + decision.expectedWait > request.giveUpAt) {
+        decision.cause = refusal_cause::WaitTooLong;
+        return decision;
+    }
+    if (request.giveUpAt <= now) {
+        decision.cause = decision.basis.outcome == pick_outcome::NoEngine && !waits
+                             ? refusal_cause::NoEngine
+                             : refusal_cause::WaitTooLong;
+        return decision;
+    }
+    decision.outcome = admission_outcome::Wait;
+    state.queue.push({request.id, request.priority, request.objectiveAt, request.giveUpAt});
+    m_requests.insert_or_assign(request.id, request);
+    return decision;
+}
+
+std::vector<admission_grant> admission::poll(const std::string &upstream, slot_news news,
+                                             core::time_point now)
+{
+    std::vector<admission_grant> grants;
+    const auto found = m_pools.find(upstream);
+    if (found == m_pools.end())
+        return grants;
+    wait_queue &queue = found->second.queue;
+    while (const auto next = queue.next(now)) {
+        if (news == slot_news::Elsewhere) {
+            const auto own = static_cast<double>(queue.size());
+            const auto others
+                = static_cast<double>(m_fleet.waitingAtPeers(upstream, next->priority, now));
+            if (std::uniform_real_distribution<double>(0, own + others)(m_random) >= own)
+                break;
+        }
+        const admission_request &request = m_requests.at(next->id);
+        const pick basis = m_board.choose({.upstream = upstream, .excluded = request.excluded},
+                                          m_fleet.share(now), now);
+        if (basis.outcome != pick_outcome::Picked)
+            break;
+        grants.push_back({next->id, *basis.engine, basis});
+        m_board.onStart(basis.engine->id, now);
+        queue.remove(next->id);
+        m_requests.erase(next->id);
+    }
+    return grants;
+}
+
+std::vector<core::request_id> admission::takeExpired(core::time_point now)
+{
+    std::vector<core::request_id> expired;
+    for (auto &[upstream, state] : m_pools) {
+        for (const waiting_request &each : state.queue.takeExpired(now)) {
+            expired.push_back(each.id);
+            m_requests.erase(each.id);
+        }
+    }
+    return expired;
+}
+
+void admission::cancel(core::request_id id)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    m_pools[found->second.upstream].queue.remove(id);
+    m_requests.erase(found);
+}
+
+void admission::onEnd(const std::string &upstream, std::string_view engineId, attempt_result result,
+                      core::time_point now)
+{
+    m_board.onEnd(engineId, result, now);
+    pool &state = m_pools[upstream];
+    state.endsPerSecond = endRate(state, now) + 1 / endRateSeconds;
+    state.endsAt = now;
+}
+
+core::duration admission::retryAfter(const std::string &upstream, core::time_point now)
+{
+    const pool &state = m_pools[upstream];
+    const core::duration wait = expectedWait(state, state.queue.size(), now);
+    // Spread, so that callers that were refused together do not come back together.
+    const double factor = std::uniform_real_distribution<double>(0.7, 1.3)(m_random);
+    const core::duration bounded = std::clamp(wait, leastRetryAfter, mostRetryAfter);
+    return fromSeconds(seconds(bounded) * factor);
+}
+
+std::vector<node_status::waiting> admission::queues() const
+{
+    std::vector<node_status::waiting> result;
+    for (const auto &[upstream, state] : m_pools) {
+        if (const auto urgent = state.queue.mostUrgent())
+            result.push_back({upstream, static_cast<std::uint32_t>(state.queue.size()), *urgent});
+    }
+    return result;
+}
+
+// A request never overtakes one that is at least as urgent, at this node or, while slots are
+// scarce, at a peer.
+bool admission::mustWait(const admission_request &request, const pool &state,
+                         core::time_point now) const
+{
+    if (state.queue.ahead(request.priority) > 0)
+        return true;
+    const std::uint32_t urgent = m_fleet.moreUrgentAtPeers(request.upstream, request.priority, now);
+    if (urgent == 0)
+        return false;
+    const engine_board::room room = m_board.roomOf(request.upstream, now);
+    return room.running + urgent >= room.slots;
+}
+
+core::duration admission::expectedWait(const pool &state, std::size_t ahead,
+                                       core::time_point now) const
+{
+    const double rate = std::max(endRate(state, now), leastEndRate);
+    return fromSeconds(static_cast<double>(ahead) / rate);
+}
+
+double admission::endRate(const pool &state, core::time_point now)
+{
+    if (state.endsPerSecond <= 0)
+        return 0;
+    return state.endsPerSecond * std::exp(-seconds(now - state.endsAt) / endRateSeconds);
+}
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/admission.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time_point.h"
+#include "dispatch/engine_board.h"
+#include "dispatch/fleet_view.h"
+#include "dispatch/wait_queue.h"
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/** A request that needs an engine. */
+struct admission_request
+{
+    core::request_id id = 0;
+    std::string upstream;
+    std::uint32_t priority = 0;
+    core::time_point objectiveAt{};
+    /** It waits no longer than until then. */
+    core::time_point giveUpAt{};
+    /** Engines that it has tried. */
+    std::vector<std::string> excluded = {};
+};
+
+enum class admission_outcome : std::uint8_t { Start, Wait, Refuse };
+
+/** Why a request was refused. */
+enum class refusal_cause : std::uint8_t { None, NoEngine, QueueFull, WaitTooLong };
+
+/** Stable lower-case word, for logs. Thread-safe. */
+std::string_view toString(refusal_cause cause) noexcept;
+
+struct admission_decision
+{
+    admission_outcome outcome = admission_outcome::Refuse;
+    refusal_cause cause = refusal_cause::None;
+    /** Start: the engine; copied, as the board may change. */
+    engine_entry engine;
+    pick basis;
+    /** Refuse: when the caller should come back. */
+    core::duration retryAfter{};
+    /** Requests that were ahead, and the wait that was expected. */
+    std::size_t ahead = 0;
+    core::duration expectedWait{};
+};
+
+/** A waiting request that may start now. */
+struct admission_grant
+{
+    core::request_id id = 0;
+    engine_entry engine;
+    pick basis;
+};
+
+/** What caused a look at the queue. */
+enum class slot_news : std::uint8_t {
+    /** A request of this node has ended. */
+    OwnEnd,
+    /** A peer told its load, the list of engines changed, or time passed. */
+    Elsewhere,
+};
+
+/**
+ * Decides when a request goes to which engine, and which ones wait or are refused.
+ *
+ * Engines know no priorities and admit in order of arrival, so waiting happens here: a request goes
+ * to an engine only while the fleet runs less there than the engine works on at once. A slot that a
+ * request of this node frees goes to this node's queue first; of slots that free elsewhere each
+ * node takes a part that follows its part of the fleet's queue, so that the nodes do not all rush
+ * for one slot. Not thread-safe.
+ */
+class admission
+{
+public:
+    /** The board and the view must outlive the object. */
+    admission(engine_board &board, const fleet_view &fleet, std::uint32_t seed);
+
+    /** Decides on a new request, or on one that must go to another engine. */
+    admission_decision submit(const admission_request &request, core::time_point now);
+
+    /** Requests of an upstream that may start now. */
+    std::vector<admission_grant> poll(const std::string &upstream, slot_news news,
+                                      core::time_point now);
+
+    /** Removes and returns requests that have waited too long. */
+    std::vector<core::request_id> takeExpired(core::time_point now);
+
+    /** The request no longer waits. */
+    void cancel(core::request_id id);
+
+    /** A request that was started has ended at the engine. */
+    void onEnd(const std::string &upstream, std::string_view engineId, attempt_result result,
+               core::time_point now);
+
+    /** When a caller that is refused now should come back. */
+    core::duration retryAfter(const std::string &upstream, core::time_point now);
+
+    /** Upstreams with waiting requests. */
+    std::vector<node_status::waiting> queues() const;
+
+    std::size_t waiting() const noexcept { return m_requests.size(); }
+
+private:
+    struct pool
+    {
+        wait_queue queue;
+        /** Smoothed number of ends per second at this node. */
+        double endsPerSecond = 0;
+        core::time_point endsAt{};
+    };
+
+    bool mustWait(const admission_request &request, const pool &state, core::time_point now) const;
+    core::duration expectedWait(const pool &state, std::size_t ahead, core::time_point now) const;
+    static double endRate(const pool &state, core::time_point now);
+
+    engine_board &m_board;
+    const fleet_view &m_fleet;
+    std::minstd_rand m_random;
+    std::unordered_map<std::string, pool> m_pools;
+    std::unordered_map<core::request_id, admission_request> m_requests;
+};
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/engine_board.cpp
@@ -0,0 +1,371 @@
+#include "dispatch/engine_board.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace comfreypass::dispatch {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/**
+ * The list of engines shows a return to cold up to this much later: a heartbeat interval and the
+ * delay of the list.
+ */
+constexpr core::duration listDelay = 2s;
+
+/** First pause after a failed connection; doubles with each further one. */
+constexpr core::duration firstAvoidance = 250ms;
+constexpr core::duration longestAvoidance = 4s;
+
+/** Half-life of a failure in the estimate of an engine's health. */
+constexpr double failureHalfLifeSeconds = 3;
+
+/** Cost of one recent failure, in loads of a whole engine. */
+constexpr double failureCost = 0.4;
+
+/** Cost of another failure domain, in loads of a whole engine: one request of about 18 slots. */
+constexpr double crossDomainCost = 0.05;
+
+/** Width of the random part of the cost, so that nodes with the same view do not all pick one. */
+constexpr double tieBreakCost = 0.04;
+
+/**
+ * An engine that runs requests of this node and sends nothing for so long may be dead or hung. A
+ * sound engine sends an event of each stream every few steps, and reads prompts in short chunks.
+ */
+constexpr core::duration suspiciousSilence = 700ms;
+
+/** Weight of a new observation in the smoothed pace. */
+constexpr double paceWeight = 0.1;
+
+/**
+ * Part of a cold engine's rate that is spent. In any second a node may send one request more than
+ * its share, so the sum over the nodes stays within the engine's rate plus one for each node.
+ */
+constexpr double coldSpentPart = 0.75;
+
+double seconds(core::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+engine_board::engine_board(std::string domain, std::uint32_t seed)
+    : m_domain(std::move(domain)), m_random(seed)
+{ }
+
+engine_key engine_board::keyOf(std::string_view id) noexcept
+{
+    return static_cast<engine_key>(core::hash64(id));
+}
+
+void engine_board::update(const engine_entry &entry, const upstream_settings *settings,
+                          core::time_point now)
+{
+    const auto [position, isNew] = m_engines.try_emplace(entry.id);
+    engine &target = position->second;
+    const bool restarted = !isNew && target.entry.startedAt != entry.startedAt;
+    if (!isNew && target.entry.upstream != entry.upstream)
+        std::erase(m_byUpstream[target.entry.upstream], entry.id);
+    if (isNew || target.entry.upstream != entry.upstream)
+        m_byUpstream[entry.upstream].push_back(entry.id);
+    target.entry = entry;
+    target.key = keyOf(entry.id);
+    if (isNew) {
+        const auto known = m_peersRunning.find(target.key);
+        target.peersRunning = known == m_peersRunning.end() ? 0 : known->second;
+    }
+    if (settings != nullptr) {
+        target.coldRate = settings->coldRequestsPerSecond;
+        target.coldTime = settings->coldTime;
+    }
+    if (restarted) {
+        target.failures = 0;
+        target.avoidUntil = {};
+        target.unreachableInARow = 0;
+    }
+    if (entry.coldLeft > core::duration::zero())
+        makeCold(target, now + entry.coldLeft);
+}
+
+void engine_board::remove(std::string_view id)
+{
+    const auto found = m_engines.find(std::string(id));
+    if (found == m_engines.end())
+        return;
+    std::erase(m_byUpstream[found->second.entry.upstream], found->first);
+    m_engines.erase(found);
+}
+
+void engine_board::setEvacuated(std::string_view domain, bool evacuated, core::time_point now)
+{
+    if (evacuated) {
+        m_evacuated.emplace(domain);
+        return;
+    }
+    const auto found = m_evacuated.find(domain);
+    if (found == m_evacuated.end())
+        return;
+    m_evacuated.erase(found);
+    // Engines of a domain that was out may have become cold; their entries tell it later.
+    for (auto &[id, each] : m_engines) {
+        if (each.entry.domain == domain && each.coldRate > 0)
+            makeCold(each, now + listDelay);
+    }
+}
+
+void engine_board::updateSettings(std::string_view upstream, const upstream_settings &settings)
+{
+    for (engine *each : enginesOf(upstream)) {
+        each->coldRate = settings.coldRequestsPerSecond;
+        each->coldTime = settings.coldTime;
+    }
+}
+
+void engine_board::setPeerLoads(std::uint32_t peer, std::span<const engine_load> loads)
+{
+    std::vector<engine_load> &before = m_peerLoads[peer];
+    for (const engine_load &each : before)
+        m_peersRunning[each.engine] -= each.running;
+    for (const engine_load &each : loads)
+        m_peersRunning[each.engine] += each.running;
+    before.assign(loads.begin(), loads.end());
+    std::erase_if(m_peersRunning, [](const auto &entry) { return entry.second == 0; });
+    if (before.empty())
+        m_peerLoads.erase(peer);
+    for (auto &[id, each] : m_engines) {
+        const auto found = m_peersRunning.find(each.key);
+        each.peersRunning = found == m_peersRunning.end() ? 0 : found->second;
+    }
+}
+
+pick engine_board::choose(const pick_request &request, const fleet_share &share,
+                          core::time_point now)
+{
+    std::vector<engine *> candidates = enginesOf(request.upstream);
+    std::erase_if(candidates, [&](const engine *each) {
+        return !isUsable(*each, now)
+               || std::ranges::find(request.excluded, each->entry.id) != request.excluded.end();
+    });
+    if (candidates.empty())
+        return {};
+    // After a pause of this process all engines look silent; then silence means nothing.
+    const auto silent = [now](const engine *each) {
+        return isSilent(*each, now);
+    };
+    if (!std::ranges::all_of(candidates, silent))
+        std::erase_if(candidates, silent);
+    double fastest = std::numeric_limits<double>::max();
+    for (const engine *each : candidates) {
+        if (each->pace > 0)
+            fastest = std::min(fastest, each->pace);
+    }
+    engine *best = nullptr;
+    double least = std::numeric_limits<double>::max();
+    for (engine *each : candidates) {
+        const std::uint32_t load = each->running + each->peersRunning;
+        if (load >= each->entry.slots + request.overcommit || !mayUseCold(*each, share, now))
+            continue;
+        const double price = cost(*each, fastest, now);
+        if (price < least) {
+            least = price;
+            best = each;
+        }
+    }
+    if (best == nullptr)
+        return {.outcome = pick_outcome::NoRoom};
+    const bool cold = best->coldUntil > now;
+    if (cold)
+        takeCold(*best, share, now);
+    return {.outcome = pick_outcome::Picked,
+            .engine = &best->entry,
+            .ownRunning = best->running,
+            .peersRunning = best->peersRunning,
+            .cold = cold};
+}
+
+void engine_board::onStart(std::string_view id, core::time_point now)
+{
+    engine *target = findEngine(id);
+    if (target == nullptr)
+        return;
+    if (target->running++ == 0)
+        target->heardAt = now;
+}
+
+void engine_board::onBytes(std::string_view id, core::time_point now)
+{
+    if (engine *target = findEngine(id))
+        target->heardAt = now;
+}
+
+void engine_board::onEnd(std::string_view id, attempt_result result, core::time_point now)
+{
+    engine *target = findEngine(id);
+    if (target == nullptr)
+        return;
+    if (target->running > 0)
+        --target->running;
+    switch (result) {
+    case attempt_result::Served:
+        target->unreachableInARow = 0;
+        target->failures = failuresNow(*target, now) * 0.7;
+        target->failuresAt = now;
+        break;
+    case attempt_result::Failed:
+        target->failures = failuresNow(*target, now) + 1;
+        target->failuresAt = now;
+        break;
+    case attempt_result::Rejected:
+        // It is fuller than the nodes together believe; it gets a moment to empty.
+        target->avoidUntil = std::max(target->avoidUntil, now + 100ms);
+        break;
+    case attempt_result::Misdirected:
+        target->avoidUntil = now + longestAvoidance;
+        break;
+    case attempt_result::Unreachable: {
+        const std::uint32_t doublings = std::min<std::uint32_t>(target->unreachableInARow++, 4);
+        const core::duration pause
+            = std::min<core::duration>(firstAvoidance * (1U << doublings), longestAvoidance);
+        target->avoidUntil = now + pause;
+        // It may come back as a new process, which is cold before its entry says so.
+        if (target->coldRate > 0)
+            makeCold(*target, now + pause + target->coldTime);
+        break;
+    }
+    case attempt_result::Neutral:
+        break;
+    }
+}
+
+void engine_board::onPace(std::string_view id, core::duration time)
+{
+    engine *target = findEngine(id);
+    if (target == nullptr)
+        return;
+    const double value = seconds(time);
+    target->pace = target->pace > 0 ? target->pace + paceWeight * (value - target->pace) : value;
+}
+
+bool engine_board::usable(std::string_view id, core::time_point now) const
+{
+    const auto found = m_engines.find(std::string(id));
+    return found != m_engines.end() && isUsable(found->second, now);
+}
+
+std::vector<engine_load> engine_board::ownLoads() const
+{
+    std::vector<engine_load> loads;
+    for (const auto &[id, each] : m_engines) {
+        if (each.running > 0)
+            loads.push_back({each.key, each.running});
+    }
+    return loads;
+}
+
+engine_board::room engine_board::roomOf(std::string_view upstream, core::time_point now) const
+{
+    room total;
+    const auto ids = m_byUpstream.find(std::string(upstream));
+    if (ids == m_byUpstream.end())
+        return total;
+    for (const std::string &id : ids->second) {
+        const engine &each = m_engines.at(id);
+        if (!isUsable(each, now))
+            continue;
+        ++total.engines;
+        total.slots += each.entry.slots;
+        total.running += std::min(each.entry.slots, each.running + each.peersRunning);
+    }
+    return total;
+}
+
+const engine_entry *engine_board::find(std::string_view id) const
+{
+    const auto found = m_engines.find(std::string(id));
+    return found == m_engines.end() ? nullptr : &found->second.entry;
+}
+
+bool engine_board::isUsable(const engine &candidate, core::time_point now) const
+{
+    return !candidate.entry.draining && candidate.avoidUntil <= now
+           && !m_evacuated.contains(candidate.entry.domain);
+}
+
+bool engine_board::mayUseCold(const engine &candidate, const fleet_share &share,
+                              core::time_point now) const
+{
+    if (candidate.coldUntil <= now || candidate.coldRate <= 0)
+        return true;
+    // Beyond this many nodes, one request of each in a second is more than the engine bears.
+    const auto most = static_cast<std::size_t>(std::max(1.0, candidate.coldRate / 2));
+    const std::size_t turn = (share.rank + candidate.key) % std::max<std::size_t>(share.known, 1);
+    return turn < most && candidate.nextColdAt <= now;
+}
+
+void engine_board::takeCold(engine &target, const fleet_share &share, core::time_point now) const
+{
+    const auto most = static_cast<std::size_t>(std::max(1.0, target.coldRate / 2));
+    const auto users = static_cast<double>(std::min(most, std::max<std::size_t>(share.known, 1)));
+    const double rate = target.coldRate * coldSpentPart / users;
+    if (rate > 0)
+        target.nextColdAt
+            = now
+              + std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(1 / rate));
+}
+
+double engine_board::cost(const engine &candidate, double fastest, core::time_point now)
+{
+    const double load = static_cast<double>(candidate.running + candidate.peersRunning + 1)
+                        / std::max<double>(1, candidate.entry.slots);
+    const double slowness = candidate.pace > 0 ? candidate.pace / fastest : 1;
+    const double random = std::uniform_real_distribution<double>(0, tieBreakCost)(m_random);
+    return load * slowness + failureCost * failuresNow(candidate, now)
+           + (candidate.entry.domain == m_domain ? 0 : crossDomainCost) + random;
+}
+
+bool engine_board::isSilent(const engine &candidate, core::time_point now)
+{
+    return candidate.running > 0 && now - candidate.heardAt > suspiciousSilence;
+}
+
+double engine_board::failuresNow(const engine &candidate, core::time_point now)
+{
+    if (candidate.failures <= 0)
+        return 0;
+    return candidate.failures
+           * std::exp2(-seconds(now - candidate.failuresAt) / failureHalfLifeSeconds);
+}
+
+void engine_board::makeCold(engine &target, core::time_point until)
+{
+    target.coldUntil = std::max(target.coldUntil, until);
+}
+
+std::vector<engine_board::engine *> engine_board::enginesOf(std::string_view upstream)
+{
+    std::vector<engine *> engines;
+    const auto ids = m_byUpstream.find(std::string(upstream));
+    if (ids == m_byUpstream.end())
+        return engines;
+    engines.reserve(ids->second.size());
+    for (const std::string &id : ids->second)
+        engines.push_back(&m_engines.at(id));
+    return engines;
+}
+
+engine_board::engine *engine_board::findEngine(std::string_view id)
+{
+    const auto found = m_engines.find(std::string(id));
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/engine_board.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "dispatch/engine_entry.h"
+#include "dispatch/fleet_share.h"
+#include "dispatch/upstream_settings.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/** Short name of an engine in messages between nodes; equal on all nodes. */
+using engine_key = std::uint32_t;
+
+/** Requests of one node that run at one engine. */
+struct engine_load
+{
+    engine_key engine = 0;
+    std::uint32_t running = 0;
+};
+
+/** What is asked of the board. */
+struct pick_request
+{
+    std::string_view upstream;
+    /** Engines that this request has tried. */
+    std::span<const std::string> excluded = {};
+    /** Requests above the slots of an engine that are accepted; they wait at the engine. */
+    std::uint32_t overcommit = 0;
+};
+
+enum class pick_outcome : std::uint8_t {
+    Picked,
+    /** Engines serve the upstream, but none has room now. */
+    NoRoom,
+    /** No engine serves the upstream now. */
+    NoEngine,
+};
+
+/** Answer of the board. */
+struct pick
+{
+    pick_outcome outcome = pick_outcome::NoEngine;
+    /** Valid until the next change of the board. */
+    const engine_entry *engine = nullptr;
+    /** Load that decided, with the age that the exchange between nodes gives it. */
+    std::uint32_t ownRunning = 0;
+    std::uint32_t peersRunning = 0;
+    bool cold = false;
+};
+
+/** How an attempt at an engine ended. */
+enum class attempt_result : std::uint8_t {
+    Served,
+    /** The engine said that it did not run the request because it is full. */
+    Rejected,
+    /** Another engine has the address now. */
+    Misdirected,
+    /** Not reachable: no connection. */
+    Unreachable,
+    /** Broke off, sent garbage or answered with a failure. */
+    Failed,
+    /** Ended for a reason that says nothing about the engine. */
+    Neutral,
+};
+
+/**
+ * What a node knows of the engines, and where the next request goes.
+ *
+ * The load of an engine is what this node runs there, which it knows exactly, plus what its peers
+ * last told. Of the engines with room it takes the one that is expected to work fastest at its
+ * load. Not thread-safe.
+ */
+class engine_board
+{
+public:
+    /** `domain` is the failure domain of this node; `seed` breaks ties. */
+    engine_board(std::string domain, std::uint32_t seed);
+
+    /** Takes an entry of the list of engines; `settings` may be null if the upstream is unknown. */
+    void update(const engine_entry &entry, const upstream_settings *settings, core::time_point now);
+
+    /** The engine has left the list. */
+    void remove(std::string_view id);
+
+    /** Gives no more requests to a failure domain, or takes it back. */
+    void setEvacuated(std::string_view domain, bool evacuated, core::time_point now);
+
+    /** Takes new settings of the upstreams for the entries that are known. */
+    void updateSettings(std::string_view upstream, const upstream_settings &settings);
+
+    /** Replaces what one peer runs at the engines. */
+    void setPeerLoads(std::uint32_t peer, std::span<const engine_load> loads);
+
+    /** Chooses an engine. Takes a cold engine's permission if it picks one. */
+    pick choose(const pick_request &request, const fleet_share &share, core::time_point now);
+
+    /** A request is about to be sent to the engine. */
+    void onStart(std::string_view id, core::time_point now);
+
+    /** The request that onStart counted has ended. */
+    void onEnd(std::string_view id, attempt_result result, core::time_point now);
+
+    /** Bytes of an answer arrived from the engine. */
+    void onBytes(std::string_view id, core::time_point now);
+
+    /** Time between two events of a stream, or of one request for an engine without streams. */
+    void onPace(std::string_view id, core::duration time);
+
+    /** True if requests may be sent to the engine now. */
+    bool usable(std::string_view id, core::time_point now) const;
+
+    /** Loads of this node, without those that are zero. */
+    std::vector<engine_load> ownLoads() const;
+
+    /** Engines of an upstream that are usable, and their free slots as far as this node knows. */
+    struct room
+    {
+        std::size_t engines = 0;
+        std::uint32_t slots = 0;
+        std::uint32_t running = 0;
+    };
+    room roomOf(std::string_view upstream, core::time_point now) const;
+
+    /** The entry of an engine; nullptr if it is unknown. */
+    const engine_entry *find(std::string_view id) const;
+
+    std::size_t size() const noexcept { return m_engines.size(); }
+
+    static engine_key keyOf(std::string_view id) noexcept;
+
+private:
+    struct engine
+    {
+        engine_entry entry;
+        engine_key key = 0;
+        std::uint32_t running = 0;
+        std::uint32_t peersRunning = 0;
+        double coldRate = 0;
+        core::duration coldTime{};
+        core::time_point coldUntil{};
+        /** Next time at which this node may send to the engine while it is cold. */
+        core::time_point nextColdAt{};
+        core::time_point avoidUntil{};
+        std::uint32_t unreachableInARow = 0;
+        double failures = 0;
+        core::time_point failuresAt{};
+        /** Last byte from the engine, or the start of a request at an engine that ran none. */
+        core::time_point heardAt{};
+        /** Smoothed pace in seconds; 0 is unknown. */
+        double pace = 0;
+    };
+
+    bool isUsable(const engine &candidate, core::time_point now) const;
+    bool mayUseCold(const engine &candidate, const fleet_share &share, core::time_point now) const;
+    void takeCold(engine &target, const fleet_share &share, core::time_point now) const;
+    double cost(const engine &candidate, double fastest, core::time_point now);
+    static bool isSilent(const engine &candidate, core::time_point now);
+    static double failuresNow(const engine &candidate, core::time_point now);
+    static void makeCold(engine &target, core::time_point until);
+    std::vector<engine *> enginesOf(std::string_view upstream);
+    engine *findEngine(std::string_view id);
+
+    std::string m_domain;
+    std::minstd_rand m_random;
+    std::unordered_map<std::string, engine> m_engines;
+    std::unordered_map<std::string, std::vector<std::string>> m_byUpstream;
+    std::set<std::string, std::less<>> m_evacuated;
+    std::unordered_map<std::uint32_t, std::vector<engine_load>> m_peerLoads;
+    /** Sum of m_peerLoads, also for engines that this node does not know yet. */
+    std::unordered_map<engine_key, std::uint32_t> m_peersRunning;
+};
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/fleet_member.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "dispatch/engine_board.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/** What a node tells its peers several times a second. */
+struct node_status
+{
+    /** IPv4 address in host byte order; names the node. */
+    std::uint32_t address = 0;
+    /** Drawn when the process starts. */
+    std::uint64_t life = 0;
+    std::string domain;
+    std::uint16_t callerPort = 0;
+    /** It has a configuration and takes requests. */
+    bool ready = false;
+    /** It was told to stop. */
+    bool leaving = false;
+    /** Grows with each status of one process. */
+    std::uint64_t sequence = 0;
+    /** Newest applied revision of each collection of published records. */
+    std::vector<std::uint64_t> revisions;
+    std::vector<engine_load> loads;
+
+    struct team_use
+    {
+        std::string team;
+        /** Units admitted since the start of the process. */
+        double total = 0;
+    };
+    std::vector<team_use> uses;
+
+    struct waiting
+    {
+        std::string upstream;
+        std::uint32_t count = 0;
+        std::uint32_t mostUrgent = 0;
+    };
+    std::vector<waiting> queues;
+
+    /** Addresses of the nodes that it knows. */
+    std::vector<std::uint32_t> known;
+};
+
+/** A peer as this node knows it. */
+struct fleet_member
+{
+    node_status status;
+    core::time_point firstHeard{};
+    core::time_point lastHeard{};
+    /** False for a node that was only named by another one. */
+    bool heard = false;
+};
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/fleet_view.cpp
@@ -0,0 +1,156 @@
+#include "dispatch/fleet_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreypass::dispatch {
+
+fleet_view::fleet_view(std::uint32_t self, std::string domain, const fleet_times &times)
+    : m_self(self), m_domain(std::move(domain)), m_times(times)
+{ }
+
+void fleet_view::addCandidate(std::uint32_t address, core::time_point now)
+{
+    if (address == m_self)
+        return;
+    const auto [position, isNew] = m_members.try_emplace(address);
+    if (!isNew)
+        return;
+    position->second.status.address = address;
+    position->second.firstHeard = now;
+    position->second.lastHeard = now;
+}
+
+status_change fleet_view::onStatus(node_status status, core::time_point now)
+{
+    status_change change;
+    if (status.address == m_self)
+        return change;
+    for (const std::uint32_t address : status.known)
+        addCandidate(address, now);
+    const auto [position, inserted] = m_members.try_emplace(status.address);
+    fleet_member &member = position->second;
+    change.isNew = inserted || !member.heard;
+    change.restarted = !change.isNew && member.status.life != status.life;
+    change.returned = !change.isNew && !inTouch(member, now);
+    const bool sameLife = !change.isNew && !change.restarted;
+    // A datagram that was overtaken tells nothing new.
+    if (sameLife && status.sequence <= member.status.sequence)
+        return {};
+    for (const node_status::team_use &use : status.uses) {
+        double before = 0;
+        if (sameLife) {
+            const auto known
+                = std::ranges::find(member.status.uses, use.team, &node_status::team_use::team);
+            before = known == member.status.uses.end() ? 0 : known->total;
+        }
+        if (use.total != before)
+            change.newUses.push_back({use.team, use.total - before});
+    }
+    if (change.isNew)
+        member.firstHeard = now;
+    member.heard = true;
+    member.lastHeard = now;
+    member.status = std::move(status);
+    m_silent.erase(member.status.address);
+    return change;
+}
+
+std::vector<std::uint32_t> fleet_view::peers() const
+{
+    std::vector<std::uint32_t> addresses;
+    addresses.reserve(m_members.size());
+    for (const auto &[address, member] : m_members)
+        addresses.push_back(address);
+    return addresses;
+}
+
+std::vector<std::uint32_t> fleet_view::takeSilent(core::time_point now)
+{
+    std::vector<std::uint32_t> silent;
+    for (const auto &[address, member] : m_members) {
+        if (member.heard && !inTouch(member, now) && m_silent.try_emplace(address, true).second)
+            silent.push_back(address);
+    }
+    return silent;
+}
+
+void fleet_view::forget(core::time_point now)
+{
+    std::erase_if(m_members, [&](const auto &entry) {
+        const fleet_member &member = entry.second;
+        const bool left = member.heard && member.status.leaving && !inTouch(member, now);
+        return left || now - member.lastHeard > m_times.memory;
+    });
+}
+
+fleet_share fleet_view::share(core::time_point now) const
+{
+    fleet_share result;
+    for (const auto &[address, member] : m_members) {
+        if (!member.heard)
+            continue;
+        ++result.known;
+        if (inTouch(member, now))
+            ++result.inTouch;
+        if (address < m_self)
+            ++result.rank;
+    }
+    return result;
+}
+
+std::vector<const node_status *> fleet_view::readyPeers(std::string_view domain,
+                                                        core::time_point now) const
+{
+    std::vector<const node_status *> ready;
+    for (const auto &[address, member] : m_members) {
+        if (inTouch(member, now) && member.status.ready && !member.status.leaving)
+            ready.push_back(&member.status);
+    }
+    std::ranges::stable_partition(
+        ready, [domain](const node_status *each) { return each->domain == domain; });
+    return ready;
+}
+
+const node_status *fleet_view::newerRecords(std::size_t collection, std::uint64_t revision,
+                                            core::time_point now) const
+{
+    const node_status *newest = nullptr;
+    for (const auto &[address, member] : m_members) {
+        if (!inTouch(member, now) || collection >= member.status.revisions.size())
+            continue;
+        if (member.status.revisions[collection] <= revision)
+            continue;
+        revision = member.status.revisions[collection];
+        newest = &member.status;
+    }
+    return newest;
+}
+
+std::uint32_t fleet_view::waitingAtPeers(std::string_view upstream, std::uint32_t priority,
+                                         core::time_point now) const
+{
+    std::uint32_t count = 0;
+    for (const auto &[address, member] : m_members) {
+        if (!inTouch(member, now))
+            continue;
+        for (const node_status::waiting &queue : member.status.queues) {
+            if (queue.upstream == upstream && queue.mostUrgent <= priority)
+                count += queue.count;
+        }
+    }
+    return count;
+}
+
+std::uint32_t fleet_view::moreUrgentAtPeers(std::string_view upstream, std::uint32_t priority,
+                                            core::time_point now) const
+{
+    return priority == 0 ? 0 : waitingAtPeers(upstream, priority - 1, now);
+}
+
+bool fleet_view::inTouch(const fleet_member &member, core::time_point now) const
+{
+    return member.heard && now - member.lastHeard <= m_times.silence;
+}
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/fleet_view.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "dispatch/fleet_member.h"
+#include "dispatch/fleet_share.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/** Times of the exchange between nodes. */
+struct fleet_times
+{
+    /** A node is out of touch after this silence: several lost messages in a row. */
+    core::duration silence = std::chrono::milliseconds(1'200);
+    /**
+     * A silent node keeps its share of the fleet's bounds for this long; a node that is cut off
+     * serves on and must not be forgotten before a cut usually ends.
+     */
+    core::duration memory = std::chrono::seconds(60);
+};
+
+/** What a received status changed. */
+struct status_change
+{
+    bool isNew = false;
+    bool restarted = false;
+    bool returned = false;
+    /** Units that the peer admitted since its last status, by team. */
+    std::vector<node_status::team_use> newUses;
+};
+
+/** The nodes of the fleet as this node knows them. Not thread-safe. */
+class fleet_view
+{
+public:
+    fleet_view(std::uint32_t self, std::string domain, const fleet_times &times);
+
+    /** A node that may exist, from the settings or from a peer. */
+    void addCandidate(std::uint32_t address, core::time_point now);
+
+    /** Takes a status; an older one of the same process than the last is ignored. */
+    status_change onStatus(node_status status, core::time_point now);
+
+    /** Addresses to which this node sends its status. */
+    std::vector<std::uint32_t> peers() const;
+
+    /** Members that went silent since the last call; their loads no longer count. */
+    std::vector<std::uint32_t> takeSilent(core::time_point now);
+
+    /** Removes nodes that were silent for the whole memory. */
+    void forget(core::time_point now);
+
+    /** This node's part of the fleet's bounds. */
+    fleet_share share(core::time_point now) const;
+
+    /** Caller addresses of the nodes in touch that are ready, those of `domain` first. */
+    std::vector<const node_status *> readyPeers(std::string_view domain,
+                                                core::time_point now) const;
+
+    /** The peer in touch with the newest records of a collection; nullptr if none is newer. */
+    const node_status *newerRecords(std::size_t collection, std::uint64_t revision,
+                                    core::time_point now) const;
+
+    /** Requests that wait at the peers in touch for an upstream with at least this urgency. */
+    std::uint32_t waitingAtPeers(std::string_view upstream, std::uint32_t priority,
+                                 core::time_point now) const;
+
+    /** Waiting at the peers in touch with a greater urgency. */
+    std::uint32_t moreUrgentAtPeers(std::string_view upstream, std::uint32_t priority,
+                                    core::time_point now) const;
+
+    bool inTouch(const fleet_member &member, core::time_point now) const;
+    const std::map<std::uint32_t, fleet_member> &members() const noexcept { return m_members; }
+
+private:
+    std::uint32_t m_self;
+    std::string m_domain;
+    fleet_times m_times;
+    std::map<std::uint32_t, fleet_member> m_members;
+    std::map<std::uint32_t, bool> m_silent;
+};
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/record_collection.cpp
@@ -0,0 +1,81 @@
+#include "dispatch/record_collection.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace comfreypass::dispatch {
+
+namespace {
+
+/** Removals that are remembered; the fleet of the planned size replaces about 160 a day. */
+constexpr std::size_t mostRemovals = 4'096;
+
+} // namespace
+
+record_changes record_collection::write(published_record record)
+{
+    record_changes changes;
+    advance(record.revision);
+    const auto known = m_records.find(record.key);
+    if (known != m_records.end() && known->second.revision >= record.revision)
+        return changes;
+    const auto removed = m_removed.find(record.key);
+    if (removed != m_removed.end()) {
+        if (removed->second >= record.revision)
+            return changes;
+        m_removed.erase(removed);
+    }
+    changes.written.push_back(record);
+    std::string key = record.key;
+    m_records.insert_or_assign(std::move(key), std::move(record));
+    return changes;
+}
+
+record_changes record_collection::remove(std::string_view key, std::uint64_t revision)
+{
+    record_changes changes;
+    advance(revision);
+    const auto known = m_records.find(key);
+    if (known != m_records.end() && known->second.revision > revision)
+        return changes;
+    std::uint64_t &removedAt = m_removed[std::string(key)];
+    removedAt = std::max(removedAt, revision);
+    if (m_removed.size() > mostRemovals)
+        m_removed.erase(std::ranges::min_element(m_removed, {},
+                                                 [](const auto &entry) { return entry.second; }));
+    if (known == m_records.end())
+        return changes;
+    changes.removed.push_back(known->first);
+    m_records.erase(known);
+    return changes;
+}
+
+record_changes record_collection::replaceAll(std::vector<published_record> records,
+                                             std::uint64_t revision)
+{
+    record_changes changes;
+    std::map<std::string, std::uint64_t, std::less<>> present;
+    for (published_record &record : records) {
+        present.emplace(record.key, record.revision);
+        record_changes written = write(std::move(record));
+        std::ranges::move(written.written, std::back_inserter(changes.written));
+    }
+    std::vector<std::string> missing;
+    for (const auto &[key, record] : m_records) {
+        if (record.revision <= revision && !present.contains(key))
+            missing.push_back(key);
+    }
+    for (const std::string &key : missing) {
+        record_changes removed = remove(key, revision);
+        std::ranges::move(removed.removed, std::back_inserter(changes.removed));
+    }
+    return changes;
+}
+
+void record_collection::advance(std::uint64_t revision)
+{
+    m_revision = std::max(m_revision, revision);
+}
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/routing_index.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "dispatch/configuration.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/** Look-ups in one configuration. Immutable and thread-safe to read. */
+class routing_index
+{
+public:
+    explicit routing_index(configuration settings);
+
+    const configuration &settings() const noexcept { return m_settings; }
+
+    /**
+     * The route of a host with the longest prefix of the path; nullptr if there is none. A port in
+     * `host` is ignored, and so is its case.
+     */
+    const route *find(std::string_view host, std::string_view path) const;
+
+    /** The team that holds a key; nullptr if there is none. */
+    const team *teamOfKey(std::string_view key) const;
+
+    const team *teamByName(std::string_view name) const;
+    const upstream_settings *upstream(std::string_view name) const;
+
+    /** True if requests of routes that are not public need a key. */
+    bool needsKeys() const noexcept { return !m_settings.teams.empty(); }
+
+private:
+    struct text_hash
+    {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const noexcept
+        {
+            return std::hash<std::string_view>{}(text);
+        }
+    };
+    template<class Value>
+    using text_map = std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
+
+    configuration m_settings;
+    /** Positions in settings().routes, longest prefix first. */
+    text_map<std::vector<std::size_t>> m_routesByHost;
+    text_map<std::size_t> m_teamByKey;
+    text_map<std::size_t> m_teamByName;
+    text_map<std::size_t> m_upstreamByName;
+};
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/wait_queue.cpp
@@ -0,0 +1,75 @@
+#include "dispatch/wait_queue.h"
+
+#include <algorithm>
+
+namespace comfreypass::dispatch {
+
+void wait_queue::push(const waiting_request &request)
+{
+    m_byPriority[request.priority].push_back(request);
+    ++m_size;
+}
+
+std::optional<waiting_request> wait_queue::next(core::time_point now) const
+{
+    if (m_byPriority.empty())
+        return std::nullopt;
+    const std::deque<waiting_request> &waiting = m_byPriority.begin()->second;
+    const auto onTime = std::ranges::find_if(
+        waiting, [now](const waiting_request &each) { return each.objectiveAt > now; });
+    return onTime == waiting.end() ? waiting.front() : *onTime;
+}
+
+bool wait_queue::remove(core::request_id id)
+{
+    for (auto level = m_byPriority.begin(); level != m_byPriority.end(); ++level) {
+        const auto found = std::ranges::find(level->second, id, &waiting_request::id);
+        if (found == level->second.end())
+            continue;
+        level->second.erase(found);
+        if (level->second.empty())
+            m_byPriority.erase(level);
+        --m_size;
+        return true;
+    }
+    return false;
+}
+
+std::vector<waiting_request> wait_queue::takeExpired(core::time_point now)
+{
+    std::vector<waiting_request> expired;
+    for (auto level = m_byPriority.begin(); level != m_byPriority.end();) {
+        std::deque<waiting_request> &waiting = level->second;
+        for (auto each = waiting.begin(); each != waiting.end();) {
+            if (each->giveUpAt > now) {
+                ++each;
+                continue;
+            }
+            expired.push_back(*each);
+            each = waiting.erase(each);
+            --m_size;
+        }
+        level = waiting.empty() ? m_byPriority.erase(level) : std::next(level);
+    }
+    return expired;
+}
+
+std::size_t wait_queue::ahead(std::uint32_t priority) const noexcept
+{
+    std::size_t count = 0;
+    for (const auto &[level, waiting] : m_byPriority) {
+        if (level > priority)
+            break;
+        count += waiting.size();
+    }
+    return count;
+}
+
+std::optional<std::uint32_t> wait_queue::mostUrgent() const noexcept
+{
+    if (m_byPriority.empty())
+        return std::nullopt;
+    return m_byPriority.begin()->first;
+}
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/tests/dispatch/admission_test.cpp
@@ -0,0 +1,178 @@
+#include "dispatch/admission.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <map>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::dispatch;
+using namespace std::chrono_literals;
+
+class admission_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(admission_test);
+    CPPUNIT_TEST(requestsWaitWhenAllSlotsAreTaken);
+    CPPUNIT_TEST(newRequestDoesNotOvertake);
+    CPPUNIT_TEST(hopelessWaitIsRefusedAtOnce);
+    CPPUNIT_TEST(waitEndsInTime);
+    CPPUNIT_TEST(scarceSlotsGoToMoreUrgentRequestsOfPeers);
+    CPPUNIT_TEST(slotsElsewhereAreShared);
+    CPPUNIT_TEST(adviceToComeBackIsSpread);
+    CPPUNIT_TEST(excludedEngineIsNotTriedAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_board.update(
+            {.id = "e1", .upstream = "u", .address = "127.0.0.1:1", .domain = "d1", .slots = 2},
+            nullptr, m_now);
+    }
+
+    // Guards against requests that queue at an engine, where urgency does not count.
+    void requestsWaitWhenAllSlotsAreTaken()
+    {
+        CPPUNIT_ASSERT(submit(1, 0).outcome == admission_outcome::Start);
+        CPPUNIT_ASSERT(submit(2, 0).outcome == admission_outcome::Start);
+        CPPUNIT_ASSERT(submit(3, 5).outcome == admission_outcome::Wait);
+        CPPUNIT_ASSERT(submit(4, 0).outcome == admission_outcome::Wait);
+        CPPUNIT_ASSERT(m_admission.poll("u", slot_news::OwnEnd, m_now).empty());
+        m_admission.onEnd("u", "e1", attempt_result::Served, m_now);
+        const auto grants = m_admission.poll("u", slot_news::OwnEnd, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
+        CPPUNIT_ASSERT_EQUAL(core::request_id{4}, grants.at(0).id);
+    }
+
+    // Guards against a queue that later requests bypass when a slot frees.
+    void newRequestDoesNotOvertake()
+    {
+        submit(1, 0);
+        submit(2, 0);
+        submit(3, 1);
+        m_admission.onEnd("u", "e1", attempt_result::Served, m_now);
+        CPPUNIT_ASSERT(submit(4, 1).outcome == admission_outcome::Wait);
+        CPPUNIT_ASSERT(submit(5, 0).outcome == admission_outcome::Start);
+    }
+
+    // Guards against callers that are kept waiting for a refusal.
+    void hopelessWaitIsRefusedAtOnce()
+    {
+        submit(1, 0);
+        submit(2, 0);
+        admission_decision last;
+        int waiting = 0;
+        for (core::request_id id = 3; id < 50; ++id) {
+            last = submit(id, 0);
+            if (last.outcome == admission_outcome::Wait)
+                ++waiting;
+        }
+        CPPUNIT_ASSERT(waiting > 0 && waiting < 10);
+        CPPUNIT_ASSERT(last.outcome == admission_outcome::Refuse);
+        CPPUNIT_ASSERT(last.cause == refusal_cause::WaitTooLong);
+        CPPUNIT_ASSERT(last.retryAfter > 0s);
+    }
+
+    // Guards against requests that wait for ever.
+    void waitEndsInTime()
+    {
+        submit(1, 0);
+        submit(2, 0);
+        submit(3, 0);
+        CPPUNIT_ASSERT(m_admission.takeExpired(m_now + 900ms).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_admission.takeExpired(m_now + 1s).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_admission.waiting());
+    }
+
+    // Guards against a lower priority that is served here while a higher one waits at a peer.
+    void scarceSlotsGoToMoreUrgentRequestsOfPeers()
+    {
+        submit(1, 0);
+        tellQueue(3, 1);
+        CPPUNIT_ASSERT(submit(2, 2).outcome == admission_outcome::Wait);
+        CPPUNIT_ASSERT(submit(3, 1).outcome == admission_outcome::Start);
+    }
+
+    // Guards against all nodes that rush for one slot that a peer reports free.
+    void slotsElsewhereAreShared()
+    {
+        int taken = 0;
+        constexpr int rounds = 400;
+        for (int round = 0; round < rounds; ++round) {
+            engine_board board("d1", static_cast<std::uint32_t>(round + 1));
+            board.update(
+                {.id = "e1", .upstream = "u", .address = "127.0.0.1:1", .domain = "d1", .slots = 1},
+                nullptr, m_now);
+            fleet_view fleet(1, "d1", {});
+            node_status peer = peerStatus(7, 0);
+            fleet.onStatus(peer, m_now);
+            admission node(board, fleet, static_cast<std::uint32_t>(round + 1));
+            board.onStart("e1", m_now);
+            node.submit(request(1, 0), m_now);
+            board.onEnd("e1", attempt_result::Neutral, m_now);
+            taken += static_cast<int>(node.poll("u", slot_news::Elsewhere, m_now).size());
+        }
+        // One of eight waiting requests is here.
+        CPPUNIT_ASSERT(taken > rounds / 16 && taken < rounds / 4);
+    }
+
+    // Guards against refused callers that come back in one wave.
+    void adviceToComeBackIsSpread()
+    {
+        std::map<core::duration, int> seen;
+        for (int i = 0; i < 50; ++i)
+            ++seen[m_admission.retryAfter("u", m_now)];
+        CPPUNIT_ASSERT(seen.size() > 25);
+        CPPUNIT_ASSERT(seen.begin()->first > 100ms);
+    }
+
+    // Guards against a repeat at the engine that has just failed.
+    void excludedEngineIsNotTriedAgain()
+    {
+        admission_request again = request(1, 0);
+        again.excluded = {"e1"};
+        again.giveUpAt = m_now;
+        const admission_decision decision = m_admission.submit(again, m_now);
+        CPPUNIT_ASSERT(decision.outcome == admission_outcome::Refuse);
+        CPPUNIT_ASSERT(decision.cause == refusal_cause::NoEngine);
+    }
+
+private:
+    admission_request request(core::request_id id, std::uint32_t priority) const
+    {
+        return {.id = id,
+                .upstream = "u",
+                .priority = priority,
+                .objectiveAt = m_now + 500ms,
+                .giveUpAt = m_now + 1s,
+                .excluded = {}};
+    }
+
+    admission_decision submit(core::request_id id, std::uint32_t priority)
+    {
+        return m_admission.submit(request(id, priority), m_now);
+    }
+
+    static node_status peerStatus(std::uint32_t count, std::uint32_t priority)
+    {
+        node_status peer;
+        peer.address = 2;
+        peer.life = 1;
+        peer.sequence = 1;
+        peer.queues = {{"u", count, priority}};
+        return peer;
+    }
+
+    void tellQueue(std::uint32_t count, std::uint32_t priority)
+    {
+        m_fleet.onStatus(peerStatus(count, priority), m_now);
+    }
+
+    core::time_point m_now{1h};
+    engine_board m_board{"d1", 1};
+    fleet_view m_fleet{1, "d1", {}};
+    admission m_admission{m_board, m_fleet, 1};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_test);
--- /dev/null
+++ b/tests/dispatch/engine_board_test.cpp
@@ -0,0 +1,251 @@
+#include "dispatch/engine_board.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace comfreypass;
+using namespace comfreypass::dispatch;
+using namespace std::chrono_literals;
+
+class engine_board_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(engine_board_test);
+    CPPUNIT_TEST(neverMoreThanTheSlots);
+    CPPUNIT_TEST(peersLoadsCount);
+    CPPUNIT_TEST(slowerEngineGetsLess);
+    CPPUNIT_TEST(drainingAndEvacuatedEnginesGetNothing);
+    CPPUNIT_TEST(coldEngineIsBornByTheWholeFleet);
+    CPPUNIT_TEST(restoredDomainCountsAsCold);
+    CPPUNIT_TEST(unreachableEngineComesBackSlowly);
+    CPPUNIT_TEST(silentEngineIsAvoided);
+    CPPUNIT_TEST(allSilentMeansThatThisProcessSlept);
+    CPPUNIT_TEST(failingEngineGetsLess);
+    CPPUNIT_TEST(reusedIdIsANewEngine);
+    CPPUNIT_TEST(movedEngineServesItsNewUpstreamOnly);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against queues at engines, which know no priorities.
+    void neverMoreThanTheSlots()
+    {
+        engine_board board("d1", 1);
+        add(board, "e1", 2);
+        add(board, "e2", 2);
+        CPPUNIT_ASSERT_EQUAL(4, startAll(board, 10));
+        CPPUNIT_ASSERT(choose(board).outcome == pick_outcome::NoRoom);
+    }
+
+    // Guards against nodes that each fill an engine on their own.
+    void peersLoadsCount()
+    {
+        engine_board board("d1", 1);
+        const std::vector<engine_load> early = {{engine_board::keyOf("e1"), 1}};
+        board.setPeerLoads(7, early);
+        add(board, "e1", 2);
+        CPPUNIT_ASSERT_EQUAL(1, startAll(board, 10));
+        board.setPeerLoads(7, {});
+        CPPUNIT_ASSERT_EQUAL(1, startAll(board, 10));
+    }
+
+    // Guards against engines of several generations that get equal load.
+    void slowerEngineGetsLess()
+    {
+        engine_board board("d1", 1);
+        add(board, "fast", 18);
+        add(board, "slow", 18);
+        board.onPace("fast", 20ms);
+        board.onPace("slow", 80ms);
+        startAll(board, 10);
+        std::map<engine_key, std::uint32_t> loads;
+        for (const engine_load &each : board.ownLoads())
+            loads[each.engine] = each.running;
+        CPPUNIT_ASSERT(loads[engine_board::keyOf("fast")]
+                       >= 3 * loads[engine_board::keyOf("slow")]);
+    }
+
+    // Guards against new work for engines that leave and domains that operators took out.
+    void drainingAndEvacuatedEnginesGetNothing()
+    {
+        engine_board board("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.draining = true;
+        board.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(choose(board).outcome == pick_outcome::NoEngine);
+        add(board, "e2", 2);
+        board.setEvacuated("d1", true, m_now);
+        CPPUNIT_ASSERT(choose(board).outcome == pick_outcome::NoEngine);
+        board.setEvacuated("d1", false, m_now);
+        CPPUNIT_ASSERT(choose(board).outcome == pick_outcome::Picked);
+    }
+
+    // Guards against a cold engine that falls over: 24 a second, half more and 5 are borne.
+    void coldEngineIsBornByTheWholeFleet()
+    {
+        for (const std::size_t nodes : {1, 3, 8, 11, 40, 81}) {
+            std::vector<engine_board> boards;
+            engine_entry entry = make("e1", 1'000);
+            entry.coldLeft = 3s;
+            for (std::size_t i = 0; i < nodes; ++i) {
+                boards.emplace_back("d1", static_cast<std::uint32_t>(i + 1));
+                boards.back().update(entry, &m_cold, m_now);
+            }
+            std::vector<core::time_point> starts;
+            for (core::time_point now = m_now; now < m_now + 2'900ms; now += 5ms) {
+                for (std::size_t i = 0; i < nodes; ++i) {
+                    const fleet_share share{.known = nodes, .inTouch = nodes, .rank = i};
+                    if (boards[i].choose({.upstream = "u"}, share, now).outcome
+                        == pick_outcome::Picked)
+                        starts.push_back(now);
+                }
+            }
+            CPPUNIT_ASSERT(!starts.empty());
+            for (std::size_t i = 0; i < starts.size(); ++i) {
+                std::size_t inSecond = 0;
+                for (std::size_t j = i; j < starts.size() && starts[j] - starts[i] < 1s; ++j)
+                    ++inSecond;
+                CPPUNIT_ASSERT(inSecond <= 41);
+            }
+        }
+    }
+
+    // Guards against full load on engines that became cold while their domain was out.
+    void restoredDomainCountsAsCold()
+    {
+        engine_board board("d1", 1);
+        board.update(make("e1", 100), &m_cold, m_now);
+        board.setEvacuated("d1", true, m_now);
+        board.setEvacuated("d1", false, m_now + 10s);
+        int started = 0;
+        for (int i = 0; i < 100; ++i) {
+            if (board.choose({.upstream = "u"}, {}, m_now + 10s).outcome == pick_outcome::Picked)
+                ++started;
+        }
+        CPPUNIT_ASSERT(started <= 2);
+    }
+
+    // Guards against a restarted engine that gets full load before its entry says that it is cold.
+    void unreachableEngineComesBackSlowly()
+    {
+        engine_board board("d1", 1);
+        board.update(make("e1", 100), &m_cold, m_now);
+        board.onStart("e1", m_now);
+        board.onEnd("e1", attempt_result::Unreachable, m_now);
+        CPPUNIT_ASSERT(choose(board).outcome == pick_outcome::NoEngine);
+        int started = 0;
+        for (int i = 0; i < 100; ++i) {
+            if (board.choose({.upstream = "u"}, {}, m_now + 1s).outcome == pick_outcome::Picked)
+                ++started;
+        }
+        CPPUNIT_ASSERT(started >= 1 && started <= 2);
+    }
+
+    // Guards against requests for an engine that went dark, until its entry lapses.
+    void silentEngineIsAvoided()
+    {
+        engine_board board("d1", 1);
+        add(board, "dark", 10);
+        board.onStart("dark", m_now);
+        add(board, "sound", 10);
+        for (int i = 0; i < 5; ++i) {
+            const pick chosen = board.choose({.upstream = "u"}, {}, m_now + 1s);
+            CPPUNIT_ASSERT_EQUAL(std::string("sound"), chosen.engine->id);
+            board.onStart("sound", m_now + 1s);
+        }
+    }
+
+    // Guards against a node that refuses everything after it was paused.
+    void allSilentMeansThatThisProcessSlept()
+    {
+        engine_board board("d1", 1);
+        add(board, "e1", 10);
+        add(board, "e2", 10);
+        board.onStart("e1", m_now);
+        board.onStart("e2", m_now);
+        CPPUNIT_ASSERT(board.choose({.upstream = "u"}, {}, m_now + 10s).outcome
+                       == pick_outcome::Picked);
+    }
+
+    // Guards against an engine that answers health checks and breaks half of its answers.
+    void failingEngineGetsLess()
+    {
+        engine_board board("d1", 1);
+        add(board, "grey", 18);
+        add(board, "sound", 18);
+        for (int i = 0; i < 3; ++i) {
+            board.onStart("grey", m_now);
+            board.onEnd("grey", attempt_result::Failed, m_now);
+        }
+        for (int i = 0; i < 10; ++i) {
+            const pick chosen = choose(board);
+            CPPUNIT_ASSERT_EQUAL(std::string("sound"), chosen.engine->id);
+            board.onStart("sound", m_now);
+        }
+        CPPUNIT_ASSERT(board.choose({.upstream = "u"}, {}, m_now + 30s).engine->id == "grey");
+    }
+
+    // Guards against failures of an earlier process that are held against the next one.
+    void reusedIdIsANewEngine()
+    {
+        engine_board board("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 100;
+        board.update(entry, nullptr, m_now);
+        board.onStart("e1", m_now);
+        board.onEnd("e1", attempt_result::Unreachable, m_now);
+        CPPUNIT_ASSERT(!board.usable("e1", m_now));
+        entry.startedAt = 200;
+        board.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(board.usable("e1", m_now));
+    }
+
+    // Guards against an address that serves two upstreams.
+    void movedEngineServesItsNewUpstreamOnly()
+    {
+        engine_board board("d1", 1);
+        add(board, "e1", 2);
+        engine_entry entry = make("e1", 2);
+        entry.upstream = "v";
+        board.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(choose(board).outcome == pick_outcome::NoEngine);
+        CPPUNIT_ASSERT(board.choose({.upstream = "v"}, {}, m_now).outcome == pick_outcome::Picked);
+        board.remove("e1");
+        CPPUNIT_ASSERT(board.choose({.upstream = "v"}, {}, m_now).outcome
+                       == pick_outcome::NoEngine);
+    }
+
+private:
+    static engine_entry make(const std::string &id, std::uint32_t slots)
+    {
+        return {
+            .id = id, .upstream = "u", .address = "127.0.0.1:1", .domain = "d1", .slots = slots};
+    }
+
+    void add(engine_board &board, const std::string &id, std::uint32_t slots) const
+    {
+        board.update(make(id, slots), nullptr, m_now);
+    }
+
+    pick choose(engine_board &board) const { return board.choose({.upstream = "u"}, {}, m_now); }
+
+    int startAll(engine_board &board, int most) const
+    {
+        int started = 0;
+        for (; started < most; ++started) {
+            const pick chosen = choose(board);
+            if (chosen.outcome != pick_outcome::Picked)
+                break;
+            board.onStart(chosen.engine->id, m_now);
+        }
+        return started;
+    }
+
+    upstream_settings m_cold{
+        .name = "u", .connectionsPerEngine = 0, .coldTime = 3s, .coldRequestsPerSecond = 24};
+    core::time_point m_now{1h};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(engine_board_test);
--- /dev/null
+++ b/tests/dispatch/fleet_view_test.cpp
@@ -0,0 +1,151 @@
+#include "dispatch/fleet_view.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::dispatch;
+using namespace std::chrono_literals;
+
+class fleet_view_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_view_test);
+    CPPUNIT_TEST(silentNodeKeepsItsShare);
+    CPPUNIT_TEST(nodeThatLeftIsForgottenSoon);
+    CPPUNIT_TEST(onlyReadyNodesInTouchAreNamed);
+    CPPUNIT_TEST(usesAreCountedOnce);
+    CPPUNIT_TEST(namedNodesAreAsked);
+    CPPUNIT_TEST(newestRecordsAreFound);
+    CPPUNIT_TEST(moreUrgentRequestsElsewhereAreSeen);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against two halves of a cut fleet that each spend the whole of a bound.
+    void silentNodeKeepsItsShare()
+    {
+        fleet_view view(1, "d1", {});
+        view.onStatus(status(2, 1), m_now);
+        view.onStatus(status(3, 1), m_now);
+        view.onStatus(status(2, 2), m_now + 5s);
+        const fleet_share share = view.share(m_now + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, share.known);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, share.inTouch);
+        view.forget(m_now + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, view.share(m_now + 5s).known);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.takeSilent(m_now + 5s).size());
+        CPPUNIT_ASSERT(view.takeSilent(m_now + 5s).empty());
+    }
+
+    // Guards against a share that stays reserved for a node that was stopped.
+    void nodeThatLeftIsForgottenSoon()
+    {
+        fleet_view view(1, "d1", {});
+        node_status leaving = status(2, 1);
+        leaving.leaving = true;
+        view.onStatus(leaving, m_now);
+        view.forget(m_now + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.share(m_now + 5s).known);
+    }
+
+    // Guards against callers that are sent to a node that is dead, leaving or not ready.
+    void onlyReadyNodesInTouchAreNamed()
+    {
+        fleet_view view(1, "d1", {});
+        node_status far = status(2, 1);
+        far.domain = "d2";
+        view.onStatus(far, m_now);
+        view.onStatus(status(3, 1), m_now);
+        node_status starting = status(4, 1);
+        starting.ready = false;
+        view.onStatus(starting, m_now);
+        node_status leaving = status(5, 1);
+        leaving.leaving = true;
+        view.onStatus(leaving, m_now);
+        const auto ready = view.readyPeers("d1", m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ready.size());
+        CPPUNIT_ASSERT_EQUAL(3U, ready.at(0)->address);
+        CPPUNIT_ASSERT_EQUAL(2U, ready.at(1)->address);
+        CPPUNIT_ASSERT(view.readyPeers("d1", m_now + 2s).empty());
+    }
+
+    // Guards against quota that is subtracted twice, or never after a restart.
+    void usesAreCountedOnce()
+    {
+        fleet_view view(1, "d1", {});
+        CPPUNIT_ASSERT_EQUAL(100.0, usesOf(view, 1, 1, 100));
+        CPPUNIT_ASSERT_EQUAL(50.0, usesOf(view, 1, 2, 150));
+        CPPUNIT_ASSERT_EQUAL(0.0, usesOf(view, 1, 2, 150));
+        CPPUNIT_ASSERT_EQUAL(0.0, usesOf(view, 1, 1, 100));
+        CPPUNIT_ASSERT_EQUAL(30.0, usesOf(view, 2, 1, 30));
+    }
+
+    // Guards against a fleet that stays in parts because the seeds of its nodes differ.
+    void namedNodesAreAsked()
+    {
+        fleet_view view(1, "d1", {});
+        node_status sender = status(2, 1);
+        sender.known = {1, 3};
+        view.onStatus(sender, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.peers().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.share(m_now).known);
+    }
+
+    // Guards against a node that reads from a peer that knows no more.
+    void newestRecordsAreFound()
+    {
+        fleet_view view(1, "d1", {});
+        node_status behind = status(2, 1);
+        behind.revisions = {5, 9};
+        node_status ahead = status(3, 1);
+        ahead.revisions = {7, 8};
+        view.onStatus(behind, m_now);
+        view.onStatus(ahead, m_now);
+        CPPUNIT_ASSERT_EQUAL(3U, view.newerRecords(0, 5, m_now)->address);
+        CPPUNIT_ASSERT_EQUAL(2U, view.newerRecords(1, 5, m_now)->address);
+        CPPUNIT_ASSERT(view.newerRecords(0, 7, m_now) == nullptr);
+        CPPUNIT_ASSERT(view.newerRecords(2, 0, m_now) == nullptr);
+    }
+
+    // Guards against a less urgent request that takes a slot for which a peer has a more urgent
+    // one.
+    void moreUrgentRequestsElsewhereAreSeen()
+    {
+        fleet_view view(1, "d1", {});
+        node_status busy = status(2, 1);
+        busy.queues = {{"u", 4, 1}};
+        view.onStatus(busy, m_now);
+        CPPUNIT_ASSERT_EQUAL(4U, view.moreUrgentAtPeers("u", 2, m_now));
+        CPPUNIT_ASSERT_EQUAL(0U, view.moreUrgentAtPeers("u", 1, m_now));
+        CPPUNIT_ASSERT_EQUAL(0U, view.moreUrgentAtPeers("v", 2, m_now));
+        CPPUNIT_ASSERT_EQUAL(0U, view.moreUrgentAtPeers("u", 2, m_now + 5s));
+    }
+
+private:
+    static node_status status(std::uint32_t address, std::uint64_t sequence)
+    {
+        node_status result;
+        result.address = address;
+        result.life = 1;
+        result.domain = "d1";
+        result.ready = true;
+        result.sequence = sequence;
+        return result;
+    }
+
+    double usesOf(fleet_view &view, std::uint64_t life, std::uint64_t sequence, double total) const
+    {
+        node_status sender = status(2, sequence);
+        sender.life = life;
+        sender.uses = {{"t", total}};
+        double sum = 0;
+        for (const auto &use : view.onStatus(sender, m_now).newUses)
+            sum += use.total;
+        return sum;
+    }
+
+    core::time_point m_now{1h};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_view_test);
--- /dev/null
+++ b/tests/dispatch/quota_pool_test.cpp
@@ -0,0 +1,206 @@
+#include "dispatch/quota_pool.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <cmath>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace comfreypass;
+using namespace comfreypass::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+team limitedTeam(double rate, double burst)
+{
+    team result;
+    result.name = "t";
+    result.quota = team_quota{
+        .countsTokens = true, .unitsPerSecond = rate, .burstUnits = burst, .plainUnits = 200};
+    return result;
+}
+
+/** Nodes that each ask for the team and exchange what they admitted. */
+class quota_fleet
+{
+public:
+    quota_fleet(std::size_t nodes, core::duration exchange)
+        : m_pools(nodes), m_told(nodes, 0.0), m_exchange(exchange)
+    { }
+
+    /** Asks at random nodes for `load` units a second in requests of about `size` units. */
+    double run(const team &owner, double load, double size, core::duration time, std::size_t groups)
+    {
+        double admitted = 0;
+        const core::duration step = 10ms;
+        const core::time_point end = m_now + time;
+        const std::size_t inGroup = m_pools.size() / groups;
+        double due = 0;
+        while (m_now < end) {
+            m_now += step;
+            due += load * std::chrono::duration<double>(step).count() / size;
+            for (; due >= 1; due -= 1) {
+                const std::size_t node = m_random() % m_pools.size();
+                const double units
+                    = size * std::uniform_real_distribution<double>(0.2, 1.8)(m_random);
+                m_asked += units;
+                const fleet_share share{.known = m_pools.size(), .inTouch = inGroup};
+                if (m_pools[node].admit(owner, units, share, m_now).admitted)
+                    admitted += units;
+            }
+            if (m_now >= m_nextExchange) {
+                m_nextExchange = m_now + m_exchange;
+                exchange(owner.name, inGroup);
+            }
+        }
+        return admitted;
+    }
+
+    /** Units that were asked for so far. */
+    double asked() const { return m_asked; }
+
+private:
+    void exchange(const std::string &name, std::size_t inGroup)
+    {
+        for (std::size_t from = 0; from < m_pools.size(); ++from) {
+            const double total = m_pools[from].ownTotal(name);
+            const double news = total - m_told[from];
+            m_told[from] = total;
+            for (std::size_t to = 0; to < m_pools.size(); ++to) {
+                if (to != from && to / inGroup == from / inGroup)
+                    m_pools[to].addPeerUse(name, news);
+            }
+        }
+    }
+
+    std::vector<quota_pool> m_pools;
+    std::vector<double> m_told;
+    core::duration m_exchange;
+    core::time_point m_now{1h};
+    core::time_point m_nextExchange{};
+    double m_asked = 0;
+    std::minstd_rand m_random{7};
+};
+
+} // namespace
+
+class quota_pool_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(quota_pool_test);
+    CPPUNIT_TEST(fleetKeepsTheSumUnderHeavyDemand);
+    CPPUNIT_TEST(groupsThatDoNotHearEachOtherKeepTheSum);
+    CPPUNIT_TEST(restartedFleetKeepsTheSum);
+    CPPUNIT_TEST(demandWithinTheQuotaIsServedAtAnyNode);
+    CPPUNIT_TEST(requestLargerThanANodesPartIsServed);
+    CPPUNIT_TEST(refundGivesBackWhatNeverRan);
+    CPPUNIT_TEST(teamWithoutQuotaIsNeverRefused);
+    CPPUNIT_TEST(lowerLimitTakesEffectAtOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a team that gets its quota once from each node.
+    void fleetKeepsTheSumUnderHeavyDemand()
+    {
+        const team owner = limitedTeam(36'000, 36'000);
+        quota_fleet fleet(8, 150ms);
+        const double admitted = fleet.run(owner, 36'000 * 7.5, 7'000, 8s, 1);
+        CPPUNIT_ASSERT(admitted <= allowed(owner, 8));
+    }
+
+    // Guards against a cut that doubles the quota.
+    void groupsThatDoNotHearEachOtherKeepTheSum()
+    {
+        const team owner = limitedTeam(36'000, 36'000);
+        for (const std::size_t groups : {2, 4, 8}) {
+            quota_fleet fleet(8, 150ms);
+            const double admitted = fleet.run(owner, 36'000 * 7.5, 7'000, 8s, groups);
+            CPPUNIT_ASSERT(admitted <= allowed(owner, 8));
+        }
+    }
+
+    // Guards against a fleet that is killed together and gives each team its burst again.
+    void restartedFleetKeepsTheSum()
+    {
+        const team owner = limitedTeam(270'000, 270'000);
+        double admitted = 0;
+        for (int life = 0; life < 2; ++life) {
+            quota_fleet fleet(8, 150ms);
+            admitted += fleet.run(owner, 270'000 * 4, 7'000, 4s, 1);
+        }
+        CPPUNIT_ASSERT(admitted <= allowed(owner, 8));
+    }
+
+    // Guards against refusals of a team that stays within its quota.
+    void demandWithinTheQuotaIsServedAtAnyNode()
+    {
+        const team owner = limitedTeam(36'000, 36'000);
+        quota_fleet fleet(8, 150ms);
+        const double admitted = fleet.run(owner, 36'000 * 0.55, 1'000, 20s, 1);
+        CPPUNIT_ASSERT(admitted >= fleet.asked() * 0.95);
+    }
+
+    // Guards against long documents that no node's bucket could ever hold.
+    void requestLargerThanANodesPartIsServed()
+    {
+        const team owner = limitedTeam(8'000, 8'000);
+        quota_pool pool;
+        const fleet_share share{.known = 8, .inTouch = 8};
+        CPPUNIT_ASSERT(pool.admit(owner, 54'000, share, m_start).admitted);
+        const quota_verdict next = pool.admit(owner, 100, share, m_start + 10ms);
+        CPPUNIT_ASSERT(!next.admitted);
+        CPPUNIT_ASSERT(next.retryAfter > 0s);
+        CPPUNIT_ASSERT(pool.admit(owner, 100, share, m_start + 7s).admitted);
+    }
+
+    // Guards against a quota that refused requests use up.
+    void refundGivesBackWhatNeverRan()
+    {
+        const team owner = limitedTeam(1'000, 1'000);
+        quota_pool pool;
+        const fleet_share alone;
+        for (int i = 0; i < 100; ++i) {
+            CPPUNIT_ASSERT(pool.admit(owner, 900, alone, m_start).admitted);
+            pool.refund(owner, 900);
+        }
+        CPPUNIT_ASSERT_EQUAL(0.0, pool.ownTotal("t"));
+    }
+
+    // Guards against a limit of zero that refuses everything.
+    void teamWithoutQuotaIsNeverRefused()
+    {
+        team owner;
+        owner.name = "free";
+        quota_pool pool;
+        for (int i = 0; i < 1'000; ++i)
+            CPPUNIT_ASSERT(pool.admit(owner, 1e6, {}, m_start).admitted);
+    }
+
+    // Guards against units saved under a higher limit that are spent under the lower one.
+    void lowerLimitTakesEffectAtOnce()
+    {
+        quota_pool pool;
+        const fleet_share alone;
+        CPPUNIT_ASSERT(pool.admit(limitedTeam(100'000, 100'000), 1, alone, m_start).admitted);
+        const team lower = limitedTeam(1'000, 1'000);
+        double admitted = 0;
+        for (int i = 0; i < 1'000; ++i) {
+            if (pool.admit(lower, 100, alone, m_start + 10s).admitted)
+                admitted += 100;
+        }
+        CPPUNIT_ASSERT(admitted <= 1'100);
+    }
+
+private:
+    /** What the users allow in a window: a quarter more, and 140,000 tokens. */
+    static double allowed(const team &owner, double seconds)
+    {
+        return (owner.quota->unitsPerSecond * seconds + owner.quota->burstUnits) * 1.25 + 140'000;
+    }
+
+    core::time_point m_start{1h};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(quota_pool_test);
--- /dev/null
+++ b/tests/dispatch/record_collection_test.cpp
@@ -0,0 +1,63 @@
+#include "dispatch/record_collection.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace comfreypass::dispatch;
+
+class record_collection_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(record_collection_test);
+    CPPUNIT_TEST(olderRecordNeverReplacesANewerOne);
+    CPPUNIT_TEST(removedRecordDoesNotComeBack);
+    CPPUNIT_TEST(snapshotRemovesWhatIsMissing);
+    CPPUNIT_TEST(oldSnapshotRemovesNothingNewer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a configuration that goes back when a peer is behind.
+    void olderRecordNeverReplacesANewerOne()
+    {
+        record_collection records;
+        CPPUNIT_ASSERT(!records.write({"a", 5, "new"}).empty());
+        CPPUNIT_ASSERT(records.write({"a", 4, "old"}).empty());
+        CPPUNIT_ASSERT(records.write({"a", 5, "new"}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), records.records().at("a").value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, records.revision());
+    }
+
+    // Guards against an evacuation that a late peer brings back.
+    void removedRecordDoesNotComeBack()
+    {
+        record_collection records;
+        records.write({"a", 5, "x"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.remove("a", 7).removed.size());
+        CPPUNIT_ASSERT(records.write({"a", 5, "x"}).empty());
+        CPPUNIT_ASSERT(!records.write({"a", 8, "y"}).empty());
+        CPPUNIT_ASSERT(records.remove("a", 7).empty());
+    }
+
+    // Guards against engines that were removed while the watch was cut.
+    void snapshotRemovesWhatIsMissing()
+    {
+        record_collection records;
+        records.write({"a", 1, "x"});
+        records.write({"b", 2, "x"});
+        const record_changes changes = records.replaceAll({{"b", 2, "x"}, {"c", 4, "x"}}, 6);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), changes.removed.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), changes.written.at(0).key);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, records.records().size());
+    }
+
+    // Guards against a slow list that removes what a peer told meanwhile.
+    void oldSnapshotRemovesNothingNewer()
+    {
+        record_collection records;
+        records.write({"a", 9, "x"});
+        CPPUNIT_ASSERT(records.replaceAll({}, 8).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.records().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(record_collection_test);
