Run the gateway on the platform

Change: gateway is the node (flows, published records, exchange of states); platform translates headers, records, store calls and the directory; the command 'comfreypass gateway' and deploy/ run it. Metrics of the gateway, structured log lines with the inputs of each decision.

--- a/scripts/generate-protobuf.sh
+++ b/scripts/generate-protobuf.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p src/wire/generated
-protoc --proto_path=proto --cpp_out=src/wire/generated proto/peer.proto
+protoc --proto_path=proto --cpp_out=src/wire/generated proto/peer.proto proto/fleet.proto
--- a/src/app/command_table.cpp
+++ b/src/app/command_table.cpp
@@ -4,6 +4,7 @@
 #include "app/demo_command.h"
 #include "app/diff_command.h"
 #include "app/explain_command.h"
+#include "app/gateway_command.h"
 #include "app/report_command.h"
 #include "app/serve_command.h"
 #include "app/version_command.h"
@@ -22,6 +23,8 @@
 
 constexpr std::array rows = {
     command_row{"serve", "Run an entry node", serve_command::footer, make<serve_command>},
+    command_row{"gateway", "Run a node of the gateway on the platform", gateway_command::footer,
+                make<gateway_command>},
     command_row{"demo", "Run a whole fleet with stand-ins and check what must always hold",
                 demo_command::footer, make<demo_command>},
     command_row{"check", "Check sheets and settings; shows every error with its JSON pointer",
--- /dev/null
+++ b/src/gateway/catalogue.cpp
@@ -0,0 +1,186 @@
+#include "gateway/catalogue.h"
+
+#include "observe/log_setup.h"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace comfreypass::gateway {
+
+namespace {
+
+using observe::log_level;
+using observe::logEvent;
+
+/** Engines write their entries again within about two seconds of the source's return. */
+constexpr core::duration lapsedEntryTime = std::chrono::milliseconds(2'400);
+
+} // namespace
+
+catalogue::catalogue(const record_decoder &decoder, dispatch::engine_board &board,
+                     change_function changed)
+    : m_decoder(decoder), m_board(board), m_changed(std::move(changed))
+{ }
+
+void catalogue::onWritten(collection_id collection, dispatch::published_record record,
+                          core::time_point now)
+{
+    apply(m_collections.at(static_cast<std::size_t>(collection)).write(std::move(record)), now);
+}
+
+void catalogue::onRemoved(collection_id collection, std::string_view key, std::uint64_t revision,
+                          core::time_point now)
+{
+    apply(m_collections.at(static_cast<std::size_t>(collection)).remove(key, revision), now);
+}
+
+void catalogue::onSnapshot(collection_id collection,
+                           std::vector<dispatch::published_record> records, std::uint64_t revision,
+                           core::time_point now)
+{
+    apply(m_collections.at(static_cast<std::size_t>(collection))
+              .replaceAll(std::move(records), revision),
+          now);
+}
+
+void catalogue::onAvailability(collection_id collection, bool available, core::time_point now)
+{
+    if (collection != collection_id::Engines || m_enginesAvailable == available)
+        return;
+    m_enginesAvailable = available;
+    if (available)
+        m_removalsHeldUntil = now + lapsedEntryTime;
+}
+
+void catalogue::onPeerRecords(std::span<const collection_snapshot> snapshots, core::time_point now)
+{
+    for (std::size_t i = 0; i < snapshots.size() && i < m_collections.size(); ++i) {
+        apply(m_collections[i].replaceAll(snapshots[i].records, snapshots[i].revision), now);
+        m_collections[i].advance(snapshots[i].revision);
+    }
+}
+
+void catalogue::removeLapsed(core::time_point now)
+{
+    bool removed = false;
+    for (auto each = m_lapsed.begin(); each != m_lapsed.end();) {
+        if (each->second > now) {
+            ++each;
+            continue;
+        }
+        removeEngine(each->first, "its entry did not come back");
+        each = m_lapsed.erase(each);
+        removed = true;
+    }
+    if (removed)
+        m_changed();
+}
+
+std::vector<std::uint64_t> catalogue::revisions() const
+{
+    std::vector<std::uint64_t> result;
+    for (const dispatch::record_collection &each : m_collections)
+        result.push_back(each.revision());
+    return result;
+}
+
+void catalogue::apply(const dispatch::record_changes &changes, core::time_point now)
+{
+    if (changes.empty())
+        return;
+    for (const dispatch::published_record &record : changes.written)
+        applyWritten(record, now);
+    for (const std::string &key : changes.removed)
+        applyRemoved(key, now);
+    m_changed();
+}
+
+void catalogue::applyWritten(const dispatch::published_record &record, core::time_point now)
+{
+    core::result<record_content> content = m_decoder.decode(record);
+    if (!content) {
+        logEvent(log_level::Warning, "record_unreadable", "a published record was left out",
+                 {{"key", record.key},
+                  {"revision", std::to_string(record.revision)},
+                  {"detail", describe(content.error())}});
+        // Another writer may have replaced an engine's entry; it names no engine to use.
+        if (const std::string_view id = m_decoder.engineOfKey(record.key); !id.empty())
+            removeEngine(id, "its entry is unreadable");
+        return;
+    }
+    if (auto *settings = std::get_if<dispatch::configuration>(&content.value()))
+        applyConfiguration(std::move(*settings));
+    else if (const auto *entry = std::get_if<dispatch::engine_entry>(&content.value()))
+        applyEngine(*entry, now);
+    else if (const auto *domain = std::get_if<evacuated_domain>(&content.value())) {
+        m_board.setEvacuated(domain->name, true, now);
+        logEvent(log_level::Info, "domain_evacuated",
+                 "the engines of a failure domain get no new requests",
+                 {{"domain", domain->name}, {"revision", std::to_string(record.revision)}});
+    }
+}
+
+void catalogue::applyRemoved(const std::string &key, core::time_point now)
+{
+    if (const std::string_view domain = m_decoder.evacuatedDomainOfKey(key); !domain.empty()) {
+        m_board.setEvacuated(domain, false, now);
+        logEvent(log_level::Info, "domain_restored", "a failure domain is back in service",
+                 {{"domain", domain}});
+    }
+    const std::string_view id = m_decoder.engineOfKey(key);
+    if (id.empty())
+        return;
+    const core::time_point due = removalDue(now);
+    if (due > now)
+        m_lapsed.try_emplace(std::string(id), due);
+    else
+        removeEngine(id, "its entry was removed");
+}
+
+void catalogue::applyConfiguration(dispatch::configuration settings)
+{
+    if (m_routes && m_routes->settings().version >= settings.version)
+        return;
+    logEvent(log_level::Info, "configuration_applied", "a new configuration is in force",
+             {{"version", std::to_string(settings.version)},
+              {"before", std::to_string(m_routes ? m_routes->settings().version : 0)},
+              {"routes", std::to_string(settings.routes.size())},
+              {"teams", std::to_string(settings.teams.size())}});
+    m_routes = std::make_shared<const dispatch::routing_index>(std::move(settings));
+    for (const dispatch::upstream_settings &each : m_routes->settings().upstreams)
+        m_board.updateSettings(each.name, each);
+}
+
+void catalogue::applyEngine(const dispatch::engine_entry &entry, core::time_point now)
+{
+    m_lapsed.erase(entry.id);
+    const dispatch::engine_entry *before = m_board.find(entry.id);
+    if (before == nullptr || before->draining != entry.draining
+        || before->startedAt != entry.startedAt)
+        logEvent(log_level::Info, before == nullptr ? "engine_added" : "engine_changed",
+                 "an engine's entry was written",
+                 {{"engine", entry.id},
+                  {"upstream", entry.upstream},
+                  {"address", entry.address},
+                  {"domain", entry.domain},
+                  {"draining", entry.draining ? "true" : "false"},
+                  {"cold_ms", std::to_string(entry.coldLeft.count() / 1'000)}});
+    m_board.update(entry, m_routes ? m_routes->upstream(entry.upstream) : nullptr, now);
+}
+
+void catalogue::removeEngine(std::string_view id, std::string_view why)
+{
+    if (m_board.find(id) == nullptr)
+        return;
+    logEvent(log_level::Info, "engine_removed", why, {{"engine", id}});
+    m_board.remove(id);
+}
+
+// A removal that a peer told while the source does not answer here may be a lapse as well.
+core::time_point catalogue::removalDue(core::time_point now) const
+{
+    return m_enginesAvailable ? m_removalsHeldUntil : now + lapsedEntryTime;
+}
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/catalogue.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "dispatch/engine_board.h"
+#include "dispatch/record_collection.h"
+#include "dispatch/routing_index.h"
+#include "gateway/record_decoder.h"
+#include "gateway/record_source.h"
+#include "gateway/status_codec.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace comfreypass::gateway {
+
+/**
+ * What is published, from the source or from peers, and what follows from it: the configuration in
+ * force, the engines, the failure domains that are out of service.
+ *
+ * The configuration never goes back to an older version. An engine that vanishes from the list
+ * while the source was away, or right after, stays known for a moment: entries lapse during an
+ * outage and are written again after it. Not thread-safe.
+ */
+class catalogue
+{
+public:
+    /** Called after something changed that may let waiting requests start. */
+    using change_function = std::function<void()>;
+
+    /** Decoder and board must outlive the catalogue. */
+    catalogue(const record_decoder &decoder, dispatch::engine_board &board,
+              change_function changed);
+
+    void onWritten(collection_id collection, dispatch::published_record record,
+                   core::time_point now);
+    void onRemoved(collection_id collection, std::string_view key, std::uint64_t revision,
+                   core::time_point now);
+    void onSnapshot(collection_id collection, std::vector<dispatch::published_record> records,
+                    std::uint64_t revision, core::time_point now);
+    void onAvailability(collection_id collection, bool available, core::time_point now);
+
+    /** Takes what a peer knows. */
+    void onPeerRecords(std::span<const collection_snapshot> snapshots, core::time_point now);
+
+    /** Removes the engines whose entries did not come back. */
+    void removeLapsed(core::time_point now);
+
+    /** The configuration in force; null while none is known. */
+    const std::shared_ptr<const dispatch::routing_index> &routes() const noexcept
+    {
+        return m_routes;
+    }
+
+    std::span<const dispatch::record_collection> collections() const noexcept
+    {
+        return m_collections;
+    }
+
+    /** Newest revision of each collection. */
+    std::vector<std::uint64_t> revisions() const;
+
+private:
+    void apply(const dispatch::record_changes &changes, core::time_point now);
+    void applyWritten(const dispatch::published_record &record, core::time_point now);
+    void applyRemoved(const std::string &key, core::time_point now);
+    void applyConfiguration(dispatch::configuration settings);
+    void applyEngine(const dispatch::engine_entry &entry, core::time_point now);
+    void removeEngine(std::string_view id, std::string_view why);
+    core::time_point removalDue(core::time_point now) const;
+
+    const record_decoder &m_decoder;
+    dispatch::engine_board &m_board;
+    change_function m_changed;
+    std::array<dispatch::record_collection, collectionCount> m_collections;
+    std::shared_ptr<const dispatch::routing_index> m_routes;
+    bool m_enginesAvailable = false;
+    core::time_point m_removalsHeldUntil{};
+    /** Engines whose entries vanished, and when they are taken as gone. */
+    std::map<std::string, core::time_point, std::less<>> m_lapsed;
+};
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/engine_links.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "http1/client_connection.h"
+#include "http1/deferred_deleter.h"
+#include "http1/endpoint.h"
+
+#include <ace/Reactor.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace comfreypass::gateway {
+
+/** A connection to an engine for one request. */
+struct engine_link
+{
+    std::shared_ptr<http1::client_connection> connection;
+    /** It has served a request before; the engine may close it at any moment. */
+    bool isReused = false;
+};
+
+/** Connections to engines, kept between requests. Not thread-safe. */
+class engine_links
+{
+public:
+    /** Reactor and deleter must outlive the object. */
+    engine_links(ACE_Reactor &reactor, http1::deferred_deleter &deleter);
+    ~engine_links();
+    engine_links(const engine_links &) = delete;
+    engine_links &operator=(const engine_links &) = delete;
+
+    /** A kept connection that was idle for less than `longestIdle`, or a new one. */
+    engine_link take(const http1::endpoint &address, core::duration longestIdle,
+                     core::time_point now);
+
+    /** Keeps a connection after a whole answer; `lifetime` is the engine's idle time-out. */
+    void give(const http1::endpoint &address, std::shared_ptr<http1::client_connection> connection,
+              core::duration lifetime, core::time_point now);
+
+    /** Closes a connection; safe within one of its events. */
+    void discard(std::shared_ptr<http1::client_connection> connection);
+
+    /** Closes the connections that are near their idle time-out or were closed by the engine. */
+    void closeExpired(core::time_point now);
+
+    std::size_t idleCount() const noexcept;
+
+private:
+    struct idle_link
+    {
+        std::shared_ptr<http1::client_connection> connection;
+        core::time_point idleSince;
+        core::time_point expiresAt;
+    };
+
+    ACE_Reactor &m_reactor;
+    http1::deferred_deleter &m_deleter;
+    std::map<http1::endpoint, std::vector<idle_link>> m_idle;
+};
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/event_splitter.cpp
@@ -0,0 +1,96 @@
+#include "gateway/event_splitter.h"
+
+namespace comfreypass::gateway {
+
+namespace {
+
+/** End of the first event at or behind `from`; npos if it is not whole. */
+std::size_t eventEnd(std::string_view text, std::size_t from)
+{
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        std::size_t next = at + 1;
+        if (next < text.size() && text[next] == '\r')
+            ++next;
+        if (next < text.size() && text[next] == '\n')
+            return next + 1;
+    }
+    return std::string_view::npos;
+}
+
+/** Calls the function with each line of a text, without the line break. */
+template<class Function>
+void forEachLine(std::string_view text, Function &&each)
+{
+    while (!text.empty()) {
+        const std::size_t end = text.find('\n');
+        std::string_view line = text.substr(0, end);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        each(line);
+        text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    }
+}
+
+std::optional<std::string> idOfLine(std::string_view line)
+{
+    if (!line.starts_with("id:"))
+        return std::nullopt;
+    line.remove_prefix(3);
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    return std::string(line);
+}
+
+} // namespace
+
+bool event_splitter::feed(std::string_view bytes)
+{
+    m_buffer.append(bytes);
+    std::size_t searchFrom = m_searched;
+    for (;;) {
+        const std::size_t end = eventEnd(m_buffer, searchFrom);
+        if (end == std::string_view::npos)
+            break;
+        m_wholeBytes = end;
+        searchFrom = end;
+        ++m_events;
+    }
+    // The line break before the last two bytes may be the first half of an event's end.
+    constexpr std::size_t endBytes = 2;
+    m_searched
+        = m_buffer.size() > m_wholeBytes + endBytes ? m_buffer.size() - endBytes : m_wholeBytes;
+    return m_buffer.size() - m_wholeBytes <= mostEventBytes;
+}
+
+std::optional<std::string> event_splitter::firstId() const
+{
+    std::optional<std::string> first;
+    const std::size_t end = eventEnd(whole(), 0);
+    if (end != std::string_view::npos) {
+        forEachLine(whole().substr(0, end), [&first](std::string_view line) {
+            if (const auto id = idOfLine(line))
+                first = id;
+        });
+    }
+    return first;
+}
+
+void event_splitter::takeWhole()
+{
+    forEachLine(whole(), [this](std::string_view line) {
+        if (auto id = idOfLine(line))
+            m_lastId = std::move(id);
+    });
+    m_buffer.erase(0, m_wholeBytes);
+    m_searched -= m_wholeBytes;
+    m_wholeBytes = 0;
+}
+
+void event_splitter::dropRest()
+{
+    m_buffer.resize(m_wholeBytes);
+    m_searched = m_wholeBytes;
+}
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/flow_services.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time_point.h"
+#include "dispatch/admission.h"
+#include "dispatch/quota_pool.h"
+#include "dispatch/retry_budget.h"
+#include "dispatch/routing_index.h"
+#include "gateway/engine_links.h"
+#include "gateway/flow_record.h"
+#include "gateway/protocol.h"
+
+#include <ace/Reactor.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace comfreypass::gateway {
+
+/** What request flows share; owned by the node, which outlives its flows. */
+struct flow_services
+{
+    ACE_Reactor &reactor;
+    const protocol &spelling;
+    dispatch::engine_board &board;
+    const dispatch::fleet_view &fleet;
+    dispatch::admission &admission;
+    dispatch::quota_pool &quotas;
+    dispatch::retry_budget &retries;
+    engine_links &links;
+    std::minstd_rand &random;
+    std::function<core::time_point()> now;
+    /** The configuration in force; null while none is known. */
+    std::function<std::shared_ptr<const dispatch::routing_index>()> routes;
+    /** An attempt ended, so a slot of the upstream may be free. */
+    std::function<void(const std::string &upstream)> slotFreed;
+    /** An attempt did not end well; the flow goes on or ends with what it says next. */
+    std::function<void(const flow_record &record, std::string_view failure)> attemptFailed;
+    /** The flow has ended and may be given to a deferred_deleter. */
+    std::function<void(core::request_id id, const flow_record &record)> done;
+};
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/gateway_node.cpp
@@ -0,0 +1,510 @@
+#include "gateway/gateway_node.h"
+
+#include "gateway/status_codec.h"
+#include "observe/log_setup.h"
+#include "transport/clock.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace comfreypass::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+using observe::log_level;
+using observe::logEvent;
+using transport::monotonicNow;
+
+/**
+ * Time between two statuses. Between them the fleet decides on old loads: at 200 requests a second
+ * and 9 engines, about three requests for each engine arrive in this time.
+ */
+constexpr core::duration shortestStatusInterval = 150ms;
+
+/** Added for each peer, so that the messages of a large fleet stay within a node's share. */
+constexpr core::duration statusIntervalPerPeer = 4ms;
+
+/** Waiting requests are looked at in this interval; a slot of an engine frees every few of them. */
+constexpr core::duration tickInterval = 20ms;
+
+/** Time-outs of connections, kept connections and peers are checked in this interval. */
+constexpr core::duration sweepInterval = 250ms;
+
+/** A node that is behind its peers for this time reads from one of them. */
+constexpr core::duration behindTime = 100ms;
+constexpr core::duration peerFetchTimeout = 1s;
+
+/** Requests are taken for this time after the order to stop; a caller may hold an old address. */
+constexpr core::duration lateRequestTime = 2'500ms;
+
+/** Callers keep addresses for up to three times the time that they were told. */
+constexpr core::duration staleAddressTime = 4s;
+
+/** Time before the kill at which the node ends what still runs. */
+constexpr core::duration killMargin = 600ms;
+
+/** Callers' connections; the rest of the descriptors goes to engines and peers. */
+constexpr int callerDescriptorPercent = 60;
+
+/** Output that a caller may leave unread before its connection is ended. */
+constexpr std::size_t mostUnsentBytes = 4'194'304;
+
+std::uint64_t randomLife()
+{
+    std::random_device entropy;
+    return (std::uint64_t{entropy()} << 32U) | entropy();
+}
+
+std::string addressText(std::uint32_t address)
+{
+    const std::string text = http1::endpoint{address, 1}.text();
+    return text.substr(0, text.find(':'));
+}
+
+} // namespace
+
+/** One request for the records of a peer. */
+class gateway_node::peer_fetch final : public transport::http_call_events
+{
+public:
+    peer_fetch(gateway_node &node, std::uint32_t peer) : m_node(node), m_peer(peer) { }
+
+    void onHeaders(unsigned status, const transport::http_headers & /*headers*/) override
+    {
+        m_status = status;
+    }
+
+    bool onData(std::string_view bytes) override
+    {
+        m_body.append(bytes);
+        return true;
+    }
+
+    void onDone(const transport::http_call_result &result) override
+    {
+        constexpr unsigned ok = 200;
+        m_node.m_fetching = false;
+        const auto records = decodeRecords(m_body);
+        const bool whole = m_status == ok && result.complete && records.has_value();
+        logEvent(whole ? log_level::Info : log_level::Warning, "records_from_peer",
+                 whole ? "took the published records of a peer"
+                       : "could not read the published records of a peer",
+                 {{"peer", addressText(m_peer)}, {"detail", result.detail}});
+        if (whole)
+            m_node.m_catalogue.onPeerRecords(records.value(), monotonicNow());
+    }
+
+private:
+    gateway_node &m_node;
+    std::uint32_t m_peer;
+    unsigned m_status = 0;
+    std::string m_body;
+};
+
+gateway_node::gateway_node(ACE_Reactor &reactor, node_settings settings, const protocol &spelling,
+                           const record_decoder &decoder, record_source &records,
+                           observe::metric_registry &metrics)
+    : m_reactor(reactor), m_settings(std::move(settings)), m_records(records), m_metrics(metrics),
+      m_life(randomLife()), m_random(static_cast<std::uint32_t>(m_life)),
+      m_board(m_settings.domain, static_cast<std::uint32_t>(m_random())),
+      m_fleet(m_settings.peers.address, m_settings.domain, {}),
+      m_admission(m_board, m_fleet, static_cast<std::uint32_t>(m_random())),
+      m_retries({m_settings.retryRatio, m_settings.retryExtra, m_settings.retryWindow}),
+      m_links(reactor, m_deleter), m_catalogue(decoder, m_board, [this] { onCatalogueChanged(); }),
+      m_services{.reactor = reactor,
+                 .spelling = spelling,
+                 .board = m_board,
+                 .fleet = m_fleet,
+                 .admission = m_admission,
+                 .quotas = m_quotas,
+                 .retries = m_retries,
+                 .links = m_links,
+                 .random = m_random,
+                 .now = [] { return monotonicNow(); },
+                 .routes = [this] { return m_catalogue.routes(); },
+                 .slotFreed =
+                     [this](const std::string &upstream) {
+                         startWaiting(upstream, dispatch::slot_news::OwnEnd);
+                     },
+                 .attemptFailed =
+                     [this](const flow_record &record, std::string_view failure) {
+                         m_log.onAttemptFailed(record, failure, monotonicNow());
+                         m_metrics.add(observe::metric::GatewayAttemptFailures,
+                                       {record.upstream, failure});
+                     },
+                 .done =
+                     [this](core::request_id id, const flow_record &record) {
+                         onFlowDone(id, record);
+                     }},
+      m_listener(reactor, [this](http1::socket_handle socket) { onAccepted(std::move(socket)); }),
+      m_peerPort(reactor, [this](const http1::endpoint &from,
+                                 std::string_view bytes) { onDatagram(from, bytes); }),
+      m_peerClient(reactor), m_statusTimer(reactor, [this] { sendStatus(); }),
+      m_tickTimer(reactor, [this] { tick(); }), m_sweepTimer(reactor, [this] { sweep(); })
+{ }
+
+gateway_node::~gateway_node()
+{
+    m_listener.stop();
+    m_flows.clear();
+    m_connections.clear();
+    m_deleter.purge();
+}
+
+core::result<void> gateway_node::start()
+{
+    updateSeeds(m_settings.seeds);
+    if (core::result<void> opened = m_peerPort.open(m_settings.peers); !opened)
+        return opened.error();
+    if (const auto bound = m_listener.listen(m_settings.callers); !bound)
+        return bound.error();
+    m_records.start(*this);
+    sendStatus();
+    m_tickTimer.startRepeating(tickInterval);
+    m_sweepTimer.startRepeating(sweepInterval);
+    return boost::outcome_v2::success();
+}
+
+void gateway_node::leave()
+{
+    if (std::exchange(m_leaving, true))
+        return;
+    m_leavingSince = monotonicNow();
+    for (const auto &[pointer, connection] : m_connections)
+        connection->closeAfterAnswer();
+    sendStatus();
+}
+
+bool gateway_node::left() const
+{
+    if (!m_leaving)
+        return false;
+    const core::duration since = monotonicNow() - m_leavingSince;
+    const bool nothingRuns = m_flows.empty() && since > staleAddressTime;
+    return nothingRuns || since > m_settings.grace - killMargin;
+}
+
+std::vector<std::string> gateway_node::callerAddresses(std::string_view domain) const
+{
+    std::vector<std::string> addresses;
+    const core::time_point now = monotonicNow();
+    const bool selfFirst = domain == m_settings.domain;
+    if (ready() && selfFirst)
+        addresses.push_back(m_settings.callers.text());
+    for (const dispatch::node_status *each : m_fleet.readyPeers(domain, now))
+        addresses.push_back(http1::endpoint{each->address, each->callerPort}.text());
+    if (ready() && !selfFirst)
+        addresses.push_back(m_settings.callers.text());
+    return addresses;
+}
+
+void gateway_node::updateSeeds(const std::vector<std::uint32_t> &seeds)
+{
+    for (const std::uint32_t seed : seeds)
+        m_fleet.addCandidate(seed, monotonicNow());
+}
+
+std::string gateway_node::recordSnapshot() const
+{
+    return encodeRecords(m_catalogue.collections());
+}
+
+void gateway_node::refreshMetrics()
+{
+    using observe::metric;
+    const core::time_point now = monotonicNow();
+    const dispatch::fleet_share share = m_fleet.share(now);
+    m_metrics.set(metric::GatewayPeers, {"known"}, static_cast<double>(share.known - 1));
+    m_metrics.set(metric::GatewayPeers, {"in_touch"}, static_cast<double>(share.inTouch - 1));
+    m_metrics.set(metric::GatewayRunning, {}, static_cast<double>(m_flows.size()));
+    m_metrics.set(metric::GatewayWaiting, {}, static_cast<double>(m_admission.waiting()));
+    m_metrics.set(metric::GatewayEngines, {}, static_cast<double>(m_board.size()));
+    m_metrics.set(metric::GatewayConnections, {}, static_cast<double>(m_connections.size()));
+    m_metrics.set(
+        metric::GatewayConfigurationVersion, {},
+        m_catalogue.routes() ? static_cast<double>(m_catalogue.routes()->settings().version) : 0);
+    m_metrics.set(metric::GatewayRecordCalls, {}, static_cast<double>(m_records.calls()));
+    m_metrics.set(metric::GatewayLogLinesLeftOut, {}, static_cast<double>(m_log.suppressed()));
+}
+
+void gateway_node::onAccepted(http1::socket_handle socket)
+{
+    const std::size_t most = m_settings.descriptors * callerDescriptorPercent / 100;
+    if (m_connections.size() >= most)
+        return;
+    auto connection = std::make_shared<http1::server_connection>(
+        m_reactor, std::move(socket), m_limits, [] { return monotonicNow(); }, *this);
+    if (m_leaving)
+        connection->closeAfterAnswer();
+    m_connections.emplace(connection.get(), connection);
+}
+
+void gateway_node::onRequest(http1::server_connection &connection, http1::message_head head,
+                             std::string body)
+{
+    const core::request_id id = ++m_lastFlow;
+    auto flow = std::make_shared<request_flow>(m_services, id, connection, std::move(head),
+                                               std::move(body));
+    m_flows.emplace(id, flow);
+    m_flowOfConnection[&connection] = id;
+    const bool tooLate = m_leaving && monotonicNow() - m_leavingSince > lateRequestTime;
+    if (tooLate)
+        flow->refuseLeaving();
+    else
+        flow->begin();
+}
+
+void gateway_node::onCallerGone(http1::server_connection &connection)
+{
+    const auto found = m_flowOfConnection.find(&connection);
+    if (found == m_flowOfConnection.end())
+        return;
+    if (request_flow *flow = findFlow(found->second))
+        flow->onCallerGone();
+}
+
+void gateway_node::onClosed(http1::server_connection &connection)
+{
+    m_flowOfConnection.erase(&connection);
+    const auto found = m_connections.find(&connection);
+    if (found == m_connections.end())
+        return;
+    m_deleter.add(std::move(found->second));
+    m_connections.erase(found);
+}
+
+void gateway_node::onFlowDone(core::request_id id, const flow_record &record)
+{
+    m_log.onEnd(record, monotonicNow());
+    m_metrics.add(observe::metric::GatewayRequests,
+                  {record.upstream, std::to_string(record.priority), toString(record.outcome),
+                   record.reason});
+    if (record.outcome == flow_outcome::Answered)
+        m_metrics.record(
+            observe::metric::GatewayFirstByte,
+            static_cast<core::tier>(std::min<std::uint32_t>(record.priority, core::lowestTier)),
+            record.upstream, record.firstByte);
+    const auto found = m_flows.find(id);
+    if (found == m_flows.end())
+        return;
+    m_deleter.add(std::move(found->second));
+    m_flows.erase(found);
+}
+
+void gateway_node::onWritten(collection_id collection, dispatch::published_record record)
+{
+    m_catalogue.onWritten(collection, std::move(record), monotonicNow());
+}
+
+void gateway_node::onRemoved(collection_id collection, std::string_view key, std::uint64_t revision)
+{
+    m_catalogue.onRemoved(collection, key, revision, monotonicNow());
+}
+
+void gateway_node::onSnapshot(collection_id collection,
+                              std::vector<dispatch::published_record> records,
+                              std::uint64_t revision)
+{
+    m_catalogue.onSnapshot(collection, std::move(records), revision, monotonicNow());
+}
+
+void gateway_node::onAvailability(collection_id collection, bool available, std::string_view detail)
+{
+    logEvent(available ? log_level::Info : log_level::Warning,
+             available ? "records_regained" : "records_lost",
+             available ? "the published records can be read"
+                       : "the published records cannot be read",
+             {{"collection", collection == collection_id::Engines ? "engines" : "operators"},
+              {"detail", detail}});
+    m_catalogue.onAvailability(collection, available, monotonicNow());
+}
+
+void gateway_node::onCatalogueChanged()
+{
+    if (const auto &routes = m_catalogue.routes()) {
+        const dispatch::caller_limits &limits = routes->settings().limits;
+        m_limits.headerBytes = limits.headerBytes;
+        m_limits.bodyBytes = limits.bodyBytes;
+        m_limits.readTimeout = limits.headerTimeout;
+        m_limits.idleTimeout = limits.idleTimeout;
+    }
+    startAllWaiting();
+}
+
+void gateway_node::onDatagram(const http1::endpoint &from, std::string_view bytes)
+{
+    core::result<dispatch::node_status> decoded = decodeStatus(bytes);
+    // A datagram names its sender; anything else on this port is not from a node.
+    if (!decoded || decoded.value().address != from.address)
+        return;
+    const core::time_point now = monotonicNow();
+    const std::uint32_t address = from.address;
+    const std::vector<dispatch::engine_load> loads = decoded.value().loads;
+    const dispatch::status_change change = m_fleet.onStatus(std::move(decoded).value(), now);
+    if (change.isNew)
+        logPeer("peer_joined", "heard a node for the first time", address);
+    else if (change.restarted)
+        logPeer("peer_restarted", "a node runs as a new process", address);
+    else if (change.returned)
+        logPeer("peer_returned", "a silent node is heard again", address);
+    for (const dispatch::node_status::team_use &use : change.newUses)
+        m_quotas.addPeerUse(use.team, use.total);
+    m_board.setPeerLoads(address, loads);
+    // A new node learns of the fleet at once.
+    if (change.isNew)
+        m_peerPort.send(from, encodeStatus(status()));
+}
+
+void gateway_node::sendStatus()
+{
+    const std::string bytes = encodeStatus(status());
+    for (const std::uint32_t peer : m_fleet.peers())
+        m_peerPort.send({peer, m_settings.peers.port}, bytes);
+    m_statusTimer.startOnce(statusInterval());
+}
+
+core::duration gateway_node::statusInterval() const
+{
+    return std::max<core::duration>(
+        shortestStatusInterval, statusIntervalPerPeer * static_cast<int>(m_fleet.members().size()));
+}
+
+dispatch::node_status gateway_node::status()
+{
+    dispatch::node_status result;
+    result.address = m_settings.peers.address;
+    result.life = m_life;
+    result.domain = m_settings.domain;
+    result.callerPort = m_settings.callers.port;
+    result.ready = ready();
+    result.leaving = m_leaving;
+    result.sequence = ++m_statusSequence;
+    result.revisions = m_catalogue.revisions();
+    result.loads = m_board.ownLoads();
+    m_quotas.forEachOwnTotal([&result](const std::string &team, double total) {
+        result.uses.push_back({team, total});
+    });
+    result.queues = m_admission.queues();
+    for (const auto &[address, member] : m_fleet.members()) {
+        if (member.heard)
+            result.known.push_back(address);
+    }
+    return result;
+}
+
+void gateway_node::tick()
+{
+    const core::time_point now = monotonicNow();
+    for (const core::request_id id : m_admission.takeExpired(now)) {
+        if (request_flow *flow = findFlow(id))
+            flow->onWaitExpired();
+    }
+    if (m_admission.waiting() > 0)
+        startAllWaiting();
+    followPeers(now);
+}
+
+void gateway_node::sweep()
+{
+    const core::time_point now = monotonicNow();
+    for (const std::uint32_t silent : m_fleet.takeSilent(now)) {
+        logPeer("peer_silent", "a node is no longer heard", silent);
+        m_board.setPeerLoads(silent, {});
+    }
+    m_fleet.forget(now);
+    m_records.setReaders(m_fleet.share(now).inTouch);
+    m_catalogue.removeLapsed(now);
+    m_links.closeExpired(now);
+    std::vector<std::shared_ptr<http1::server_connection>> connections;
+    connections.reserve(m_connections.size());
+    for (const auto &[pointer, connection] : m_connections)
+        connections.push_back(connection);
+    const bool closesIdle = m_leaving && now - m_leavingSince > staleAddressTime;
+    for (const auto &connection : connections) {
+        if (connection->unsentBytes() > mostUnsentBytes) {
+            onCallerGone(*connection);
+            connection->abort();
+            continue;
+        }
+        if (closesIdle)
+            connection->closeIfIdle();
+        connection->checkTimeouts(now);
+    }
+    m_log.reportSuppressed();
+}
+
+void gateway_node::followPeers(core::time_point now)
+{
+    const std::vector<std::uint64_t> revisions = m_catalogue.revisions();
+    const dispatch::node_status *newer = nullptr;
+    for (std::size_t i = 0; i < revisions.size(); ++i) {
+        const dispatch::node_status *candidate = m_fleet.newerRecords(i, revisions[i], now);
+        if (candidate == nullptr)
+            continue;
+        newer = candidate;
+    }
+    if (newer == nullptr) {
+        m_behindSince = {};
+        return;
+    }
+    if (m_behindSince == core::time_point{})
+        m_behindSince = now;
+    if (m_fetching || now - m_behindSince < behindTime)
+        return;
+    m_behindSince = now;
+    fetchFromPeer(*newer);
+    for (std::size_t i = 0; i < revisions.size(); ++i) {
+        if (m_fleet.newerRecords(i, revisions[i], now) != nullptr)
+            m_records.restart(static_cast<collection_id>(i));
+    }
+}
+
+void gateway_node::fetchFromPeer(const dispatch::node_status &peer)
+{
+    m_fetching = true;
+    transport::http_call call;
+    call.url = "http://" + http1::endpoint{peer.address, m_settings.peers.port}.text() + "/records";
+    call.deadline = monotonicNow() + peerFetchTimeout;
+    m_peerClient.start(std::move(call), std::make_shared<peer_fetch>(*this, peer.address));
+}
+
+void gateway_node::startAllWaiting()
+{
+    for (const dispatch::node_status::waiting &queue : m_admission.queues())
+        startWaiting(queue.upstream, dispatch::slot_news::Elsewhere);
+}
+
+void gateway_node::startWaiting(const std::string &upstream, dispatch::slot_news news)
+{
+    // A granted request that ends at once frees its slot within this call.
+    if (std::exchange(m_starting, true))
+        return;
+    for (const dispatch::admission_grant &grant :
+         m_admission.poll(upstream, news, monotonicNow())) {
+        if (request_flow *flow = findFlow(grant.id))
+            flow->onGrant(grant);
+        else
+            m_admission.onEnd(upstream, grant.engine.id, dispatch::attempt_result::Neutral,
+                              monotonicNow());
+    }
+    m_starting = false;
+}
+
+request_flow *gateway_node::findFlow(core::request_id id)
+{
+    const auto found = m_flows.find(id);
+    return found == m_flows.end() ? nullptr : found->second.get();
+}
+
+void gateway_node::logPeer(std::string_view event, std::string_view message, std::uint32_t address)
+{
+    const dispatch::fleet_share share = m_fleet.share(monotonicNow());
+    logEvent(log_level::Info, event, message,
+             {{"peer", addressText(address)},
+              {"known", std::to_string(share.known)},
+              {"in_touch", std::to_string(share.inTouch)}});
+}
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/gateway_node.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/result.h"
+#include "dispatch/admission.h"
+#include "dispatch/engine_board.h"
+#include "dispatch/fleet_view.h"
+#include "dispatch/quota_pool.h"
+#include "dispatch/retry_budget.h"
+#include "gateway/catalogue.h"
+#include "gateway/datagram_port.h"
+#include "gateway/engine_links.h"
+#include "gateway/flow_log.h"
+#include "gateway/flow_services.h"
+#include "gateway/node_settings.h"
+#include "gateway/protocol.h"
+#include "gateway/record_decoder.h"
+#include "gateway/record_source.h"
+#include "gateway/request_flow.h"
+#include "http1/deferred_deleter.h"
+#include "http1/listener.h"
+#include "http1/server_connection.h"
+#include "observe/metric_registry.h"
+#include "transport/http_client.h"
+#include "transport/reactor_timer.h"
+
+#include <ace/Reactor.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace comfreypass::gateway {
+
+/**
+ * One node of the gateway: takes callers' requests, decides with what its peers and the published
+ * records tell, and passes them on. All nodes are equal; none coordinates. Not thread-safe.
+ */
+class gateway_node final : public http1::server_events, public record_source_events
+{
+public:
+    /** Everything must outlive the node. */
+    gateway_node(ACE_Reactor &reactor, node_settings settings, const protocol &spelling,
+                 const record_decoder &decoder, record_source &records,
+                 observe::metric_registry &metrics);
+    ~gateway_node() override;
+
+    /** Opens the sockets for callers and peers and starts to read records. Error: Io. */
+    core::result<void> start();
+
+    /** Begins to leave: takes no new callers, ends what runs. */
+    void leave();
+
+    /** True once it may be destroyed after leave(). */
+    bool left() const;
+
+    /** True while callers may be sent here. */
+    bool ready() const noexcept { return m_catalogue.routes() != nullptr && !m_leaving; }
+
+    /** Addresses for callers in a failure domain, the nearest first. */
+    std::vector<std::string> callerAddresses(std::string_view domain) const;
+
+    /** Takes seeds that the settings name now. */
+    void updateSeeds(const std::vector<std::uint32_t> &seeds);
+
+    /** The records that a peer asks for. */
+    std::string recordSnapshot() const;
+
+    /** Writes the gauges of the present state into the registry. */
+    void refreshMetrics();
+
+    /** Destroys what ended within an event. To be called between events. */
+    void purge() { m_deleter.purge(); }
+
+private:
+    class peer_fetch;
+
+    void onRequest(http1::server_connection &connection, http1::message_head head,
+                   std::string body) override;
+    void onCallerGone(http1::server_connection &connection) override;
+    void onClosed(http1::server_connection &connection) override;
+
+    void onWritten(collection_id collection, dispatch::published_record record) override;
+    void onRemoved(collection_id collection, std::string_view key, std::uint64_t revision) override;
+    void onSnapshot(collection_id collection, std::vector<dispatch::published_record> records,
+                    std::uint64_t revision) override;
+    void onAvailability(collection_id collection, bool available, std::string_view detail) override;
+
+    void onAccepted(http1::socket_handle socket);
+    void onDatagram(const http1::endpoint &from, std::string_view bytes);
+    void onFlowDone(core::request_id id, const flow_record &record);
+    void onCatalogueChanged();
+
+    void sendStatus();
+    dispatch::node_status status();
+    core::duration statusInterval() const;
+    void tick();
+    void sweep();
+    void followPeers(core::time_point now);
+    void fetchFromPeer(const dispatch::node_status &peer);
+    void startWaiting(const std::string &upstream, dispatch::slot_news news);
+    void startAllWaiting();
+    request_flow *findFlow(core::request_id id);
+    void logPeer(std::string_view event, std::string_view message, std::uint32_t address);
+
+    ACE_Reactor &m_reactor;
+    node_settings m_settings;
+    record_source &m_records;
+    observe::metric_registry &m_metrics;
+    std::uint64_t m_life;
+    std::minstd_rand m_random;
+
+    http1::deferred_deleter m_deleter;
+    http1::server_limits m_limits;
+    dispatch::engine_board m_board;
+    dispatch::fleet_view m_fleet;
+    dispatch::admission m_admission;
+    dispatch::quota_pool m_quotas;
+    dispatch::retry_budget m_retries;
+    engine_links m_links;
+    catalogue m_catalogue;
+    flow_log m_log;
+    flow_services m_services;
+
+    http1::listener m_listener;
+    datagram_port m_peerPort;
+    transport::http_client m_peerClient;
+    std::map<http1::server_connection *, std::shared_ptr<http1::server_connection>> m_connections;
+    std::unordered_map<http1::server_connection *, core::request_id> m_flowOfConnection;
+    std::unordered_map<core::request_id, std::shared_ptr<request_flow>> m_flows;
+    core::request_id m_lastFlow = 0;
+    std::uint64_t m_statusSequence = 0;
+    core::time_point m_behindSince{};
+    bool m_fetching = false;
+    bool m_starting = false;
+
+    bool m_leaving = false;
+    core::time_point m_leavingSince{};
+
+    transport::reactor_timer m_statusTimer;
+    transport::reactor_timer m_tickTimer;
+    transport::reactor_timer m_sweepTimer;
+};
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/node_settings.cpp
@@ -0,0 +1,97 @@
+#include "gateway/node_settings.h"
+
+#include "sheet/object_reader.h"
+#include "sheet/parse_json.h"
+#include "sheet/settings.h"
+
+#include <utility>
+
+namespace comfreypass::gateway {
+
+namespace {
+
+using sheet::object_reader;
+using sheet::presence;
+
+constexpr std::int64_t leastDescriptors = 64;
+constexpr std::int64_t mostDescriptors = 1'000'000;
+constexpr double mostRatio = 10;
+constexpr double mostExtra = 1'000'000;
+constexpr double mostSeconds = 3'600;
+
+const char *anyText(std::string_view text)
+{
+    return text.empty() ? "a text that is not empty" : nullptr;
+}
+
+const char *endpointText(std::string_view text)
+{
+    return http1::endpoint::parse(text) ? nullptr : "IP:PORT, such as 10.1.0.25:8221";
+}
+
+void readEndpoint(object_reader &reader, std::string_view key, http1::endpoint &target)
+{
+    std::string text;
+    reader.text(key, presence::Required, endpointText, text);
+    if (const auto parsed = http1::endpoint::parse(text))
+        target = parsed.value();
+}
+
+void readSeconds(object_reader &reader, std::string_view key, core::duration &target)
+{
+    double seconds = std::chrono::duration<double>(target).count();
+    reader.real(key, presence::Optional, {0.0, mostSeconds}, seconds);
+    target = std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
+}
+
+void readListen(object_reader reader, node_settings &settings)
+{
+    readEndpoint(reader, "callers", settings.callers);
+    readEndpoint(reader, "readiness", settings.readiness);
+    readEndpoint(reader, "addresses", settings.addresses);
+    readEndpoint(reader, "peers", settings.peers);
+    readEndpoint(reader, "metrics", settings.metrics);
+    reader.reportUnknownKeys();
+}
+
+void readRetries(object_reader reader, node_settings &settings)
+{
+    reader.real("ratio", presence::Required, {0.0, mostRatio}, settings.retryRatio);
+    reader.real("extra", presence::Required, {0.0, mostExtra}, settings.retryExtra);
+    readSeconds(reader, "windowSeconds", settings.retryWindow);
+    reader.reportUnknownKeys();
+}
+
+} // namespace
+
+sheet::validated<node_settings> parseNodeSettings(std::string_view text)
+{
+    auto document = sheet::parseJson(text, sheet::maxSettingsBytes);
+    if (!document)
+        return std::move(document).error();
+    std::vector<core::error> errors;
+    node_settings settings;
+    object_reader reader(&document.value(), "", errors);
+    reader.text("name", presence::Required, anyText, settings.name);
+    reader.text("failureDomain", presence::Required, anyText, settings.domain);
+    reader.text("region", presence::Optional, anyText, settings.region);
+    readListen(reader.object("listen", presence::Required), settings);
+    std::vector<std::string> seeds;
+    reader.texts("seeds", presence::Optional, endpointText, seeds);
+    for (const std::string &seed : seeds) {
+        if (const auto parsed = http1::endpoint::parse(seed))
+            settings.seeds.push_back(parsed.value().address);
+    }
+    readEndpoint(reader, "records", settings.records);
+    readRetries(reader.object("retries", presence::Required), settings);
+    readSeconds(reader, "graceSeconds", settings.grace);
+    readSeconds(reader, "longestAddressTtlSeconds", settings.longestAddressTtl);
+    reader.integer("descriptors", presence::Optional, {leastDescriptors, mostDescriptors},
+                   settings.descriptors);
+    reader.reportUnknownKeys();
+    if (!errors.empty())
+        return errors;
+    return settings;
+}
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/record_source.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "dispatch/published_record.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace comfreypass::gateway {
+
+/** Collections of published records, as positions in the lists of all nodes. */
+enum class collection_id : std::uint8_t {
+    /** The operators' configuration and evacuations. */
+    Operators,
+    /** The engines' own entries. */
+    Engines,
+};
+
+constexpr std::size_t collectionCount = 2;
+
+/** Receives what a record_source reads. */
+class record_source_events
+{
+public:
+    record_source_events() = default;
+    virtual ~record_source_events() = default;
+    record_source_events(const record_source_events &) = delete;
+    record_source_events &operator=(const record_source_events &) = delete;
+
+    virtual void onWritten(collection_id collection, dispatch::published_record record) = 0;
+    virtual void onRemoved(collection_id collection, std::string_view key, std::uint64_t revision)
+        = 0;
+
+    /** All records that existed at `revision`. */
+    virtual void onSnapshot(collection_id collection,
+                            std::vector<dispatch::published_record> records, std::uint64_t revision)
+        = 0;
+
+    /** The source answers again, or no longer; `detail` says why. */
+    virtual void onAvailability(collection_id collection, bool available, std::string_view detail)
+        = 0;
+};
+
+/** Reads and watches published records. Implementations are not thread-safe. */
+class record_source
+{
+public:
+    record_source() = default;
+    virtual ~record_source() = default;
+    record_source(const record_source &) = delete;
+    record_source &operator=(const record_source &) = delete;
+
+    /** Starts to read; the events must outlive the source. To be called once. */
+    virtual void start(record_source_events &events) = 0;
+
+    /** Reads a collection again on a new connection, since its watch seems to be silent. */
+    virtual void restart(collection_id collection) = 0;
+
+    /**
+     * Tells how many nodes read the same source. Together they notice a silent watch as soon as the
+     * first of them does, so each may wait longer in a larger fleet.
+     */
+    virtual void setReaders(std::size_t nodes) = 0;
+
+    /** Calls made since the start. */
+    virtual std::uint64_t calls() const noexcept = 0;
+};
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/request_facts.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/time_point.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace comfreypass::gateway {
+
+/** What the gateway needs to know of a caller's request, however its headers are spelled. */
+struct request_facts
+{
+    /** Names one attempt of a caller; engines repeat it in their answers. */
+    std::string attemptId;
+    std::string host;
+    /** Key of a team; empty if there is none. */
+    std::string key;
+    /** Time that the caller waits. */
+    std::optional<core::duration> patience;
+    /** Prompt and output tokens. */
+    std::optional<double> tokens;
+    /** The stream goes on after this event. */
+    std::optional<std::string> resumeAfter;
+};
+
+} // namespace comfreypass::gateway
--- a/src/observe/metric_info.h
+++ b/src/observe/metric_info.h
@@ -36,6 +36,17 @@
     LostSeries,
     NodeInfo,
     SnapshotTime,
+    GatewayRequests,
+    GatewayAttemptFailures,
+    GatewayFirstByte,
+    GatewayRunning,
+    GatewayWaiting,
+    GatewayPeers,
+    GatewayEngines,
+    GatewayConnections,
+    GatewayConfigurationVersion,
+    GatewayRecordCalls,
+    GatewayLogLinesLeftOut,
 };
 
 enum class metric_type : std::uint8_t { Counter, Gauge, Histogram };
