--- a/src/dispatch/engine_entry.h
+++ b/src/dispatch/engine_entry.h
@@ -13,8 +13,8 @@
     std::string id;
     std::string upstream;
     /** IP:PORT */
-    std::string address;
-    std::string domain;
+    std::string address = {};
+    std::string domain = {};
     /** Requests that it works on at once. */
     std::uint32_t slots = 1;
     /** It is about to leave and takes no new requests. */
--- a/src/transport/socket_watch.cpp
+++ b/src/transport/socket_watch.cpp
@@ -10,15 +10,12 @@
 namespace comfreypass::transport {
 
 socket_watch::socket_watch(ACE_Reactor &reactor, ACE_HANDLE descriptor, ready_function ready)
-    : m_reactor(reactor), m_descriptor(::fcntl(descriptor, F_DUPFD_CLOEXEC, 0)),
-      m_ready(std::move(ready))
+    : m_reactor(reactor), m_descriptor(descriptor), m_ready(std::move(ready))
 { }
 
 socket_watch::~socket_watch()
 {
-    watchFor(NULL_MASK);
-    if (m_descriptor != ACE_INVALID_HANDLE)
-        ::close(m_descriptor);
+    stopWatching();
 }
 
 void socket_watch::watchFor(ACE_Reactor_Mask mask)
@@ -26,16 +23,26 @@
     if (mask == m_mask)
         return;
     // register_handler only adds events, so the earlier registration is removed first.
-    if (m_mask != NULL_MASK)
-        m_reactor.remove_handler(m_descriptor, ALL_EVENTS_MASK | DONT_CALL);
-    m_mask = mask;
-    if (m_mask == NULL_MASK)
+    stopWatching();
+    if (mask == NULL_MASK)
+        return;
+    m_duplicate = ::fcntl(m_descriptor, F_DUPFD_CLOEXEC, 0);
+    if (m_duplicate != ACE_INVALID_HANDLE
+        && m_reactor.register_handler(m_duplicate, this, mask) == 0) {
+        m_mask = mask;
         return;
-    if (m_descriptor == ACE_INVALID_HANDLE
-        || m_reactor.register_handler(m_descriptor, this, m_mask) != 0) {
-        m_mask = NULL_MASK;
-        reportException("socket watch", "the process or the reactor has no room for a descriptor");
     }
+    stopWatching();
+    reportException("socket watch", "the process or the reactor has no room for a descriptor");
+}
+
+void socket_watch::stopWatching()
+{
+    if (m_mask != NULL_MASK)
+        m_reactor.remove_handler(m_duplicate, ALL_EVENTS_MASK | DONT_CALL);
+    m_mask = NULL_MASK;
+    if (m_duplicate != ACE_INVALID_HANDLE)
+        ::close(std::exchange(m_duplicate, ACE_INVALID_HANDLE));
 }
 
 int socket_watch::handle_input(ACE_HANDLE /*descriptor*/)
--- a/src/transport/socket_watch.h
+++ b/src/transport/socket_watch.h
@@ -26,16 +26,22 @@
     socket_watch(const socket_watch &) = delete;
     socket_watch &operator=(const socket_watch &) = delete;
 
-    /** Watches for any of READ_MASK and WRITE_MASK; NULL_MASK watches for nothing. */
+    /**
+     * Watches for any of READ_MASK and WRITE_MASK. NULL_MASK watches for nothing and lets go of the
+     * descriptor, so that a close of it closes the connection.
+     */
     void watchFor(ACE_Reactor_Mask mask);
 
 private:
     int handle_input(ACE_HANDLE descriptor) override;
     int handle_output(ACE_HANDLE descriptor) override;
 
+    void stopWatching();
+
     ACE_Reactor &m_reactor;
-    /** The duplicate; ACE_INVALID_HANDLE if there is none. */
     ACE_HANDLE m_descriptor;
+    /** The registered duplicate; ACE_INVALID_HANDLE while nothing is watched for. */
+    ACE_HANDLE m_duplicate = ACE_INVALID_HANDLE;
     ready_function m_ready;
     ACE_Reactor_Mask m_mask = NULL_MASK;
 };
--- /dev/null
+++ b/tests/gateway/catalogue_test.cpp
@@ -0,0 +1,107 @@
+#include "gateway/catalogue.h"
+#include "gateway/plain_spelling.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::gateway;
+using namespace std::chrono_literals;
+
+class catalogue_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(catalogue_test);
+    CPPUNIT_TEST(configurationNeverGoesBack);
+    CPPUNIT_TEST(removedEngineGoesAtOnce);
+    CPPUNIT_TEST(lapsedEntriesMayComeBack);
+    CPPUNIT_TEST(unreadableEntryNamesNoEngine);
+    CPPUNIT_TEST(peersRecordsCount);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { m_catalogue.onAvailability(collection_id::Engines, true, m_now - 1h); }
+
+    // Guards against an older version that a peer or a late list brings back.
+    void configurationNeverGoesBack()
+    {
+        writeVersion(7, 10);
+        writeVersion(6, 11);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_catalogue.routes()->settings().version);
+        writeVersion(9, 12);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, m_catalogue.routes()->settings().version);
+    }
+
+    // Guards against requests for an engine that has left.
+    void removedEngineGoesAtOnce()
+    {
+        writeEngine("e1", 5);
+        m_catalogue.onRemoved(collection_id::Engines, "engine/e1", 6, m_now);
+        CPPUNIT_ASSERT(m_board.find("e1") == nullptr);
+    }
+
+    // Guards against a fleet without engines after an outage of the source.
+    void lapsedEntriesMayComeBack()
+    {
+        writeEngine("e1", 5);
+        writeEngine("e2", 6);
+        m_catalogue.onAvailability(collection_id::Engines, false, m_now);
+        m_catalogue.onAvailability(collection_id::Engines, true, m_now + 5s);
+        m_catalogue.onSnapshot(collection_id::Engines, {}, 9, m_now + 5s);
+        CPPUNIT_ASSERT(m_board.find("e1") != nullptr && m_board.find("e2") != nullptr);
+        writeEngine("e1", 10);
+        m_catalogue.removeLapsed(m_now + 6s);
+        CPPUNIT_ASSERT(m_board.find("e2") != nullptr);
+        m_catalogue.removeLapsed(m_now + 8s);
+        CPPUNIT_ASSERT(m_board.find("e1") != nullptr);
+        CPPUNIT_ASSERT(m_board.find("e2") == nullptr);
+    }
+
+    // Guards against an engine that stays in use after another writer spoiled its entry.
+    void unreadableEntryNamesNoEngine()
+    {
+        writeEngine("e1", 5);
+        m_catalogue.onWritten(collection_id::Engines, {"engine/e1", 6, "garbage"}, m_now);
+        CPPUNIT_ASSERT(m_board.find("e1") == nullptr);
+        writeEngine("e1", 7);
+        CPPUNIT_ASSERT(m_board.find("e1") != nullptr);
+    }
+
+    // Guards against a node that stays behind while the source turns it away.
+    void peersRecordsCount()
+    {
+        writeEngine("e1", 5);
+        m_decoder.contents["new"] = dispatch::engine_entry{.id = "e2", .upstream = "u"};
+        const std::vector<collection_snapshot> snapshots
+            = {{}, {.revision = 8, .records = {{"engine/e2", 8, "new"}}}};
+        m_catalogue.onPeerRecords(snapshots, m_now);
+        CPPUNIT_ASSERT(m_board.find("e1") == nullptr);
+        CPPUNIT_ASSERT(m_board.find("e2") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, m_catalogue.revisions().at(1));
+    }
+
+private:
+    void writeVersion(std::uint64_t version, std::uint64_t revision)
+    {
+        dispatch::configuration settings;
+        settings.version = version;
+        const std::string value = "v" + std::to_string(version);
+        m_decoder.contents[value] = settings;
+        m_catalogue.onWritten(collection_id::Operators, {"configuration", revision, value}, m_now);
+    }
+
+    void writeEngine(const std::string &id, std::uint64_t revision)
+    {
+        m_decoder.contents[id] = dispatch::engine_entry{.id = id, .upstream = "u"};
+        m_catalogue.onWritten(collection_id::Engines, {"engine/" + id, revision, id}, m_now);
+    }
+
+    core::time_point m_now{10h};
+    tests::plain_records m_decoder;
+    dispatch::engine_board m_board{"d1", 1};
+    catalogue m_catalogue{m_decoder, m_board, [] {
+                          }};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(catalogue_test);
--- /dev/null
+++ b/tests/gateway/event_splitter_test.cpp
@@ -0,0 +1,74 @@
+#include "gateway/event_splitter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace comfreypass::gateway;
+
+class event_splitter_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(event_splitter_test);
+    CPPUNIT_TEST(bytesComeOutUnchanged);
+    CPPUNIT_TEST(brokenEventIsDropped);
+    CPPUNIT_TEST(idsAreFollowed);
+    CPPUNIT_TEST(endlessEventFails);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a stream that changes with the fragments in which it arrives.
+    void bytesComeOutUnchanged()
+    {
+        const std::string stream
+            = "version: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+        for (std::size_t step = 1; step <= stream.size(); ++step) {
+            event_splitter events;
+            std::string out;
+            for (std::size_t at = 0; at < stream.size(); at += step) {
+                CPPUNIT_ASSERT(events.feed(std::string_view(stream).substr(at, step)));
+                out += events.whole();
+                events.takeWhole();
+            }
+            CPPUNIT_ASSERT_EQUAL(stream, out);
+            CPPUNIT_ASSERT_EQUAL(std::string("3"), *events.lastId());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, events.events());
+        }
+    }
+
+    // Guards against half an event of one engine before the events of another.
+    void brokenEventIsDropped()
+    {
+        event_splitter events;
+        events.feed("id: 1\ndata: a\n\nid: 2\ndata: ha");
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), std::string(events.whole()));
+        events.takeWhole();
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 2\ndata: ha"), std::string(events.rest()));
+        events.dropRest();
+        events.feed("id: 2\ndata: whole\n\n");
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 2\ndata: whole\n\n"), std::string(events.whole()));
+    }
+
+    // Guards against a resume after the wrong event.
+    void idsAreFollowed()
+    {
+        event_splitter events;
+        events.feed("id: 7\ndata: id: 9\n\nid:8\ndata: x\n\n");
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), *events.firstId());
+        CPPUNIT_ASSERT(!events.lastId());
+        events.takeWhole();
+        CPPUNIT_ASSERT_EQUAL(std::string("8"), *events.lastId());
+    }
+
+    // Guards against memory that an engine without line breaks fills.
+    void endlessEventFails()
+    {
+        event_splitter events;
+        const std::string block(65'536, 'a');
+        bool accepted = true;
+        for (int i = 0; i < 32 && accepted; ++i)
+            accepted = events.feed(block);
+        CPPUNIT_ASSERT(!accepted);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(event_splitter_test);
--- /dev/null
+++ b/tests/gateway/fleet_test.cpp
@@ -0,0 +1,129 @@
+#include "gateway/gateway_fixture.h"
+#include "transport/free_port.h"
+#include "transport/http_server.h"
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Serves the records of a node, as the process around it does. */
+class record_page : public transport::http_handler
+{
+public:
+    explicit record_page(const gateway::gateway_node &node) : m_node(node) { }
+
+    void onRequest(std::shared_ptr<transport::http_exchange> exchange) override
+    {
+        exchange->respond(200, {}, m_node.recordSnapshot());
+    }
+
+private:
+    const gateway::gateway_node &m_node;
+};
+
+constexpr std::uint32_t address(std::uint32_t last)
+{
+    return INADDR_LOOPBACK + last - 1;
+}
+
+} // namespace
+
+class fleet_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_test);
+    CPPUNIT_TEST(nodesFindEachOtherFromOneSeed);
+    CPPUNIT_TEST(nodeWithoutASourceLearnsFromAPeer);
+    CPPUNIT_TEST(leavingNodeIsNoLongerNamed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a fleet that stays in parts because the seeds are few or stale.
+    void nodesFindEachOtherFromOneSeed()
+    {
+        start();
+        waitForAllAddresses();
+    }
+
+    // Guards against old configurations at a node that the source turns away.
+    void nodeWithoutASourceLearnsFromAPeer()
+    {
+        start();
+        record_page page(*m_nodes[1]->node);
+        transport::http_server_settings settings;
+        settings.address = "127.0.0.2";
+        settings.port = m_peerPort;
+        transport::http_server server(m_loop.reactor(), settings, page);
+        CPPUNIT_ASSERT(server.listen());
+        dispatch::configuration newer;
+        newer.version = 2;
+        m_nodes[1]->write(gateway::collection_id::Operators, "configuration", 20, newer);
+        m_nodes[0]->decoder.contents = m_nodes[1]->decoder.contents;
+        waitFor("the records", [&] {
+            m_nodes[0]->node->refreshMetrics();
+            return m_nodes[0]->metrics.value(observe::metric::GatewayConfigurationVersion, {}) == 2;
+        });
+        CPPUNIT_ASSERT(m_nodes[0]->source.restarts > 0);
+    }
+
+    // Guards against callers that are sent to a node which is about to stop.
+    void leavingNodeIsNoLongerNamed()
+    {
+        start();
+        waitForAllAddresses();
+        m_nodes[2]->node->leave();
+        waitFor("two addresses",
+                [&] { return m_nodes[0]->node->callerAddresses("d1").size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_nodes[2]->node->callerAddresses("d1").size());
+    }
+
+private:
+    void start()
+    {
+        m_peerPort = transport::freePort();
+        const std::uint16_t callerPort = transport::freePort();
+        for (std::uint32_t i = 1; i <= 3; ++i) {
+            // Everyone knows the first node, and an address where nothing runs.
+            m_nodes.push_back(
+                std::make_unique<test_node>(m_loop.reactor(), address(i), callerPort, m_peerPort,
+                                            std::vector<std::uint32_t>{address(1), address(9)}));
+            CPPUNIT_ASSERT(m_nodes.back()->node->start());
+            dispatch::configuration settings;
+            settings.version = 1;
+            m_nodes.back()->write(gateway::collection_id::Operators, "configuration", 10, settings);
+        }
+    }
+
+    void waitForAllAddresses()
+    {
+        waitFor("all addresses", [&] {
+            for (const auto &each : m_nodes) {
+                if (each->node->callerAddresses("d1").size() != m_nodes.size())
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    void waitFor(const std::string &what, const std::function<bool()> &condition)
+    {
+        m_loop.waitFor(what, [&] {
+            for (const auto &each : m_nodes)
+                each->node->purge();
+            return condition();
+        });
+    }
+
+    loopback m_loop;
+    std::uint16_t m_peerPort = 0;
+    std::vector<std::unique_ptr<test_node>> m_nodes;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
--- /dev/null
+++ b/tests/gateway/gateway_fixture.cpp
@@ -0,0 +1,141 @@
+#include "gateway/gateway_fixture.h"
+
+#include "transport/free_port.h"
+
+#include <arpa/inet.h>
+
+#include <chrono>
+#include <utility>
+
+namespace comfreypass::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+gateway::node_settings settingsOf(std::uint32_t address, std::uint16_t callerPort,
+                                  std::uint16_t peerPort, std::vector<std::uint32_t> seeds)
+{
+    gateway::node_settings settings;
+    settings.name = "n" + std::to_string(address & 0xff);
+    settings.domain = "d1";
+    settings.callers = {address, callerPort};
+    settings.peers = {address, peerPort};
+    settings.seeds = std::move(seeds);
+    settings.retryRatio = 0.2;
+    settings.retryExtra = 50;
+    settings.grace = 3s;
+    return settings;
+}
+
+dispatch::route makeRoute(const std::string &name, dispatch::request_kind kind, bool resumable)
+{
+    return {.name = name,
+            .host = "a.example",
+            .pathPrefix = "/" + name + "/",
+            .kind = kind,
+            .timeout = 4s,
+            .objective = 500ms,
+            .priority = 1,
+            .maxAttempts = 2,
+            .isPublic = false,
+            .resumable = resumable,
+            .targets = {{"u", 1}}};
+}
+
+} // namespace
+
+test_node::test_node(ACE_Reactor &reactor, std::uint32_t address, std::uint16_t callerPort,
+                     std::uint16_t peerPort, std::vector<std::uint32_t> seeds)
+    : metrics({core::node_name("n"), 1}),
+      node(std::make_unique<gateway::gateway_node>(
+          reactor, settingsOf(address, callerPort, peerPort, std::move(seeds)), spelling, decoder,
+          source, metrics))
+{ }
+
+void test_node::write(gateway::collection_id collection, const std::string &key,
+                      std::uint64_t revision, gateway::record_content content)
+{
+    const std::string value = key + "@" + std::to_string(revision);
+    decoder.contents[value] = std::move(content);
+    source.events->onWritten(collection, {key, revision, value});
+}
+
+gateway_fixture::gateway_fixture()
+    : callerPort(transport::freePort()),
+      node(loop.reactor(), INADDR_LOOPBACK, callerPort, transport::freePort(), {})
+{
+    if (!node.node->start())
+        throw std::runtime_error("the node does not start");
+}
+
+listening_socket &gateway_fixture::addEngine(const std::string &id, std::uint32_t slots)
+{
+    m_engines.push_back(std::make_unique<listening_socket>());
+    const std::string address = "127.0.0.1:" + std::to_string(m_engines.back()->port());
+    node.write(gateway::collection_id::Engines, "engine/" + id, ++revision,
+               dispatch::engine_entry{
+                   .id = id, .upstream = "u", .address = address, .domain = "d1", .slots = slots});
+    return *m_engines.back();
+}
+
+void gateway_fixture::configure(std::uint64_t version, std::vector<dispatch::team> teams)
+{
+    using dispatch::request_kind;
+    dispatch::configuration settings;
+    settings.version = version;
+    settings.routes = {makeRoute("plain", request_kind::Idempotent, false),
+                       makeRoute("once", request_kind::NonIdempotent, false),
+                       makeRoute("stream", request_kind::Streaming, true),
+                       makeRoute("fragile", request_kind::Streaming, false)};
+    settings.teams = std::move(teams);
+    node.write(gateway::collection_id::Operators, "configuration", ++revision, std::move(settings));
+}
+
+std::unique_ptr<raw_socket> gateway_fixture::call(const std::string &path, const std::string &id,
+                                                  const std::string &fields)
+{
+    auto caller = std::make_unique<raw_socket>(callerPort);
+    caller->send("POST " + path + " HTTP/1.1\r\nHost: a.example\r\nId: " + id + "\r\n" + fields
+                 + "Content-Length: 4\r\n\r\nbody");
+    return caller;
+}
+
+void gateway_fixture::waitFor(const std::string &what, const std::function<bool()> &condition)
+{
+    loop.waitFor(what, [&] {
+        node.node->purge();
+        return condition();
+    });
+}
+
+bool gateway_fixture::waitsForAnswer(raw_socket &caller)
+{
+    loop.runFor(30ms);
+    node.node->purge();
+    return caller.receive().empty() && !caller.ended();
+}
+
+std::string gateway_fixture::answerOf(raw_socket &caller)
+{
+    waitFor("answer", [&] {
+        return caller.receive().find("\r\n\r\n") != std::string::npos || caller.ended();
+    });
+    loop.runFor(20ms);
+    node.node->purge();
+    return caller.receive();
+}
+
+raw_socket gateway_fixture::acceptAt(listening_socket &engine)
+{
+    waitFor("connection at the engine", [&] { return engine.pending(); });
+    return engine.accept();
+}
+
+std::string gateway_fixture::requestAt(raw_socket &engine)
+{
+    waitFor("request at the engine", [&] { return engine.receive().ends_with("body"); });
+    return engine.receive();
+}
+
+} // namespace comfreypass::tests
--- /dev/null
+++ b/tests/gateway/gateway_fixture.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "gateway/gateway_node.h"
+#include "gateway/plain_spelling.h"
+#include "observe/metric_registry.h"
+#include "support/listening_socket.h"
+#include "support/loopback.h"
+#include "support/raw_socket.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace comfreypass::tests {
+
+/** A node on 127.0.0.N with a source and records of its own. */
+class test_node
+{
+public:
+    test_node(ACE_Reactor &reactor, std::uint32_t address, std::uint16_t callerPort,
+              std::uint16_t peerPort, std::vector<std::uint32_t> seeds);
+
+    void write(gateway::collection_id collection, const std::string &key, std::uint64_t revision,
+               gateway::record_content content);
+
+    plain_protocol spelling;
+    plain_records decoder;
+    scripted_source source;
+    observe::metric_registry metrics;
+    std::unique_ptr<gateway::gateway_node> node;
+};
+
+/** One node in front of engines that the test plays byte by byte. */
+class gateway_fixture
+{
+public:
+    gateway_fixture();
+
+    /** Engine whose answers the test writes; it becomes known to the node. */
+    tests::listening_socket &addEngine(const std::string &id, std::uint32_t slots = 4);
+
+    /** Routes /plain/, /once/, /stream/ (resumable) and /fragile/ (not resumable). */
+    void configure(std::uint64_t version, std::vector<dispatch::team> teams = {});
+
+    /** A caller that has sent one request. */
+    std::unique_ptr<raw_socket> call(const std::string &path, const std::string &id,
+                                     const std::string &fields = "");
+
+    void waitFor(const std::string &what, const std::function<bool()> &condition);
+    bool waitsForAnswer(raw_socket &caller);
+    std::string answerOf(raw_socket &caller);
+
+    /** Accepts a connection at an engine while the node runs on. */
+    raw_socket acceptAt(listening_socket &engine);
+
+    /** Reads until the request of an engine's connection is whole. */
+    std::string requestAt(raw_socket &engine);
+
+    loopback loop;
+    std::uint16_t callerPort;
+    test_node node;
+    std::uint64_t revision = 0;
+
+private:
+    std::vector<std::unique_ptr<listening_socket>> m_engines;
+};
+
+} // namespace comfreypass::tests
--- /dev/null
+++ b/tests/gateway/plain_spelling.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gateway/protocol.h"
+#include "gateway/record_decoder.h"
+#include "gateway/record_source.h"
+
+#include <map>
+#include <string>
+
+namespace comfreypass::tests {
+
+/** A protocol with short header names: Id, Key, Wait-Ms, Tokens, Resume, Engine, Team, Signed,
+ * Not-Run. */
+class plain_protocol final : public gateway::protocol
+{
+public:
+    gateway::request_facts readRequest(const http1::message_head &head) const override;
+    gateway::answer_facts readAnswer(const http1::message_head &head) const override;
+    transport::http_headers engineHeaders(const http1::message_head &head,
+                                          const gateway::attempt_facts &attempt) const override;
+    transport::http_headers ownHeaders(const gateway::request_facts &request) const override;
+};
+
+/** Records whose values name contents that the test keeps here. */
+class plain_records final : public gateway::record_decoder
+{
+public:
+    core::result<gateway::record_content>
+    decode(const dispatch::published_record &record) const override;
+    std::string_view engineOfKey(std::string_view key) const override;
+    std::string_view evacuatedDomainOfKey(std::string_view key) const override;
+
+    std::map<std::string, gateway::record_content> contents;
+};
+
+/** A source that tells what the test tells it. */
+class scripted_source final : public gateway::record_source
+{
+public:
+    void start(gateway::record_source_events &target) override { events = &target; }
+    void restart(gateway::collection_id) override { ++restarts; }
+    void setReaders(std::size_t) override { }
+    std::uint64_t calls() const noexcept override { return 0; }
+
+    gateway::record_source_events *events = nullptr;
+    int restarts = 0;
+};
+
+} // namespace comfreypass::tests
--- /dev/null
+++ b/tests/gateway/request_flow_test.cpp
@@ -0,0 +1,494 @@
+#include "gateway/gateway_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string answer(const std::string &status, const std::string &fields, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
+}
+
+std::string streamHead(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id
+           + "\r\nSigned: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+bool has(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+class request_flow_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_flow_test);
+    CPPUNIT_TEST(answerIsPassedOnUnchanged);
+    CPPUNIT_TEST(noConfigurationMeansComeBack);
+    CPPUNIT_TEST(unknownRoutesAndKeysAreRejected);
+    CPPUNIT_TEST(keysStayHereAndTheTeamIsTold);
+    CPPUNIT_TEST(deadlineOnlyShrinks);
+    CPPUNIT_TEST(unsignedSuccessIsNotPassedOn);
+    CPPUNIT_TEST(answerOfAnotherRequestIsNotPassedOn);
+    CPPUNIT_TEST(onceOnlyRequestIsNotRepeatedAfterAReset);
+    CPPUNIT_TEST(onceOnlyRequestGoesOnIfItDidNotRun);
+    CPPUNIT_TEST(idempotentRequestIsRepeatedAfterAFailure);
+    CPPUNIT_TEST(engineFailureIsPassedOnWhenNoAttemptIsLeft);
+    CPPUNIT_TEST(truncatedAnswerIsNeverPassedOn);
+    CPPUNIT_TEST(streamGoesOnAtAnotherEngine);
+    CPPUNIT_TEST(streamIsNotJoinedAtTheWrongEvent);
+    CPPUNIT_TEST(fragileStreamIsBrokenOffVisibly);
+    CPPUNIT_TEST(leavingCallerReleasesTheEngine);
+    CPPUNIT_TEST(waitingRequestStartsWhenASlotFrees);
+    CPPUNIT_TEST(callerThatLeavesTheQueueCostsNothing);
+    CPPUNIT_TEST(overQuotaIsRefusedAndNeverSent);
+    CPPUNIT_TEST(refusedRequestIsRefunded);
+    CPPUNIT_TEST(silentEngineLosesARepeatableRequest);
+    CPPUNIT_TEST(deadlineEndsARequestThatMayRun);
+    CPPUNIT_TEST(evacuatedDomainGetsNothing);
+    CPPUNIT_TEST(leavingNodeEndsWhatRuns);
+    CPPUNIT_TEST(lateRequestAtALeavingNodeIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a changed status, field or body in either direction.
+    void answerIsPassedOnUnchanged()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/plain/x?y=%20z", "1", "Extra: kept\r\n");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        const std::string request = m_gateway.requestAt(engine);
+        CPPUNIT_ASSERT(request.starts_with("POST /plain/x?y=%20z HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(has(request, "Host: a.example\r\n"));
+        CPPUNIT_ASSERT(has(request, "Extra: kept\r\n"));
+        CPPUNIT_ASSERT(has(request, "Engine: e1\r\n"));
+        engine.send(answer("404 Not Found", "Id: 1\r\nSigned: s1\r\nEtag: t\r\n", "engine's own"));
+        const std::string got = m_gateway.answerOf(*caller);
+        CPPUNIT_ASSERT(got.starts_with("HTTP/1.1 404 "));
+        CPPUNIT_ASSERT(has(got, "Signed: s1\r\n") && has(got, "Etag: t\r\n"));
+        CPPUNIT_ASSERT(got.ends_with("\r\n\r\nengine's own"));
+    }
+
+    // Guards against a 404 for a route that the node has not read yet.
+    void noConfigurationMeansComeBack()
+    {
+        const auto caller = m_gateway.call("/plain/x", "1");
+        const std::string got = m_gateway.answerOf(*caller);
+        CPPUNIT_ASSERT(got.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(has(got, "Retry-After: "));
+        CPPUNIT_ASSERT(!m_gateway.node.node->ready());
+    }
+
+    // Guards against requests that run without a route or a key.
+    void unknownRoutesAndKeysAreRejected()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1, {{.name = "t", .keys = {"k"}}});
+        const auto noRoute = m_gateway.call("/nowhere/", "1", "Key: k\r\n");
+        CPPUNIT_ASSERT(m_gateway.answerOf(*noRoute).starts_with("HTTP/1.1 404 "));
+        const auto noKey = m_gateway.call("/plain/", "2");
+        CPPUNIT_ASSERT(m_gateway.answerOf(*noKey).starts_with("HTTP/1.1 401 "));
+        const auto wrongKey = m_gateway.call("/plain/", "3", "Key: other\r\n");
+        CPPUNIT_ASSERT(m_gateway.answerOf(*wrongKey).starts_with("HTTP/1.1 401 "));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
+    // Guards against a key that leaks to engines, and a team that a caller claims.
+    void keysStayHereAndTheTeamIsTold()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1, {{.name = "t", .keys = {"secret"}}});
+        const auto caller = m_gateway.call("/plain/", "1", "Key: secret\r\n");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        const std::string request = m_gateway.requestAt(engine);
+        CPPUNIT_ASSERT(!has(request, "secret"));
+        CPPUNIT_ASSERT(has(request, "Team: t\r\n"));
+    }
+
+    // Guards against an engine that works longer than the caller or the route waits.
+    void deadlineOnlyShrinks()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        for (const auto &[field, most] : std::vector<std::pair<std::string, int>>{
+                 {"Wait-Ms: 900\r\n", 900}, {"", 4'000}, {"Wait-Ms: 60000\r\n", 4'000}}) {
+            const auto caller = m_gateway.call("/once/", "1", field);
+            raw_socket engine = m_gateway.acceptAt(listener);
+            const std::string request = m_gateway.requestAt(engine);
+            const std::size_t at = request.find("Wait-Ms: ") + 9;
+            const int told = std::stoi(request.substr(at));
+            CPPUNIT_ASSERT(told <= most && told > most / 2);
+        }
+    }
+
+    // Guards against a success that no engine gave.
+    void unsignedSuccessIsNotPassedOn()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(answer("200 OK", "Id: 1\r\n", "garbage"));
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).starts_with("HTTP/1.1 502 "));
+    }
+
+    // Guards against an answer that reaches the wrong caller.
+    void answerOfAnotherRequestIsNotPassedOn()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(answer("200 OK", "Id: 0\r\nSigned: s0\r\n", "old"));
+        CPPUNIT_ASSERT(m_gateway.waitsForAnswer(*caller));
+        engine.send(answer("200 OK", "Id: 1\r\nSigned: s1\r\n", "mine"));
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).ends_with("mine"));
+    }
+
+    // Guards against a booking that is made twice, and against "not run" for one that may have run.
+    void onceOnlyRequestIsNotRepeatedAfterAReset()
+    {
+        listening_socket &first = m_gateway.addEngine("e1");
+        listening_socket &second = m_gateway.addEngine("e2");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        m_gateway.waitFor("connection", [&] { return first.pending() || second.pending(); });
+        {
+            raw_socket engine = m_gateway.acceptAt(first.pending() ? first : second);
+            m_gateway.requestAt(engine);
+        }
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).starts_with("HTTP/1.1 502 "));
+        CPPUNIT_ASSERT(!first.pending() && !second.pending());
+    }
+
+    // Guards against a refusal although another engine has room.
+    void onceOnlyRequestGoesOnIfItDidNotRun()
+    {
+        listening_socket &first = m_gateway.addEngine("e1");
+        listening_socket &second = m_gateway.addEngine("e2");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        m_gateway.waitFor("connection", [&] { return first.pending() || second.pending(); });
+        const bool atFirst = first.pending();
+        raw_socket engine = m_gateway.acceptAt(atFirst ? first : second);
+        m_gateway.requestAt(engine);
+        engine.send(answer("503 Service Unavailable", "Not-Run: 1\r\n", ""));
+        raw_socket other = m_gateway.acceptAt(atFirst ? second : first);
+        m_gateway.requestAt(other);
+        other.send(answer("200 OK", "Id: 1\r\nSigned: s\r\n", "booked"));
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).ends_with("booked"));
+    }
+
+    // Guards against a failure that the caller sees although a repeat is allowed.
+    void idempotentRequestIsRepeatedAfterAFailure()
+    {
+        listening_socket &first = m_gateway.addEngine("e1");
+        listening_socket &second = m_gateway.addEngine("e2");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/plain/", "1");
+        m_gateway.waitFor("connection", [&] { return first.pending() || second.pending(); });
+        const bool atFirst = first.pending();
+        raw_socket engine = m_gateway.acceptAt(atFirst ? first : second);
+        m_gateway.requestAt(engine);
+        engine.send(answer("500 Internal Server Error", "Id: 1\r\nSigned: s1\r\n", "failed"));
+        raw_socket other = m_gateway.acceptAt(atFirst ? second : first);
+        m_gateway.requestAt(other);
+        other.send(answer("200 OK", "Id: 1\r\nSigned: s2\r\n", "fine"));
+        const std::string got = m_gateway.answerOf(*caller);
+        CPPUNIT_ASSERT(got.starts_with("HTTP/1.1 200 ") && got.ends_with("fine"));
+        CPPUNIT_ASSERT(!has(got, "s1"));
+    }
+
+    // Guards against more runs than the route allows, and against a hidden engine failure.
+    void engineFailureIsPassedOnWhenNoAttemptIsLeft()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(answer("500 Internal Server Error", "Id: 1\r\nSigned: s1\r\n", "failed"));
+        const std::string got = m_gateway.answerOf(*caller);
+        CPPUNIT_ASSERT(got.starts_with("HTTP/1.1 500 ") && has(got, "Signed: s1\r\n"));
+    }
+
+    // Guards against half an answer that looks whole.
+    void truncatedAnswerIsNeverPassedOn()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        {
+            raw_socket engine = m_gateway.acceptAt(listener);
+            m_gateway.requestAt(engine);
+            engine.send("HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nContent-Length: 9\r\n\r\nhalf");
+        }
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).starts_with("HTTP/1.1 502 "));
+    }
+
+    // Guards against events that are lost, doubled or cut when an engine dies in a stream.
+    void streamGoesOnAtAnotherEngine()
+    {
+        listening_socket &first = m_gateway.addEngine("e1");
+        listening_socket &second = m_gateway.addEngine("e2");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/stream/", "1");
+        m_gateway.waitFor("connection", [&] { return first.pending() || second.pending(); });
+        const bool atFirst = first.pending();
+        {
+            raw_socket engine = m_gateway.acceptAt(atFirst ? first : second);
+            m_gateway.requestAt(engine);
+            engine.send(streamHead("1") + chunk("id: 1\ndata: a\n\n")
+                        + chunk("id: 2\ndata: b\n\nid: 3\ndata: ha"));
+            m_gateway.waitFor("events",
+                              [&] { return has(caller->receive(), "id: 2\ndata: b\n\n"); });
+        }
+        raw_socket other = m_gateway.acceptAt(atFirst ? second : first);
+        CPPUNIT_ASSERT(has(m_gateway.requestAt(other), "Resume: 2\r\n"));
+        other.send(streamHead("1") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+        m_gateway.waitFor("end", [&] { return caller->receive().ends_with("0\r\n\r\n"); });
+        const std::string &got = caller->receive();
+        CPPUNIT_ASSERT(!has(got, "ha\r\n"));
+        CPPUNIT_ASSERT(has(got, "id: 3\ndata: c\n\n"));
+        CPPUNIT_ASSERT_EQUAL(got.find("HTTP/1.1"), got.rfind("HTTP/1.1"));
+    }
+
+    // Guards against a gap or a repetition where two runs are joined.
+    void streamIsNotJoinedAtTheWrongEvent()
+    {
+        listening_socket &first = m_gateway.addEngine("e1");
+        listening_socket &second = m_gateway.addEngine("e2");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/stream/", "1");
+        m_gateway.waitFor("connection", [&] { return first.pending() || second.pending(); });
+        const bool atFirst = first.pending();
+        {
+            raw_socket engine = m_gateway.acceptAt(atFirst ? first : second);
+            m_gateway.requestAt(engine);
+            engine.send(streamHead("1") + chunk("id: 1\ndata: a\n\n"));
+            m_gateway.waitFor("event", [&] { return has(caller->receive(), "id: 1\n"); });
+        }
+        raw_socket other = m_gateway.acceptAt(atFirst ? second : first);
+        m_gateway.requestAt(other);
+        other.send(streamHead("1") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+        m_gateway.waitFor("end", [&] {
+            caller->receive();
+            return caller->ended();
+        });
+        CPPUNIT_ASSERT(!has(caller->receive(), "id: 3"));
+        CPPUNIT_ASSERT(!caller->receive().ends_with("0\r\n\r\n"));
+    }
+
+    // Guards against a stream that runs twice, or ends as if it were whole.
+    void fragileStreamIsBrokenOffVisibly()
+    {
+        listening_socket &first = m_gateway.addEngine("e1");
+        listening_socket &second = m_gateway.addEngine("e2");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/fragile/", "1");
+        m_gateway.waitFor("connection", [&] { return first.pending() || second.pending(); });
+        {
+            raw_socket engine = m_gateway.acceptAt(first.pending() ? first : second);
+            m_gateway.requestAt(engine);
+            engine.send(streamHead("1") + chunk("id: 1\ndata: a\n\n"));
+            m_gateway.waitFor("event", [&] { return has(caller->receive(), "id: 1\n"); });
+        }
+        m_gateway.waitFor("end", [&] {
+            caller->receive();
+            return caller->ended();
+        });
+        CPPUNIT_ASSERT(!caller->receive().ends_with("0\r\n\r\n"));
+        CPPUNIT_ASSERT(!first.pending() && !second.pending());
+    }
+
+    // Guards against an engine that works on for nobody.
+    void leavingCallerReleasesTheEngine()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        auto caller = m_gateway.call("/stream/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        caller->close();
+        m_gateway.waitFor("release", [&] {
+            engine.receive();
+            return engine.ended();
+        });
+    }
+
+    // Guards against a queue that nobody serves.
+    void waitingRequestStartsWhenASlotFrees()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1", 1);
+        m_gateway.configure(1);
+        const auto first = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        const auto second = m_gateway.call("/once/", "2");
+        CPPUNIT_ASSERT(m_gateway.waitsForAnswer(*second));
+        CPPUNIT_ASSERT(!listener.pending());
+        engine.send(answer("200 OK", "Id: 1\r\nSigned: s\r\n", "one"));
+        m_gateway.waitFor("second request", [&] { return has(engine.receive(), "Id: 2\r\n"); });
+        engine.send(answer("200 OK", "Id: 2\r\nSigned: s\r\n", "two"));
+        CPPUNIT_ASSERT(m_gateway.answerOf(*second).ends_with("two"));
+        CPPUNIT_ASSERT(m_gateway.answerOf(*first).ends_with("one"));
+    }
+
+    // Guards against a request that runs after its caller has left the queue.
+    void callerThatLeavesTheQueueCostsNothing()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1", 1);
+        m_gateway.configure(1);
+        const auto first = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        auto second = m_gateway.call("/once/", "2");
+        CPPUNIT_ASSERT(m_gateway.waitsForAnswer(*second));
+        second->close();
+        CPPUNIT_ASSERT(m_gateway.waitsForAnswer(*first));
+        engine.send(answer("200 OK", "Id: 1\r\nSigned: s\r\n", "one"));
+        m_gateway.answerOf(*first);
+        CPPUNIT_ASSERT(!has(engine.receive(), "Id: 2\r\n"));
+    }
+
+    // Guards against 429 for a request that runs all the same.
+    void overQuotaIsRefusedAndNeverSent()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1, {limitedTeam()});
+        const auto first = m_gateway.call("/once/", "1", "Key: k\r\nTokens: 5000\r\n");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        const auto second = m_gateway.call("/once/", "2", "Key: k\r\nTokens: 1\r\n");
+        const std::string got = m_gateway.answerOf(*second);
+        CPPUNIT_ASSERT(got.starts_with("HTTP/1.1 429 "));
+        CPPUNIT_ASSERT(has(got, "Retry-After: "));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
+    // Guards against a quota that refused requests use up.
+    void refusedRequestIsRefunded()
+    {
+        m_gateway.configure(1, {limitedTeam()});
+        for (int i = 0; i < 3; ++i) {
+            const auto caller
+                = m_gateway.call("/once/", "1", "Key: k\r\nTokens: 5000\r\nWait-Ms: 50\r\n");
+            CPPUNIT_ASSERT(m_gateway.answerOf(*caller).starts_with("HTTP/1.1 503 "));
+        }
+    }
+
+    // Guards against a caller that waits for an engine that is dead without a sign.
+    void silentEngineLosesARepeatableRequest()
+    {
+        listening_socket &first = m_gateway.addEngine("e1");
+        listening_socket &second = m_gateway.addEngine("e2");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/plain/", "1");
+        m_gateway.waitFor("connection", [&] { return first.pending() || second.pending(); });
+        const bool atFirst = first.pending();
+        raw_socket silent = m_gateway.acceptAt(atFirst ? first : second);
+        m_gateway.requestAt(silent);
+        listening_socket &otherListener = atFirst ? second : first;
+        m_gateway.waitFor("second attempt", [&] { return otherListener.pending(); });
+        raw_socket other = m_gateway.acceptAt(otherListener);
+        m_gateway.requestAt(other);
+        silent.receive();
+        CPPUNIT_ASSERT(silent.ended());
+        other.send(answer("200 OK", "Id: 1\r\nSigned: s\r\n", "fine"));
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).ends_with("fine"));
+    }
+
+    // Guards against "not run" for a request that an engine may still run.
+    void deadlineEndsARequestThatMayRun()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1", "Wait-Ms: 100\r\n");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).starts_with("HTTP/1.1 504 "));
+    }
+
+    // Guards against new work for a failure domain that operators took out.
+    void evacuatedDomainGetsNothing()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        m_gateway.node.write(gateway::collection_id::Operators, "out/d1", ++m_gateway.revision,
+                             gateway::evacuated_domain{"d1"});
+        const auto caller = m_gateway.call("/once/", "1", "Wait-Ms: 50\r\n");
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(!listener.pending());
+        m_gateway.node.source.events->onRemoved(gateway::collection_id::Operators, "out/d1",
+                                                ++m_gateway.revision);
+        const auto later = m_gateway.call("/once/", "2");
+        m_gateway.waitFor("connection", [&] { return listener.pending(); });
+    }
+
+    // Guards against a graceful stop that cuts a request.
+    void leavingNodeEndsWhatRuns()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        m_gateway.node.node->leave();
+        CPPUNIT_ASSERT(!m_gateway.node.node->ready());
+        CPPUNIT_ASSERT(!m_gateway.node.node->left());
+        const auto soonAfter = m_gateway.call("/once/", "2");
+        m_gateway.waitFor("request after the order", [&] { return listener.pending(); });
+        engine.send(answer("200 OK", "Id: 1\r\nSigned: s\r\n", "done"));
+        const std::string got = m_gateway.answerOf(*caller);
+        CPPUNIT_ASSERT(got.ends_with("done"));
+        CPPUNIT_ASSERT(has(got, "Connection: close\r\n"));
+    }
+
+    // Guards against a request that is begun and then killed.
+    void lateRequestAtALeavingNodeIsRefused()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        m_gateway.node.node->leave();
+        m_gateway.loop.runFor(2'600ms);
+        const auto caller = m_gateway.call("/once/", "1");
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
+private:
+    static dispatch::team limitedTeam()
+    {
+        return {
+            .name = "t",
+            .keys = {"k"},
+            .priority = {},
+            .quota = dispatch::team_quota{
+                .countsTokens = true, .unitsPerSecond = 100, .burstUnits = 100, .plainUnits = 10}};
+    }
+
+    gateway_fixture m_gateway;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_flow_test);
--- /dev/null
+++ b/tests/gateway/status_codec_test.cpp
@@ -0,0 +1,75 @@
+#include "gateway/status_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::gateway;
+
+class status_codec_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(status_codec_test);
+    CPPUNIT_TEST(statusComesBackWhole);
+    CPPUNIT_TEST(recordsComeBackWhole);
+    CPPUNIT_TEST(garbageIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a field that is not passed on.
+    void statusComesBackWhole()
+    {
+        dispatch::node_status status;
+        status.address = 0x0a010019;
+        status.life = 0x123456789abcdef0;
+        status.domain = "d1";
+        status.callerPort = 8221;
+        status.ready = true;
+        status.leaving = true;
+        status.sequence = 77;
+        status.revisions = {5, 9};
+        status.loads = {{3, 4}, {5, 6}};
+        status.uses = {{"t", 123.5}};
+        status.queues = {{"u", 3, 17}};
+        status.known = {1, 2};
+        const auto decoded = decodeStatus(encodeStatus(status));
+        CPPUNIT_ASSERT(decoded);
+        const dispatch::node_status &got = decoded.value();
+        CPPUNIT_ASSERT_EQUAL(status.address, got.address);
+        CPPUNIT_ASSERT_EQUAL(status.life, got.life);
+        CPPUNIT_ASSERT_EQUAL(status.domain, got.domain);
+        CPPUNIT_ASSERT_EQUAL(status.callerPort, got.callerPort);
+        CPPUNIT_ASSERT(got.ready && got.leaving);
+        CPPUNIT_ASSERT_EQUAL(status.sequence, got.sequence);
+        CPPUNIT_ASSERT(status.revisions == got.revisions);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, got.loads.size());
+        CPPUNIT_ASSERT_EQUAL(6U, got.loads[1].running);
+        CPPUNIT_ASSERT_EQUAL(123.5, got.uses.at(0).total);
+        CPPUNIT_ASSERT_EQUAL(17U, got.queues.at(0).mostUrgent);
+        CPPUNIT_ASSERT(status.known == got.known);
+    }
+
+    // Guards against a record that changes on the way to a peer.
+    void recordsComeBackWhole()
+    {
+        std::array<dispatch::record_collection, 2> collections;
+        collections[0].write({"op", 4, std::string("\0\xff{}", 4)});
+        collections[1].write({"e", 9, "x"});
+        const auto decoded = decodeRecords(encodeRecords(collections));
+        CPPUNIT_ASSERT(decoded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decoded.value().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, decoded.value()[1].revision);
+        CPPUNIT_ASSERT(collections[0].records().at("op") == decoded.value()[0].records.at(0));
+    }
+
+    // Guards against a foreign datagram that becomes a node.
+    void garbageIsRefused()
+    {
+        CPPUNIT_ASSERT(!decodeStatus(""));
+        CPPUNIT_ASSERT(!decodeStatus("GET / HTTP/1.1\r\n\r\n"));
+        CPPUNIT_ASSERT(!decodeRecords("\xff\xff\xff"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(status_codec_test);
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,186 @@
+#include "platform/store_client.h"
+#include "support/loopback.h"
+#include "support/scripted_handler.h"
+#include "transport/http_server.h"
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace comfreypass;
+using namespace comfreypass::platform;
+using namespace std::chrono_literals;
+using gateway::collection_id;
+
+namespace {
+
+/** Writes down what the client tells about the engines. */
+class recorded_events : public gateway::record_source_events
+{
+public:
+    void onWritten(collection_id collection, dispatch::published_record record) override
+    {
+        if (collection == collection_id::Engines)
+            lines.push_back("written " + record.key + "=" + record.value);
+    }
+
+    void onRemoved(collection_id collection, std::string_view key, std::uint64_t revision) override
+    {
+        if (collection == collection_id::Engines)
+            lines.push_back("removed " + std::string(key) + " " + std::to_string(revision));
+    }
+
+    void onSnapshot(collection_id collection, std::vector<dispatch::published_record> records,
+                    std::uint64_t revision) override
+    {
+        if (collection == collection_id::Engines)
+            lines.push_back("snapshot " + std::to_string(records.size()) + " at "
+                            + std::to_string(revision));
+    }
+
+    void onAvailability(collection_id collection, bool available, std::string_view) override
+    {
+        if (collection == collection_id::Engines)
+            lines.push_back(available ? "available" : "lost");
+    }
+
+    bool has(const std::string &line) const
+    {
+        return std::ranges::find(lines, line) != lines.end();
+    }
+
+    std::vector<std::string> lines;
+};
+
+} // namespace
+
+class store_client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(store_client_test);
+    CPPUNIT_TEST(pagesAreJoinedAndTheWatchGoesOn);
+    CPPUNIT_TEST(lostHistoryStartsOver);
+    CPPUNIT_TEST(refusalsAreTriedAgain);
+    CPPUNIT_TEST(restartReadsTheListAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_store.setScript([this](transport::http_exchange &exchange) { answer(exchange); });
+        transport::http_server_settings settings;
+        m_server = std::make_unique<transport::http_server>(m_loop.reactor(), settings, m_store);
+        const std::uint16_t port = m_server->listen().value();
+        m_client = std::make_unique<store_client>(m_loop.reactor(),
+                                                  http1::endpoint{INADDR_LOOPBACK, port});
+    }
+
+    void tearDown() override
+    {
+        m_client.reset();
+        m_server.reset();
+    }
+
+    // Guards against engines that are missing because they were on the second page.
+    void pagesAreJoinedAndTheWatchGoesOn()
+    {
+        m_client->start(m_events);
+        m_loop.waitFor("list", [&] { return m_events.has("snapshot 3 at 7"); });
+        CPPUNIT_ASSERT_EQUAL(std::string("available"), m_events.lines.at(0));
+        m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), m_watched.at(0));
+        CPPUNIT_ASSERT(m_events.has("written servers/d=x"));
+        CPPUNIT_ASSERT(m_events.has("removed servers/a 9"));
+        CPPUNIT_ASSERT_EQUAL(std::string("9"), m_watched.at(1));
+    }
+
+    // Guards against a node that waits for changes that the store has forgotten.
+    void lostHistoryStartsOver()
+    {
+        m_watchStatus = 410;
+        m_client->start(m_events);
+        m_loop.waitFor("second list", [&] { return m_lists >= 2; });
+        CPPUNIT_ASSERT(!m_events.has("lost"));
+    }
+
+    // Guards against a node that gives up on a store which turns it away.
+    void refusalsAreTriedAgain()
+    {
+        m_listStatus = 503;
+        m_client->start(m_events);
+        m_loop.waitFor("loss", [&] { return m_events.has("lost"); });
+        m_listStatus = 200;
+        m_loop.waitFor("list", [&] { return m_events.has("snapshot 3 at 7"); });
+        CPPUNIT_ASSERT(m_events.has("available"));
+    }
+
+    // Guards against a watch that is silent for good.
+    void restartReadsTheListAgain()
+    {
+        m_client->start(m_events);
+        m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
+        const int lists = m_lists;
+        m_client->restart(collection_id::Engines);
+        m_client->restart(collection_id::Engines);
+        m_loop.waitFor("another list", [&] { return m_lists > lists; });
+    }
+
+private:
+    void answer(transport::http_exchange &exchange)
+    {
+        const auto &request = exchange.request();
+        const auto prefix = request.arguments.find("PathPrefix");
+        if (prefix == request.arguments.end() || prefix->second != "servers/")
+            return;
+        if (request.path == "/api/kv-range")
+            answerList(exchange);
+        else if (request.path == "/api/kv-watch")
+            answerWatch(exchange);
+    }
+
+    void answerList(transport::http_exchange &exchange)
+    {
+        if (m_listStatus != 200) {
+            exchange.respond(m_listStatus, {}, "");
+            return;
+        }
+        const auto after = exchange.request().arguments.find("After");
+        if (after == exchange.request().arguments.end()) {
+            ++m_lists;
+            exchange.respond(200, {},
+                             R"({"Entries":[{"Key":"servers/a","Value":"eA==","Rev":2},)"
+                             R"({"Key":"servers/b","Value":"eA==","Rev":3}],)"
+                             R"("HasMore":true,"AsOf":7})");
+            return;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("servers/b"), after->second);
+        exchange.respond(200, {},
+                         R"({"Entries":[{"Key":"servers/c","Value":"eA==","Rev":8}],)"
+                         R"("HasMore":false,"AsOf":8})");
+    }
+
+    void answerWatch(transport::http_exchange &exchange)
+    {
+        m_watched.push_back(exchange.request().arguments.at("After"));
+        if (m_watchStatus != 200)
+            exchange.respond(m_watchStatus, {}, "");
+        else if (m_watched.size() == 1)
+            exchange.respond(200, {},
+                             R"({"events":[{"Key":"servers/d","Value":"eA==","Rev":8},)"
+                             R"({"Key":"servers/a","Rev":9,"Deleted":true}],"AsOf":9})");
+    }
+
+    tests::loopback m_loop;
+    tests::scripted_handler m_store;
+    std::unique_ptr<transport::http_server> m_server;
+    std::unique_ptr<store_client> m_client;
+    recorded_events m_events;
+    std::vector<std::string> m_watched;
+    unsigned m_listStatus = 200;
+    unsigned m_watchStatus = 200;
+    int m_lists = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_client_test);
