Let a few nodes read the store and pass changes on

Change: four nodes, and one more for 64, read the store; the order follows from the addresses, and nodes that lost the source do not count, so others take over within a status. Readers pass each small change on as a datagram, each to its part of the peers; a peer that misses one sees that it is behind and asks any newer peer for what it lacks. Removals are held while no reader in touch sees the source work.

--- a/src/dispatch/fleet_member.h
+++ b/src/dispatch/fleet_member.h
@@ -9,6 +9,15 @@
 
 namespace comfreypass::dispatch {
 
+/** What a node can say of the source of the published records. */
+enum class source_state : std::uint8_t {
+    NotRead,
+    Working,
+    Lost,
+    /** Back after an outage; entries that lapsed may still be written again. */
+    Recovering,
+};
+
 /** What a node tells its peers several times a second. */
 struct node_status
 {
@@ -26,6 +35,7 @@
     std::uint64_t sequence = 0;
     /** Newest applied revision of each collection of published records. */
     std::vector<std::uint64_t> revisions;
+    source_state source = source_state::NotRead;
     std::vector<engine_load> loads;
 
     struct team_use
--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -1,10 +1,32 @@
 #include "dispatch/fleet_view.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace comfreypass::dispatch {
 
+namespace {
+
+/**
+ * Nodes that read the source even in a small fleet. With any one of them cut off and another killed
+ * at the same moment, two still hear of a change at once.
+ */
+constexpr std::size_t leastReaders = 4;
+
+/** One more reader for so many nodes, since each passes changes on to its part of them. */
+constexpr std::size_t nodesPerFurtherReader = 64;
+
+/** Spreads the readers over failure domains, whose addresses are often in sequence. */
+std::uint64_t readingOrder(std::uint32_t address)
+{
+    return core::hash64(std::to_string(address));
+}
+
+} // namespace
+
 fleet_view::fleet_view(std::uint32_t self, std::string domain, const fleet_times &times)
     : m_self(self), m_domain(std::move(domain)), m_times(times)
 { }
@@ -112,19 +134,58 @@
     return ready;
 }
 
-const node_status *fleet_view::newerRecords(std::size_t collection, std::uint64_t revision,
-                                            core::time_point now) const
+std::vector<const node_status *>
+fleet_view::newerPeers(std::size_t collection, std::uint64_t revision, core::time_point now) const
 {
-    const node_status *newest = nullptr;
+    std::vector<const node_status *> newer;
     for (const auto &[address, member] : m_members) {
-        if (!inTouch(member, now) || collection >= member.status.revisions.size())
-            continue;
-        if (member.status.revisions[collection] <= revision)
+        if (inTouch(member, now) && collection < member.status.revisions.size()
+            && member.status.revisions[collection] > revision)
+            newer.push_back(&member.status);
+    }
+    return newer;
+}
+
+bool fleet_view::shouldRead(core::time_point now) const
+{
+    const std::size_t wanted = leastReaders + share(now).inTouch / nodesPerFurtherReader;
+    std::size_t before = 0;
+    for (const auto &[address, member] : m_members) {
+        const bool counts = inTouch(member, now) && !member.status.leaving
+                            && member.status.source != source_state::Lost;
+        if (counts && readingOrder(address) < readingOrder(m_self))
+            ++before;
+    }
+    return before < wanted;
+}
+
+fleet_view::reader_place fleet_view::readerPlace(core::time_point now) const
+{
+    reader_place place;
+    for (const auto &[address, member] : m_members) {
+        if (!inTouch(member, now) || member.status.source != source_state::Working)
             continue;
-        revision = member.status.revisions[collection];
-        newest = &member.status;
+        ++place.count;
+        if (readingOrder(address) < readingOrder(m_self))
+            ++place.index;
     }
-    return newest;
+    return place;
+}
+
+bool fleet_view::sourceWorksElsewhere(core::time_point now) const
+{
+    return std::ranges::any_of(m_members, [&](const auto &entry) {
+        return inTouch(entry.second, now) && entry.second.status.source == source_state::Working;
+    });
+}
+
+bool fleet_view::sourceTroubledElsewhere(core::time_point now) const
+{
+    return std::ranges::any_of(m_members, [&](const auto &entry) {
+        const source_state state = entry.second.status.source;
+        return inTouch(entry.second, now)
+               && (state == source_state::Lost || state == source_state::Recovering);
+    });
 }
 
 std::uint32_t fleet_view::waitingAtPeers(std::string_view upstream, std::uint32_t priority,
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -65,9 +65,31 @@
     std::vector<const node_status *> readyPeers(std::string_view domain,
                                                 core::time_point now) const;
 
-    /** The peer in touch with the newest records of a collection; nullptr if none is newer. */
-    const node_status *newerRecords(std::size_t collection, std::uint64_t revision,
-                                    core::time_point now) const;
+    /** Peers in touch that are newer than `revision` in a collection. */
+    std::vector<const node_status *> newerPeers(std::size_t collection, std::uint64_t revision,
+                                                core::time_point now) const;
+
+    /**
+     * True if this node should read the source of the published records.
+     *
+     * A few nodes read and pass on, so that the calls do not grow with the fleet. The order follows
+     * from the addresses; nodes that lost the source do not count, so others take over.
+     */
+    bool shouldRead(core::time_point now) const;
+
+    /** Position of this node among the nodes that read the source, and their number. */
+    struct reader_place
+    {
+        std::size_t index = 0;
+        std::size_t count = 1;
+    };
+    reader_place readerPlace(core::time_point now) const;
+
+    /** A peer in touch reads the source and sees no outage. */
+    bool sourceWorksElsewhere(core::time_point now) const;
+
+    /** A peer in touch has lost the source or sees it recover. */
+    bool sourceTroubledElsewhere(core::time_point now) const;
 
     /** Requests that wait at the peers in touch for an upstream with at least this urgency. */
     std::uint32_t waitingAtPeers(std::string_view upstream, std::uint32_t priority,
--- a/src/dispatch/record_collection.cpp
+++ b/src/dispatch/record_collection.cpp
@@ -41,9 +41,12 @@
         return changes;
     std::uint64_t &removedAt = m_removed[std::string(key)];
     removedAt = std::max(removedAt, revision);
-    if (m_removed.size() > mostRemovals)
-        m_removed.erase(std::ranges::min_element(m_removed, {},
-                                                 [](const auto &entry) { return entry.second; }));
+    if (m_removed.size() > mostRemovals) {
+        const auto oldest = std::ranges::min_element(
+            m_removed, {}, [](const auto &entry) { return entry.second; });
+        m_forgotten = std::max(m_forgotten, oldest->second);
+        m_removed.erase(oldest);
+    }
     if (known == m_records.end())
         return changes;
     changes.removed.push_back(known->first);
@@ -73,6 +76,42 @@
     return changes;
 }
 
+record_changes record_collection::writeAfter(std::uint64_t previous, published_record record)
+{
+    const std::uint64_t before = m_revision;
+    record_changes changes = write(std::move(record));
+    if (before < previous)
+        m_revision = before;
+    return changes;
+}
+
+record_changes record_collection::removeAfter(std::uint64_t previous, std::string_view key,
+                                              std::uint64_t revision)
+{
+    const std::uint64_t before = m_revision;
+    record_changes changes = remove(key, revision);
+    if (before < previous)
+        m_revision = before;
+    return changes;
+}
+
+std::optional<record_collection::difference>
+record_collection::changesSince(std::uint64_t revision) const
+{
+    if (revision == 0 || revision < m_forgotten)
+        return std::nullopt;
+    difference result;
+    for (const auto &[key, record] : m_records) {
+        if (record.revision > revision)
+            result.written.push_back(record);
+    }
+    for (const auto &[key, removedAt] : m_removed) {
+        if (removedAt > revision)
+            result.removed.emplace(key, removedAt);
+    }
+    return result;
+}
+
 void record_collection::advance(std::uint64_t revision)
 {
     m_revision = std::max(m_revision, revision);
--- a/src/dispatch/record_collection.h
+++ b/src/dispatch/record_collection.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,22 @@
      */
     record_changes replaceAll(std::vector<published_record> records, std::uint64_t revision);
 
+    /**
+     * Takes one change that a peer read when its collection had `previous`. The revision only grows
+     * if nothing is missing between, so that a lost change is noticed.
+     */
+    record_changes writeAfter(std::uint64_t previous, published_record record);
+    record_changes removeAfter(std::uint64_t previous, std::string_view key,
+                               std::uint64_t revision);
+
+    /** Records and removals beyond a revision; nothing if removals since then were forgotten. */
+    struct difference
+    {
+        std::vector<published_record> written;
+        std::map<std::string, std::uint64_t, std::less<>> removed;
+    };
+    std::optional<difference> changesSince(std::uint64_t revision) const;
+
     /** Tells that a snapshot of a peer with this revision was taken. */
     void advance(std::uint64_t revision);
 
@@ -54,6 +71,8 @@
     /** Revisions of recent removals, so that an older record cannot come back from a peer. */
     std::map<std::string, std::uint64_t, std::less<>> m_removed;
     std::uint64_t m_revision = 0;
+    /** Removals up to this revision may be forgotten. */
+    std::uint64_t m_forgotten = 0;
 };
 
 } // namespace comfreypass::dispatch
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -2,22 +2,15 @@
 
 #include "observe/log_setup.h"
 
-#include <chrono>
+#include <algorithm>
 #include <utility>
 #include <variant>
 
 namespace comfreypass::gateway {
 
-namespace {
-
 using observe::log_level;
 using observe::logEvent;
 
-/** Engines write their entries again within about two seconds of the source's return. */
-constexpr core::duration lapsedEntryTime = std::chrono::milliseconds(2'400);
-
-} // namespace
-
 catalogue::catalogue(const record_decoder &decoder, dispatch::engine_board &board,
                      change_function changed)
     : m_decoder(decoder), m_board(board), m_changed(std::move(changed))
@@ -44,20 +37,36 @@
           now);
 }
 
-void catalogue::onAvailability(collection_id collection, bool available, core::time_point now)
+void catalogue::holdRemovalsUntil(core::time_point end)
+{
+    m_removalsHeldUntil = std::max(m_removalsHeldUntil, end);
+}
+
+void catalogue::onPeerUpdate(const record_update &update, core::time_point now)
 {
-    if (collection != collection_id::Engines || m_enginesAvailable == available)
+    if (update.collection >= m_collections.size())
         return;
-    m_enginesAvailable = available;
-    if (available)
-        m_removalsHeldUntil = now + lapsedEntryTime;
+    dispatch::record_collection &target = m_collections.at(update.collection);
+    const dispatch::published_record &record = update.record;
+    apply(update.removed ? target.removeAfter(update.previous, record.key, record.revision)
+                         : target.writeAfter(update.previous, record),
+          now);
 }
 
 void catalogue::onPeerRecords(std::span<const collection_snapshot> snapshots, core::time_point now)
 {
     for (std::size_t i = 0; i < snapshots.size() && i < m_collections.size(); ++i) {
-        apply(m_collections[i].replaceAll(snapshots[i].records, snapshots[i].revision), now);
-        m_collections[i].advance(snapshots[i].revision);
+        const collection_snapshot &snapshot = snapshots[i];
+        dispatch::record_collection &target = m_collections.at(i);
+        if (snapshot.whole) {
+            apply(target.replaceAll(snapshot.records, snapshot.revision), now);
+        } else {
+            for (const dispatch::published_record &record : snapshot.records)
+                apply(target.write(record), now);
+            for (const auto &[key, revision] : snapshot.removed)
+                apply(target.remove(key, revision), now);
+        }
+        target.advance(snapshot.revision);
     }
 }
 
@@ -131,9 +140,8 @@
     const std::string_view id = m_decoder.engineOfKey(key);
     if (id.empty())
         return;
-    const core::time_point due = removalDue(now);
-    if (due > now)
-        m_lapsed.try_emplace(std::string(id), due);
+    if (m_removalsHeldUntil > now)
+        m_lapsed.try_emplace(std::string(id), m_removalsHeldUntil);
     else
         removeEngine(id, "its entry was removed");
 }
@@ -177,10 +185,4 @@
     m_board.remove(id);
 }
 
-// A removal that a peer told while the source does not answer here may be a lapse as well.
-core::time_point catalogue::removalDue(core::time_point now) const
-{
-    return m_enginesAvailable ? m_removalsHeldUntil : now + lapsedEntryTime;
-}
-
 } // namespace comfreypass::gateway
--- a/src/gateway/catalogue.h
+++ b/src/gateway/catalogue.h
@@ -43,7 +43,15 @@
                    core::time_point now);
     void onSnapshot(collection_id collection, std::vector<dispatch::published_record> records,
                     std::uint64_t revision, core::time_point now);
-    void onAvailability(collection_id collection, bool available, core::time_point now);
+
+    /**
+     * Engines whose entries vanish until then may only have lapsed, and stay for a moment. The end
+     * never moves back.
+     */
+    void holdRemovalsUntil(core::time_point end);
+
+    /** Takes one change that a peer read from the source. */
+    void onPeerUpdate(const record_update &update, core::time_point now);
 
     /** Takes what a peer knows. */
     void onPeerRecords(std::span<const collection_snapshot> snapshots, core::time_point now);
@@ -72,14 +80,12 @@
     void applyConfiguration(dispatch::configuration settings);
     void applyEngine(const dispatch::engine_entry &entry, core::time_point now);
     void removeEngine(std::string_view id, std::string_view why);
-    core::time_point removalDue(core::time_point now) const;
 
     const record_decoder &m_decoder;
     dispatch::engine_board &m_board;
     change_function m_changed;
     std::array<dispatch::record_collection, collectionCount> m_collections;
     std::shared_ptr<const dispatch::routing_index> m_routes;
-    bool m_enginesAvailable = false;
     core::time_point m_removalsHeldUntil{};
     /** Engines whose entries vanished, and when they are taken as gone. */
     std::map<std::string, core::time_point, std::less<>> m_lapsed;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -36,6 +36,15 @@
 constexpr core::duration behindTime = 100ms;
 constexpr core::duration peerFetchTimeout = 1s;
 
+/** A node that has just started listens for peers before it reads the source itself. */
+constexpr core::duration listenTime = 400ms;
+
+/** Engines write their entries again within about two seconds of the source's return. */
+constexpr core::duration lapsedEntryTime = 2'400ms;
+
+/** A larger change is not sent as a datagram, which would be split on the way; peers ask for it. */
+constexpr std::size_t mostUpdateBytes = 1'200;
+
 /** Requests are taken for this time after the order to stop; a caller may hold an old address. */
 constexpr core::duration lateRequestTime = 2'500ms;
 
@@ -160,7 +169,7 @@
         return opened.error();
     if (const auto bound = m_listener.listen(m_settings.callers); !bound)
         return bound.error();
-    m_records.start(*this);
+    m_startedAt = monotonicNow();
     sendStatus();
     m_tickTimer.startRepeating(tickInterval);
     m_sweepTimer.startRepeating(sweepInterval);
@@ -206,9 +215,9 @@
         m_fleet.addCandidate(seed, monotonicNow());
 }
 
-std::string gateway_node::recordSnapshot() const
+std::string gateway_node::recordsSince(std::span<const std::uint64_t> revisions) const
 {
-    return encodeRecords(m_catalogue.collections());
+    return encodeRecords(m_catalogue.collections(), revisions);
 }
 
 void gateway_node::refreshMetrics()
@@ -295,12 +304,44 @@
 
 void gateway_node::onWritten(collection_id collection, dispatch::published_record record)
 {
+    const record_update update{.collection = static_cast<std::size_t>(collection),
+                               .previous = revisionOf(collection),
+                               .record = record,
+                               .removed = false};
     m_catalogue.onWritten(collection, std::move(record), monotonicNow());
+    passOn(update);
 }
 
 void gateway_node::onRemoved(collection_id collection, std::string_view key, std::uint64_t revision)
 {
+    const record_update update{.collection = static_cast<std::size_t>(collection),
+                               .previous = revisionOf(collection),
+                               .record = {std::string(key), revision, ""},
+                               .removed = true};
     m_catalogue.onRemoved(collection, key, revision, monotonicNow());
+    passOn(update);
+}
+
+std::uint64_t gateway_node::revisionOf(collection_id collection) const
+{
+    return m_catalogue.collections()[static_cast<std::size_t>(collection)].revision();
+}
+
+// Each reader tells its part of the peers. A peer that misses the message, or whose reader is cut
+// off, sees in the next statuses that it is behind.
+void gateway_node::passOn(const record_update &update)
+{
+    const std::string bytes = encodeUpdate(update);
+    if (bytes.size() > mostUpdateBytes) {
+        sendStatus();
+        return;
+    }
+    const dispatch::fleet_view::reader_place place = m_fleet.readerPlace(monotonicNow());
+    std::size_t position = 0;
+    for (const std::uint32_t peer : m_fleet.peers()) {
+        if (position++ % place.count == place.index)
+            m_peerPort.send({peer, m_settings.peers.port}, bytes);
+    }
 }
 
 void gateway_node::onSnapshot(collection_id collection,
@@ -318,7 +359,47 @@
                        : "the published records cannot be read",
              {{"collection", collection == collection_id::Engines ? "engines" : "operators"},
               {"detail", detail}});
-    m_catalogue.onAvailability(collection, available, monotonicNow());
+    const core::time_point now = monotonicNow();
+    bool &known = m_available.at(static_cast<std::size_t>(collection));
+    if (available && !known && !m_fleet.sourceWorksElsewhere(now))
+        m_recoveringUntil = now + lapsedEntryTime;
+    known = available;
+    sendStatus();
+}
+
+dispatch::source_state gateway_node::sourceState(core::time_point now) const
+{
+    if (!m_reading)
+        return dispatch::source_state::NotRead;
+    if (std::ranges::find(m_available, false) != m_available.end())
+        return dispatch::source_state::Lost;
+    return now < m_recoveringUntil ? dispatch::source_state::Recovering
+                                   : dispatch::source_state::Working;
+}
+
+void gateway_node::updateReading(core::time_point now)
+{
+    // A node that has just started hears of the others first.
+    const bool waits = now - m_startedAt < listenTime;
+    const bool reads = !waits && m_fleet.shouldRead(now);
+    if (reads != m_reading) {
+        m_reading = reads;
+        m_available.fill(false);
+        logEvent(log_level::Info, reads ? "reading_started" : "reading_stopped",
+                 reads ? "reads the published records from their source"
+                       : "takes the published records from peers",
+                 {{"in_touch", std::to_string(m_fleet.share(now).inTouch)}});
+        if (reads)
+            m_records.start(*this, m_catalogue.revisions());
+        else
+            m_records.stop();
+    }
+    const dispatch::source_state own = sourceState(now);
+    const bool works = own == dispatch::source_state::Working || m_fleet.sourceWorksElsewhere(now);
+    const bool troubled
+        = own != dispatch::source_state::NotRead || m_fleet.sourceTroubledElsewhere(now);
+    if (!works && troubled)
+        m_catalogue.holdRemovalsUntil(now + lapsedEntryTime);
 }
 
 void gateway_node::onCatalogueChanged()
@@ -335,14 +416,24 @@
 
 void gateway_node::onDatagram(const http1::endpoint &from, std::string_view bytes)
 {
-    core::result<dispatch::node_status> decoded = decodeStatus(bytes);
-    // A datagram names its sender; anything else on this port is not from a node.
-    if (!decoded || decoded.value().address != from.address)
+    core::result<peer_message> decoded = decodeMessage(bytes);
+    if (!decoded)
+        return;
+    if (auto *status = std::get_if<dispatch::node_status>(&decoded.value()))
+        onPeerStatus(from, std::move(*status));
+    else if (const auto *update = std::get_if<record_update>(&decoded.value()))
+        m_catalogue.onPeerUpdate(*update, monotonicNow());
+}
+
+void gateway_node::onPeerStatus(const http1::endpoint &from, dispatch::node_status received)
+{
+    // A status names its sender; anything else on this port is not from a node.
+    if (received.address != from.address)
         return;
     const core::time_point now = monotonicNow();
     const std::uint32_t address = from.address;
-    const std::vector<dispatch::engine_load> loads = decoded.value().loads;
-    const dispatch::status_change change = m_fleet.onStatus(std::move(decoded).value(), now);
+    const std::vector<dispatch::engine_load> loads = received.loads;
+    const dispatch::status_change change = m_fleet.onStatus(std::move(received), now);
     if (change.isNew)
         logPeer("peer_joined", "heard a node for the first time", address);
     else if (change.restarted)
@@ -382,6 +473,7 @@
     result.leaving = m_leaving;
     result.sequence = ++m_statusSequence;
     result.revisions = m_catalogue.revisions();
+    result.source = sourceState(monotonicNow());
     result.loads = m_board.ownLoads();
     m_quotas.forEachOwnTotal([&result](const std::string &team, double total) {
         result.uses.push_back({team, total});
@@ -403,6 +495,7 @@
     }
     if (m_admission.waiting() > 0)
         startAllWaiting();
+    updateReading(now);
     followPeers(now);
 }
 
@@ -414,7 +507,7 @@
         m_board.setPeerLoads(silent, {});
     }
     m_fleet.forget(now);
-    m_records.setReaders(m_fleet.share(now).inTouch);
+    m_records.setReaders(m_fleet.readerPlace(now).count);
     m_catalogue.removeLapsed(now);
     m_links.closeExpired(now);
     std::vector<std::shared_ptr<http1::server_connection>> connections;
@@ -438,14 +531,10 @@
 void gateway_node::followPeers(core::time_point now)
 {
     const std::vector<std::uint64_t> revisions = m_catalogue.revisions();
-    const dispatch::node_status *newer = nullptr;
-    for (std::size_t i = 0; i < revisions.size(); ++i) {
-        const dispatch::node_status *candidate = m_fleet.newerRecords(i, revisions[i], now);
-        if (candidate == nullptr)
-            continue;
-        newer = candidate;
-    }
-    if (newer == nullptr) {
+    std::vector<const dispatch::node_status *> newer;
+    for (std::size_t i = 0; i < revisions.size() && newer.empty(); ++i)
+        newer = m_fleet.newerPeers(i, revisions[i], now);
+    if (newer.empty()) {
         m_behindSince = {};
         return;
     }
@@ -454,9 +543,10 @@
     if (m_fetching || now - m_behindSince < behindTime)
         return;
     m_behindSince = now;
-    fetchFromPeer(*newer);
-    for (std::size_t i = 0; i < revisions.size(); ++i) {
-        if (m_fleet.newerRecords(i, revisions[i], now) != nullptr)
+    // Any of them, so that those who knew it first are not all asked at once.
+    fetchFromPeer(*newer[m_random() % newer.size()]);
+    for (std::size_t i = 0; m_reading && i < revisions.size(); ++i) {
+        if (!m_fleet.newerPeers(i, revisions[i], now).empty())
             m_records.restart(static_cast<collection_id>(i));
     }
 }
@@ -465,7 +555,10 @@
 {
     m_fetching = true;
     transport::http_call call;
-    call.url = "http://" + http1::endpoint{peer.address, m_settings.peers.port}.text() + "/records";
+    call.url = "http://" + http1::endpoint{peer.address, m_settings.peers.port}.text()
+               + "/records?since=";
+    for (const std::uint64_t revision : m_catalogue.revisions())
+        call.url += std::to_string(revision) + ",";
     call.deadline = monotonicNow() + peerFetchTimeout;
     m_peerClient.start(std::move(call), std::make_shared<peer_fetch>(*this, peer.address));
 }
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -26,10 +26,12 @@
 
 #include <ace/Reactor.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -68,8 +70,8 @@
     /** Takes seeds that the settings name now. */
     void updateSeeds(const std::vector<std::uint32_t> &seeds);
 
-    /** The records that a peer asks for. */
-    std::string recordSnapshot() const;
+    /** What a peer that has these revisions lacks. */
+    std::string recordsSince(std::span<const std::uint64_t> revisions) const;
 
     /** Writes the gauges of the present state into the registry. */
     void refreshMetrics();
@@ -95,6 +97,11 @@
     void onDatagram(const http1::endpoint &from, std::string_view bytes);
     void onFlowDone(core::request_id id, const flow_record &record);
     void onCatalogueChanged();
+    void onPeerStatus(const http1::endpoint &from, dispatch::node_status received);
+    void passOn(const record_update &update);
+    std::uint64_t revisionOf(collection_id collection) const;
+    void updateReading(core::time_point now);
+    dispatch::source_state sourceState(core::time_point now) const;
 
     void sendStatus();
     dispatch::node_status status();
@@ -137,6 +144,10 @@
     std::uint64_t m_statusSequence = 0;
     core::time_point m_behindSince{};
     bool m_fetching = false;
+    core::time_point m_startedAt{};
+    bool m_reading = false;
+    std::array<bool, collectionCount> m_available{};
+    core::time_point m_recoveringUntil{};
     bool m_starting = false;
 
     bool m_leaving = false;
--- a/src/gateway/record_source.h
+++ b/src/gateway/record_source.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,14 +53,20 @@
     record_source(const record_source &) = delete;
     record_source &operator=(const record_source &) = delete;
 
-    /** Starts to read; the events must outlive the source. To be called once. */
-    virtual void start(record_source_events &events) = 0;
+    /**
+     * Starts to read; the events must outlive the source. `known` holds the newest revision of each
+     * collection that the caller has, 0 for none.
+     */
+    virtual void start(record_source_events &events, std::span<const std::uint64_t> known) = 0;
+
+    /** Stops to read; start() may follow. */
+    virtual void stop() = 0;
 
     /** Reads a collection again on a new connection, since its watch seems to be silent. */
     virtual void restart(collection_id collection) = 0;
 
     /**
-     * Tells how many nodes read the same source. Together they notice a silent watch as soon as the
+     * Tells how many nodes read the source. Together they notice a silent watch as soon as the
      * first of them does, so each may wait longer in a larger fleet.
      */
     virtual void setReaders(std::size_t nodes) = 0;
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -13,11 +13,60 @@
     return {core::errc::ParseFailed, what, "is not a message of this version", ""};
 }
 
+dispatch::node_status readStatus(const fleet::NodeStatus &message)
+{
+    dispatch::node_status status;
+    status.address = message.address();
+    status.life = message.life();
+    status.domain = message.domain();
+    status.callerPort = static_cast<std::uint16_t>(message.caller_port());
+    status.ready = message.ready();
+    status.leaving = message.leaving();
+    status.sequence = message.sequence();
+    status.revisions.assign(message.revisions().begin(), message.revisions().end());
+    for (const fleet::EngineLoad &entry : message.loads())
+        status.loads.push_back({entry.engine(), entry.running()});
+    for (const fleet::TeamUse &entry : message.uses())
+        status.uses.push_back({entry.team(), entry.total()});
+    for (const fleet::Waiting &entry : message.queues())
+        status.queues.push_back({entry.upstream(), entry.count(), entry.most_urgent()});
+    status.known.assign(message.known().begin(), message.known().end());
+    if (message.source() >= fleet::NOT_READ && message.source() <= fleet::RECOVERING)
+        status.source = static_cast<dispatch::source_state>(message.source());
+    return status;
+}
+
+void writeRecord(const dispatch::published_record &record, fleet::Record &target)
+{
+    target.set_key(record.key);
+    target.set_revision(record.revision);
+    target.set_value(record.value);
+}
+
+dispatch::published_record readRecord(const fleet::Record &source)
+{
+    return {source.key(), source.revision(), source.value()};
+}
+
+record_update readUpdate(const fleet::RecordUpdate &message)
+{
+    record_update update;
+    update.collection = message.collection();
+    update.previous = message.previous();
+    update.removed = message.has_removal();
+    if (update.removed)
+        update.record = {message.removal().key(), message.removal().revision(), ""};
+    else
+        update.record = readRecord(message.record());
+    return update;
+}
+
 } // namespace
 
 std::string encodeStatus(const dispatch::node_status &status)
 {
-    fleet::NodeStatus message;
+    fleet::PeerMessage wrapper;
+    fleet::NodeStatus &message = *wrapper.mutable_status();
     message.set_address(status.address);
     message.set_life(status.life);
     message.set_domain(status.domain);
@@ -45,45 +94,58 @@
     }
     for (const std::uint32_t address : status.known)
         message.add_known(address);
-    return message.SerializeAsString();
+    message.set_source(static_cast<fleet::SourceState>(status.source));
+    return wrapper.SerializeAsString();
 }
 
-core::result<dispatch::node_status> decodeStatus(std::string_view bytes)
+std::string encodeUpdate(const record_update &update)
 {
-    fleet::NodeStatus message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
-        || message.address() == 0)
-        return parseError("node status");
-    dispatch::node_status status;
-    status.address = message.address();
-    status.life = message.life();
-    status.domain = message.domain();
-    status.callerPort = static_cast<std::uint16_t>(message.caller_port());
-    status.ready = message.ready();
-    status.leaving = message.leaving();
-    status.sequence = message.sequence();
-    status.revisions.assign(message.revisions().begin(), message.revisions().end());
-    for (const fleet::EngineLoad &entry : message.loads())
-        status.loads.push_back({entry.engine(), entry.running()});
-    for (const fleet::TeamUse &entry : message.uses())
-        status.uses.push_back({entry.team(), entry.total()});
-    for (const fleet::Waiting &entry : message.queues())
-        status.queues.push_back({entry.upstream(), entry.count(), entry.most_urgent()});
-    status.known.assign(message.known().begin(), message.known().end());
-    return status;
+    fleet::PeerMessage wrapper;
+    fleet::RecordUpdate &message = *wrapper.mutable_update();
+    message.set_collection(static_cast<std::uint32_t>(update.collection));
+    message.set_previous(update.previous);
+    if (update.removed) {
+        message.mutable_removal()->set_key(update.record.key);
+        message.mutable_removal()->set_revision(update.record.revision);
+    } else {
+        writeRecord(update.record, *message.mutable_record());
+    }
+    return wrapper.SerializeAsString();
+}
+
+core::result<peer_message> decodeMessage(std::string_view bytes)
+{
+    fleet::PeerMessage message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return parseError("datagram of a peer");
+    if (message.has_status() && message.status().address() != 0)
+        return peer_message(readStatus(message.status()));
+    if (message.has_update())
+        return peer_message(readUpdate(message.update()));
+    return parseError("datagram of a peer");
 }
 
-std::string encodeRecords(std::span<const dispatch::record_collection> collections)
+std::string encodeRecords(std::span<const dispatch::record_collection> collections,
+                          std::span<const std::uint64_t> since)
 {
     fleet::RecordSnapshot message;
-    for (const dispatch::record_collection &collection : collections) {
+    for (std::size_t i = 0; i < collections.size(); ++i) {
+        const dispatch::record_collection &collection = collections[i];
         fleet::RecordCollection &target = *message.add_collections();
         target.set_revision(collection.revision());
-        for (const auto &[key, record] : collection.records()) {
-            fleet::Record &entry = *target.add_records();
-            entry.set_key(record.key);
-            entry.set_revision(record.revision);
-            entry.set_value(record.value);
+        const auto difference = collection.changesSince(i < since.size() ? since[i] : 0);
+        target.set_whole(!difference);
+        if (!difference) {
+            for (const auto &[key, record] : collection.records())
+                writeRecord(record, *target.add_records());
+            continue;
+        }
+        for (const dispatch::published_record &record : difference->written)
+            writeRecord(record, *target.add_records());
+        for (const auto &[key, revision] : difference->removed) {
+            fleet::Removal &removal = *target.add_removals();
+            removal.set_key(key);
+            removal.set_revision(revision);
         }
     }
     return message.SerializeAsString();
@@ -98,8 +160,11 @@
     for (const fleet::RecordCollection &source : message.collections()) {
         collection_snapshot &target = collections.emplace_back();
         target.revision = source.revision();
+        target.whole = source.whole();
         for (const fleet::Record &entry : source.records())
-            target.records.push_back({entry.key(), entry.revision(), entry.value()});
+            target.records.push_back(readRecord(entry));
+        for (const fleet::Removal &entry : source.removals())
+            target.removed[entry.key()] = entry.revision();
     }
     return collections;
 }
--- a/src/gateway/status_codec.h
+++ b/src/gateway/status_codec.h
@@ -4,29 +4,55 @@
 #include "dispatch/fleet_member.h"
 #include "dispatch/record_collection.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace comfreypass::gateway {
 
-/** Encodes a status as one datagram. Thread-safe. */
+/** One change of a collection, as a peer read it from the source. */
+struct record_update
+{
+    std::size_t collection = 0;
+    /** Revision of the peer's collection before the change. */
+    std::uint64_t previous = 0;
+    /** For a removal only key and revision are set. */
+    dispatch::published_record record;
+    bool removed = false;
+};
+
+/** What one datagram holds. */
+using peer_message = std::variant<dispatch::node_status, record_update>;
+
+/** Encodes one datagram. Thread-safe. */
 std::string encodeStatus(const dispatch::node_status &status);
+std::string encodeUpdate(const record_update &update);
 
 /** Error: ParseFailed. Thread-safe. */
-core::result<dispatch::node_status> decodeStatus(std::string_view bytes);
+core::result<peer_message> decodeMessage(std::string_view bytes);
 
 /** One collection as a peer sent it. */
 struct collection_snapshot
 {
     std::uint64_t revision = 0;
-    std::vector<dispatch::published_record> records;
+    std::vector<dispatch::published_record> records = {};
+    std::map<std::string, std::uint64_t, std::less<>> removed = {};
+    /** Records that are missing do not exist. */
+    bool whole = true;
 };
 
-/** Encodes all records of the collections, in their order. Thread-safe. */
-std::string encodeRecords(std::span<const dispatch::record_collection> collections);
+/**
+ * Encodes what the collections hold beyond the revisions in `since`, in their order; all of it
+ * where the revision is 0 or missing. Thread-safe.
+ */
+std::string encodeRecords(std::span<const dispatch::record_collection> collections,
+                          std::span<const std::uint64_t> since);
 
 /** Error: ParseFailed. Thread-safe. */
 core::result<std::vector<collection_snapshot>> decodeRecords(std::string_view bytes);
--- a/tests/dispatch/fleet_view_test.cpp
+++ b/tests/dispatch/fleet_view_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(usesAreCountedOnce);
     CPPUNIT_TEST(namedNodesAreAsked);
     CPPUNIT_TEST(newestRecordsAreFound);
+    CPPUNIT_TEST(fewNodesReadTheSource);
     CPPUNIT_TEST(moreUrgentRequestsElsewhereAreSeen);
     CPPUNIT_TEST_SUITE_END();
 
@@ -102,10 +103,36 @@
         ahead.revisions = {7, 8};
         view.onStatus(behind, m_now);
         view.onStatus(ahead, m_now);
-        CPPUNIT_ASSERT_EQUAL(3U, view.newerRecords(0, 5, m_now)->address);
-        CPPUNIT_ASSERT_EQUAL(2U, view.newerRecords(1, 5, m_now)->address);
-        CPPUNIT_ASSERT(view.newerRecords(0, 7, m_now) == nullptr);
-        CPPUNIT_ASSERT(view.newerRecords(2, 0, m_now) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(3U, view.newerPeers(0, 5, m_now).at(0)->address);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.newerPeers(1, 5, m_now).size());
+        CPPUNIT_ASSERT(view.newerPeers(0, 7, m_now).empty());
+        CPPUNIT_ASSERT(view.newerPeers(2, 0, m_now).empty());
+        CPPUNIT_ASSERT(view.newerPeers(0, 5, m_now + 5s).empty());
+    }
+
+    // Guards against a fleet where nobody or everybody reads, also while readers lose the source.
+    void fewNodesReadTheSource()
+    {
+        constexpr std::uint32_t nodes = 40;
+        for (const std::uint32_t lost : {0U, 10U, 30U}) {
+            std::size_t reading = 0;
+            std::size_t working = 0;
+            for (std::uint32_t self = 1; self <= nodes; ++self) {
+                fleet_view view(self, "d1", {});
+                for (std::uint32_t other = 1; other <= nodes; ++other) {
+                    node_status sender = status(other, 1);
+                    sender.source = other <= lost ? source_state::Lost : source_state::NotRead;
+                    if (other != self)
+                        view.onStatus(sender, m_now);
+                }
+                if (!view.shouldRead(m_now))
+                    continue;
+                ++reading;
+                working += self > lost ? 1 : 0;
+            }
+            CPPUNIT_ASSERT(working == 4);
+            CPPUNIT_ASSERT(reading <= 4 + lost);
+        }
     }
 
     // Guards against a less urgent request that takes a slot for which a peer has a more urgent
--- a/tests/gateway/catalogue_test.cpp
+++ b/tests/gateway/catalogue_test.cpp
@@ -18,11 +18,10 @@
     CPPUNIT_TEST(lapsedEntriesMayComeBack);
     CPPUNIT_TEST(unreadableEntryNamesNoEngine);
     CPPUNIT_TEST(peersRecordsCount);
+    CPPUNIT_TEST(lostUpdateIsNoticed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override { m_catalogue.onAvailability(collection_id::Engines, true, m_now - 1h); }
-
     // Guards against an older version that a peer or a late list brings back.
     void configurationNeverGoesBack()
     {
@@ -46,8 +45,7 @@
     {
         writeEngine("e1", 5);
         writeEngine("e2", 6);
-        m_catalogue.onAvailability(collection_id::Engines, false, m_now);
-        m_catalogue.onAvailability(collection_id::Engines, true, m_now + 5s);
+        m_catalogue.holdRemovalsUntil(m_now + 7s);
         m_catalogue.onSnapshot(collection_id::Engines, {}, 9, m_now + 5s);
         CPPUNIT_ASSERT(m_board.find("e1") != nullptr && m_board.find("e2") != nullptr);
         writeEngine("e1", 10);
@@ -74,13 +72,30 @@
         writeEngine("e1", 5);
         m_decoder.contents["new"] = dispatch::engine_entry{.id = "e2", .upstream = "u"};
         const std::vector<collection_snapshot> snapshots
-            = {{}, {.revision = 8, .records = {{"engine/e2", 8, "new"}}}};
+            = {{.revision = 0}, {.revision = 8, .records = {{"engine/e2", 8, "new"}}}};
         m_catalogue.onPeerRecords(snapshots, m_now);
         CPPUNIT_ASSERT(m_board.find("e1") == nullptr);
         CPPUNIT_ASSERT(m_board.find("e2") != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, m_catalogue.revisions().at(1));
     }
 
+    // Guards against a lost change that is taken for known because a later one arrived.
+    void lostUpdateIsNoticed()
+    {
+        writeEngine("e1", 5);
+        m_decoder.contents["new"] = dispatch::engine_entry{.id = "e2", .upstream = "u"};
+        m_catalogue.onPeerUpdate(
+            {.collection = 1, .previous = 7, .record = {"engine/e2", 8, "new"}}, m_now);
+        CPPUNIT_ASSERT(m_board.find("e2") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, m_catalogue.revisions().at(1));
+        m_catalogue.onPeerUpdate(
+            {.collection = 1, .previous = 5, .record = {"engine/e1", 9, ""}, .removed = true},
+            m_now);
+        CPPUNIT_ASSERT(m_board.find("e1") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, m_catalogue.revisions().at(1));
+        m_catalogue.onPeerUpdate({.collection = 9, .previous = 0, .record = {"x", 1, ""}}, m_now);
+    }
+
 private:
     void writeVersion(std::uint64_t version, std::uint64_t revision)
     {
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -22,7 +22,7 @@
 
     void onRequest(std::shared_ptr<transport::http_exchange> exchange) override
     {
-        exchange->respond(200, {}, m_node.recordSnapshot());
+        exchange->respond(200, {}, m_node.recordsSince({}));
     }
 
 private:
@@ -41,6 +41,7 @@
     CPPUNIT_TEST_SUITE(fleet_test);
     CPPUNIT_TEST(nodesFindEachOtherFromOneSeed);
     CPPUNIT_TEST(nodeWithoutASourceLearnsFromAPeer);
+    CPPUNIT_TEST(someNodesRead);
     CPPUNIT_TEST(leavingNodeIsNoLongerNamed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -56,6 +57,7 @@
     void nodeWithoutASourceLearnsFromAPeer()
     {
         start();
+        waitFor("reading", [&] { return m_nodes[0]->source.starts > 0; });
         record_page page(*m_nodes[1]->node);
         transport::http_server_settings settings;
         settings.address = "127.0.0.2";
@@ -73,6 +75,18 @@
         CPPUNIT_ASSERT(m_nodes[0]->source.restarts > 0);
     }
 
+    // Guards against calls to the source that grow with the fleet, and a fleet that reads nothing.
+    void someNodesRead()
+    {
+        start();
+        waitForAllAddresses();
+        m_loop.runFor(500ms);
+        int readers = 0;
+        for (const auto &each : m_nodes)
+            readers += each->source.starts;
+        CPPUNIT_ASSERT_EQUAL(3, readers);
+    }
+
     // Guards against callers that are sent to a node which is about to stop.
     void leavingNodeIsNoLongerNamed()
     {
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -58,7 +58,7 @@
 {
     const std::string value = key + "@" + std::to_string(revision);
     decoder.contents[value] = std::move(content);
-    source.events->onWritten(collection, {key, revision, value});
+    events().onWritten(collection, {key, revision, value});
 }
 
 gateway_fixture::gateway_fixture()
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -21,6 +21,9 @@
     test_node(ACE_Reactor &reactor, std::uint32_t address, std::uint16_t callerPort,
               std::uint16_t peerPort, std::vector<std::uint32_t> seeds);
 
+    /** Where the source of this node tells what it read. */
+    gateway::record_source_events &events() { return *node; }
+
     void write(gateway::collection_id collection, const std::string &key, std::uint64_t revision,
                gateway::record_content content);
 
--- a/tests/gateway/plain_spelling.h
+++ b/tests/gateway/plain_spelling.h
@@ -5,6 +5,7 @@
 #include "gateway/record_source.h"
 
 #include <map>
+#include <span>
 #include <string>
 
 namespace comfreypass::tests {
@@ -37,12 +38,16 @@
 class scripted_source final : public gateway::record_source
 {
 public:
-    void start(gateway::record_source_events &target) override { events = &target; }
+    void start(gateway::record_source_events &, std::span<const std::uint64_t>) override
+    {
+        ++starts;
+    }
+    void stop() override { }
     void restart(gateway::collection_id) override { ++restarts; }
     void setReaders(std::size_t) override { }
     std::uint64_t calls() const noexcept override { return 0; }
 
-    gateway::record_source_events *events = nullptr;
+    int starts = 0;
     int restarts = 0;
 };
 
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -440,8 +440,8 @@
         const auto caller = m_gateway.call("/once/", "1", "Wait-Ms: 50\r\n");
         CPPUNIT_ASSERT(m_gateway.answerOf(*caller).starts_with("HTTP/1.1 503 "));
         CPPUNIT_ASSERT(!listener.pending());
-        m_gateway.node.source.events->onRemoved(gateway::collection_id::Operators, "out/d1",
-                                                ++m_gateway.revision);
+        m_gateway.node.events().onRemoved(gateway::collection_id::Operators, "out/d1",
+                                          ++m_gateway.revision);
         const auto later = m_gateway.call("/once/", "2");
         m_gateway.waitFor("connection", [&] { return listener.pending(); });
     }
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(status_codec_test);
     CPPUNIT_TEST(statusComesBackWhole);
     CPPUNIT_TEST(recordsComeBackWhole);
+    CPPUNIT_TEST(peerGetsWhatItLacks);
+    CPPUNIT_TEST(updateComesBackWhole);
     CPPUNIT_TEST(garbageIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -33,9 +35,11 @@
         status.uses = {{"t", 123.5}};
         status.queues = {{"u", 3, 17}};
         status.known = {1, 2};
-        const auto decoded = decodeStatus(encodeStatus(status));
+        status.source = dispatch::source_state::Recovering;
+        const auto decoded = decodeMessage(encodeStatus(status));
         CPPUNIT_ASSERT(decoded);
-        const dispatch::node_status &got = decoded.value();
+        const auto &got = std::get<dispatch::node_status>(decoded.value());
+        CPPUNIT_ASSERT(got.source == status.source);
         CPPUNIT_ASSERT_EQUAL(status.address, got.address);
         CPPUNIT_ASSERT_EQUAL(status.life, got.life);
         CPPUNIT_ASSERT_EQUAL(status.domain, got.domain);
@@ -56,18 +60,56 @@
         std::array<dispatch::record_collection, 2> collections;
         collections[0].write({"op", 4, std::string("\0\xff{}", 4)});
         collections[1].write({"e", 9, "x"});
-        const auto decoded = decodeRecords(encodeRecords(collections));
+        const auto decoded = decodeRecords(encodeRecords(collections, {}));
         CPPUNIT_ASSERT(decoded);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decoded.value().size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, decoded.value()[1].revision);
         CPPUNIT_ASSERT(collections[0].records().at("op") == decoded.value()[0].records.at(0));
     }
 
+    // Guards against a peer that gets everything again, or misses a removal.
+    void peerGetsWhatItLacks()
+    {
+        std::array<dispatch::record_collection, 2> collections;
+        collections[0].write({"a", 4, "x"});
+        collections[0].write({"b", 5, "y"});
+        collections[0].write({"c", 6, "z"});
+        collections[0].remove("b", 7);
+        collections[1].write({"e", 9, "x"});
+        const std::array<std::uint64_t, 2> since = {5, 9};
+        const auto decoded = decodeRecords(encodeRecords(collections, since));
+        CPPUNIT_ASSERT(decoded);
+        const collection_snapshot &first = decoded.value().at(0);
+        CPPUNIT_ASSERT(!first.whole);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), first.records.at(0).key);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, first.removed.at("b"));
+        CPPUNIT_ASSERT(decoded.value().at(1).records.empty());
+    }
+
+    // Guards against a change that is applied to the wrong collection or as the wrong kind.
+    void updateComesBackWhole()
+    {
+        for (const bool removed : {false, true}) {
+            const record_update update{.collection = 1,
+                                       .previous = 8,
+                                       .record = {"e", 9, removed ? "" : "x"},
+                                       .removed = removed};
+            const auto decoded = decodeMessage(encodeUpdate(update));
+            CPPUNIT_ASSERT(decoded);
+            const auto &got = std::get<record_update>(decoded.value());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, got.collection);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, got.previous);
+            CPPUNIT_ASSERT(got.record == update.record);
+            CPPUNIT_ASSERT_EQUAL(removed, got.removed);
+        }
+    }
+
     // Guards against a foreign datagram that becomes a node.
     void garbageIsRefused()
     {
-        CPPUNIT_ASSERT(!decodeStatus(""));
-        CPPUNIT_ASSERT(!decodeStatus("GET / HTTP/1.1\r\n\r\n"));
+        CPPUNIT_ASSERT(!decodeMessage(""));
+        CPPUNIT_ASSERT(!decodeMessage("GET / HTTP/1.1\r\n\r\n"));
         CPPUNIT_ASSERT(!decodeRecords("\xff\xff\xff"));
     }
 };
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(lostHistoryStartsOver);
     CPPUNIT_TEST(refusalsAreTriedAgain);
     CPPUNIT_TEST(restartReadsTheListAgain);
+    CPPUNIT_TEST(knownRevisionIsWatched);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -86,7 +87,7 @@
     // Guards against engines that are missing because they were on the second page.
     void pagesAreJoinedAndTheWatchGoesOn()
     {
-        m_client->start(m_events);
+        m_client->start(m_events, {});
         m_loop.waitFor("list", [&] { return m_events.has("snapshot 3 at 7"); });
         CPPUNIT_ASSERT_EQUAL(std::string("available"), m_events.lines.at(0));
         m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
@@ -100,7 +101,7 @@
     void lostHistoryStartsOver()
     {
         m_watchStatus = 410;
-        m_client->start(m_events);
+        m_client->start(m_events, {});
         m_loop.waitFor("second list", [&] { return m_lists >= 2; });
         CPPUNIT_ASSERT(!m_events.has("lost"));
     }
@@ -109,7 +110,7 @@
     void refusalsAreTriedAgain()
     {
         m_listStatus = 503;
-        m_client->start(m_events);
+        m_client->start(m_events, {});
         m_loop.waitFor("loss", [&] { return m_events.has("lost"); });
         m_listStatus = 200;
         m_loop.waitFor("list", [&] { return m_events.has("snapshot 3 at 7"); });
@@ -119,7 +120,7 @@
     // Guards against a watch that is silent for good.
     void restartReadsTheListAgain()
     {
-        m_client->start(m_events);
+        m_client->start(m_events, {});
         m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
         const int lists = m_lists;
         m_client->restart(collection_id::Engines);
@@ -127,6 +128,20 @@
         m_loop.waitFor("another list", [&] { return m_lists > lists; });
     }
 
+    // Guards against lists where a watch from a known revision is enough, and calls of a node that
+    // no longer reads.
+    void knownRevisionIsWatched()
+    {
+        const std::vector<std::uint64_t> known = {0, 7};
+        m_client->start(m_events, known);
+        m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
+        CPPUNIT_ASSERT_EQUAL(0, m_lists);
+        m_client->stop();
+        const std::uint64_t calls = m_client->calls();
+        m_loop.runFor(50ms);
+        CPPUNIT_ASSERT_EQUAL(calls, m_client->calls());
+    }
+
 private:
     void answer(transport::http_exchange &exchange)
     {
