Use slow engines only when better ones have no room

Change: the cost of an engine has a fixed part (expected first event against the objective, expected end against the time left, failures, distance) and a part that rises with the cube of its load; of the engines with room, only those near the least fixed cost are sampled.

Each of 81 nodes knows the pace of few engines; next.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -197,7 +197,9 @@
                            .excluded = request.excluded,
                            .unseenStarts = unseen,
                            .promptTokens = request.promptTokens,
-                           .objective = request.objective},
+                           .outputTokens = request.outputTokens,
+                           .objective = request.objective,
+                           .timeLeft = request.deadline - now},
                           share, now);
 }
 
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -28,6 +28,9 @@
     /** Tokens read before the first event, and the time within which that is due; 0 if unknown. */
     double promptTokens = 0;
     core::duration objective{};
+    /** Expected output tokens, 0 if unknown, and when the answer is worthless. */
+    double outputTokens = 0;
+    core::time_point deadline{};
 };
 
 enum class admission_outcome : std::uint8_t { Start, Wait, Refuse };
--- a/src/dispatch/engine_board.cpp
+++ b/src/dispatch/engine_board.cpp
@@ -36,6 +36,22 @@
  */
 constexpr double crossDomainRequests = 1;
 
+/** Pace that no engine has. */
+constexpr double unknownPace = 1e6;
+
+/** Steps that pass before the first event of a small prompt, in events of a stream. */
+constexpr double eventsBeforeFirst = 2;
+
+/** Costs that differ by less, in loads of a whole engine, are decided by the load. */
+constexpr double similarCost = 0.3;
+
+/**
+ * Estimates of the length are often off by a factor of two, so an answer that is expected to take
+ * more than this part of its time may well not end in it.
+ */
+constexpr double safePartOfTime = 0.4;
+constexpr double lateEndCost = 4;
+
 /** Prompts from this size on tell how fast an engine reads; smaller ones mostly wait for a step. */
 constexpr double tellingPromptTokens = 3'000;
 
@@ -95,6 +111,7 @@
     if (settings != nullptr) {
         target.coldRate = settings->coldRequestsPerSecond;
         target.coldTime = settings->coldTime;
+        target.tokensPerEvent = std::max(1.0, settings->tokensPerEvent);
     }
     if (restarted) {
         target.failures = 0;
@@ -136,6 +153,7 @@
     for (engine *each : enginesOf(upstream)) {
         each->coldRate = settings.coldRequestsPerSecond;
         each->coldTime = settings.coldTime;
+        each->tokensPerEvent = std::max(1.0, settings.tokensPerEvent);
     }
 }
 
@@ -172,7 +190,7 @@
     };
     if (!std::ranges::all_of(candidates, silent))
         std::erase_if(candidates, silent);
-    double fastest = std::numeric_limits<double>::max();
+    double fastest = unknownPace;
     for (const engine *each : candidates) {
         if (each->pace > 0)
             fastest = std::min(fastest, each->pace);
@@ -181,14 +199,19 @@
         return each->running + each->peersRunning >= each->entry.slots
                || !mayUseCold(*each, share, now);
     });
-    keepSample(candidates, request.unseenStarts);
+    std::vector<candidate> open;
+    open.reserve(candidates.size());
+    for (engine *each : candidates)
+        open.push_back({each, fixedCost(*each, request, fastest, now)});
+    keepBest(open);
+    keepSample(open, request.unseenStarts);
     engine *best = nullptr;
     double least = std::numeric_limits<double>::max();
-    for (engine *each : candidates) {
-        const double price = cost(*each, request, fastest, now);
+    for (const candidate &each : open) {
+        const double price = each.fixedCost + loadCost(*each.target);
         if (price < least) {
             least = price;
-            best = each;
+            best = each.target;
         }
     }
     if (best == nullptr)
@@ -346,15 +369,26 @@
               + std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(1 / rate));
 }
 
+// A slower engine is used once the better ones have no room, not when they are merely busy: an
+// engine that batches works hardly slower for one request more.
+void engine_board::keepBest(std::vector<candidate> &candidates)
+{
+    double least = std::numeric_limits<double>::max();
+    for (const candidate &each : candidates)
+        least = std::min(least, each.fixedCost);
+    std::erase_if(candidates,
+                  [least](const candidate &each) { return each.fixedCost > least + similarCost; });
+}
+
 // With a sample of d engines, the best d-th part of them gets d times the usual requests between
 // two statuses. The sample is chosen so that these fill at most half of an engine.
-void engine_board::keepSample(std::vector<engine *> &candidates, double unseenStarts)
+void engine_board::keepSample(std::vector<candidate> &candidates, double unseenStarts)
 {
     if (candidates.size() <= smallestSample || unseenStarts <= 0)
         return;
     double slots = 0;
-    for (const engine *each : candidates)
-        slots += each->entry.slots;
+    for (const candidate &each : candidates)
+        slots += each.target->entry.slots;
     const double most = slots / static_cast<double>(candidates.size()) / 2 / unseenStarts;
     const auto size = static_cast<std::size_t>(std::clamp(most, static_cast<double>(smallestSample),
                                                           static_cast<double>(candidates.size())));
@@ -362,21 +396,34 @@
     candidates.resize(size);
 }
 
-// In loads of a whole engine. The time to read a prompt counts as the part of the objective that it
-// takes, so that long prompts keep away from slow engines.
-double engine_board::cost(const engine &candidate, const pick_request &request, double fastest,
-                          core::time_point now)
+double engine_board::fixedCost(const engine &candidate, const pick_request &request, double fastest,
+                               core::time_point now) const
 {
-    const double slots = std::max<double>(1, candidate.entry.slots);
-    const double load = static_cast<double>(candidate.running + candidate.peersRunning + 1) / slots;
-    const double slowness = candidate.pace > 0 ? candidate.pace / fastest : 1;
+    double sum = failureCost * failuresNow(candidate, now);
+    if (candidate.entry.domain != m_domain)
+        sum += crossDomainRequests / std::max<double>(1, candidate.entry.slots);
+    // An engine that is not known yet is taken for a fast one, and is known after one answer.
+    const double pace = candidate.pace > 0 ? candidate.pace : fastest;
+    if (request.promptTokens <= 0 || pace >= unknownPace)
+        return sum;
     const double perToken
-        = candidate.readSeconds > 0 ? candidate.readSeconds : m_readSeconds * slowness;
-    const double objective = seconds(request.objective);
-    const double reading = objective > 0 ? request.promptTokens * perToken / objective : 0;
-    const double random = std::uniform_real_distribution<double>(0, tieBreakCost)(m_random);
-    return load * slowness + reading + failureCost * failuresNow(candidate, now)
-           + (candidate.entry.domain == m_domain ? 0 : crossDomainRequests / slots) + random;
+        = candidate.readSeconds > 0 ? candidate.readSeconds : m_readSeconds * pace / fastest;
+    const double first = eventsBeforeFirst * pace + request.promptTokens * perToken;
+    if (request.objective > core::duration::zero())
+        sum += first / seconds(request.objective);
+    if (request.timeLeft > core::duration::zero()) {
+        const double events = request.outputTokens / candidate.tokensPerEvent;
+        const double part = (first + events * pace) / seconds(request.timeLeft);
+        sum += part + lateEndCost * std::max(0.0, part - safePartOfTime);
+    }
+    return sum;
+}
+
+double engine_board::loadCost(const engine &candidate)
+{
+    const double load = static_cast<double>(candidate.running + candidate.peersRunning + 1)
+                        / std::max<double>(1, candidate.entry.slots);
+    return load * load * load + std::uniform_real_distribution<double>(0, tieBreakCost)(m_random);
 }
 
 bool engine_board::isSilent(const engine &candidate, core::time_point now)
--- a/src/dispatch/engine_board.h
+++ b/src/dispatch/engine_board.h
@@ -37,8 +37,12 @@
     double unseenStarts = 0;
     /** Tokens that the engine reads before the first event; 0 if there are none. */
     double promptTokens = 0;
+    /** Output tokens that are expected; 0 if unknown. */
+    double outputTokens = 0;
     /** Time within which the first event is due; 0 if there is no such time. */
     core::duration objective{};
+    /** Time after which the answer is worthless; 0 if there is no such time. */
+    core::duration timeLeft{};
 };
 
 enum class pick_outcome : std::uint8_t {
@@ -153,6 +157,7 @@
         std::uint32_t running = 0;
         std::uint32_t peersRunning = 0;
         double coldRate = 0;
+        double tokensPerEvent = 1;
         core::duration coldTime{};
         core::time_point coldUntil{};
         /** Next time at which this node may send to the engine while it is cold. */
@@ -172,9 +177,17 @@
     bool isUsable(const engine &candidate, core::time_point now) const;
     bool mayUseCold(const engine &candidate, const fleet_share &share, core::time_point now) const;
     void takeCold(engine &target, const fleet_share &share, core::time_point now) const;
-    void keepSample(std::vector<engine *> &candidates, double unseenStarts);
-    double cost(const engine &candidate, const pick_request &request, double fastest,
-                core::time_point now);
+    struct candidate
+    {
+        engine *target;
+        double fixedCost;
+    };
+    static void keepBest(std::vector<candidate> &candidates);
+    void keepSample(std::vector<candidate> &candidates, double unseenStarts);
+    /** Cost that does not depend on the load: times, failures, distance. */
+    double fixedCost(const engine &candidate, const pick_request &request, double fastest,
+                     core::time_point now) const;
+    double loadCost(const engine &candidate);
     static bool isSilent(const engine &candidate, core::time_point now);
     static double failuresNow(const engine &candidate, core::time_point now);
     static void makeCold(engine &target, core::time_point until);
--- a/src/dispatch/upstream_settings.h
+++ b/src/dispatch/upstream_settings.h
@@ -18,6 +18,8 @@
     /** Requests per second that a cold engine bears, from all nodes together; 0 is without limit.
      */
     double coldRequestsPerSecond = 0;
+    /** Output tokens in one event of a stream. */
+    double tokensPerEvent = 1;
 
     bool operator==(const upstream_settings &) const = default;
 };
--- a/src/gateway/request_facts.h
+++ b/src/gateway/request_facts.h
@@ -22,6 +22,8 @@
     std::optional<double> tokens;
     /** Prompt tokens alone. */
     std::optional<double> promptTokens;
+    /** Output tokens that the caller expects; often far off. */
+    std::optional<double> expectedOutputTokens;
     /** The stream goes on after this event. */
     std::optional<std::string> resumeAfter;
 };
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -202,7 +202,9 @@
                               m_deadline),
          .excluded = m_tried,
          .promptTokens = isStreamRoute() ? m_facts.promptTokens.value_or(0) : 0,
-         .objective = m_route->objective},
+         .objective = m_route->objective,
+         .outputTokens = m_facts.expectedOutputTokens.value_or(0),
+         .deadline = m_deadline},
         now);
     switch (decision.outcome) {
     case dispatch::admission_outcome::Start:
