Tell peers the pace of engines

Change: a status tells the pace of up to four engines that the node saw since the last one; a peer takes it until it has seen 30 events itself.

--- a/src/dispatch/engine_board.cpp
+++ b/src/dispatch/engine_board.cpp
@@ -64,6 +64,9 @@
  */
 constexpr core::duration suspiciousSilence = 700ms;
 
+/** Events after which this node's own view of an engine's pace goes before that of peers. */
+constexpr std::uint32_t enoughPaces = 30;
+
 /** Weight of a new observation in the smoothed pace. */
 constexpr double paceWeight = 0.1;
 
@@ -104,6 +107,7 @@
         m_byUpstream[entry.upstream].push_back(entry.id);
     target.entry = entry;
     target.key = keyOf(entry.id);
+    m_idByKey[target.key] = entry.id;
     if (isNew) {
         const auto known = m_peersRunning.find(target.key);
         target.peersRunning = known == m_peersRunning.end() ? 0 : known->second;
@@ -128,6 +132,7 @@
     if (found == m_engines.end())
         return;
     std::erase(m_byUpstream[found->second.entry.upstream], found->first);
+    m_idByKey.erase(found->second.key);
     m_engines.erase(found);
 }
 
@@ -286,7 +291,38 @@
     if (target == nullptr)
         return;
     const double value = seconds(time);
+    // What a peer told is a start, not an observation.
     target->pace = target->pace > 0 ? target->pace + paceWeight * (value - target->pace) : value;
+    ++target->pacesSeen;
+    if (std::ranges::find(m_newPaces, target->entry.id) == m_newPaces.end())
+        m_newPaces.push_back(target->entry.id);
+}
+
+void engine_board::onPeerPaces(std::span<const engine_pace> paces)
+{
+    for (const engine_pace &each : paces) {
+        const auto id = m_idByKey.find(each.engine);
+        engine *target = id == m_idByKey.end() ? nullptr : findEngine(id->second);
+        if (target == nullptr || target->pacesSeen >= enoughPaces || each.paceSeconds <= 0)
+            continue;
+        target->pace = each.paceSeconds;
+        if (each.readSeconds <= 0)
+            continue;
+        target->readSeconds = each.readSeconds;
+        m_readSeconds
+            = m_readSeconds > 0 ? std::min(m_readSeconds, each.readSeconds) : each.readSeconds;
+    }
+}
+
+std::vector<engine_pace> engine_board::takeNewPaces(std::size_t most)
+{
+    std::vector<engine_pace> paces;
+    while (!m_newPaces.empty() && paces.size() < most) {
+        if (const engine *each = findEngine(m_newPaces.back()))
+            paces.push_back({each->key, each->pace, each->readSeconds});
+        m_newPaces.pop_back();
+    }
+    return paces;
 }
 
 bool engine_board::usable(std::string_view id, core::time_point now) const
--- a/src/dispatch/engine_board.h
+++ b/src/dispatch/engine_board.h
@@ -27,6 +27,16 @@
     std::uint32_t running = 0;
 };
 
+/** How fast an engine works, as one node saw it. */
+struct engine_pace
+{
+    engine_key engine = 0;
+    /** Seconds between two events of a stream. */
+    double paceSeconds = 0;
+    /** Seconds for each token of a prompt; 0 if unknown. */
+    double readSeconds = 0;
+};
+
 /** What is asked of the board. */
 struct pick_request
 {
@@ -127,6 +137,12 @@
     /** Time from the start of a request to its first event, and the tokens read before it. */
     void onFirstEvent(std::string_view id, double promptTokens, core::duration time);
 
+    /** Takes what a peer saw, for engines that this node has not seen enough itself. */
+    void onPeerPaces(std::span<const engine_pace> paces);
+
+    /** Engines seen since the last call, the latest first; at most `most`. */
+    std::vector<engine_pace> takeNewPaces(std::size_t most);
+
     /** True if requests may be sent to the engine now. */
     bool usable(std::string_view id, core::time_point now) const;
 
@@ -172,6 +188,8 @@
         double pace = 0;
         /** Smoothed seconds for each token of a prompt; 0 is unknown. */
         double readSeconds = 0;
+        /** Answers of which this node saw the pace. */
+        std::uint32_t pacesSeen = 0;
     };
 
     bool isUsable(const engine &candidate, core::time_point now) const;
@@ -198,6 +216,9 @@
     std::minstd_rand m_random;
     std::unordered_map<std::string, engine> m_engines;
     std::unordered_map<std::string, std::vector<std::string>> m_byUpstream;
+    std::unordered_map<engine_key, std::string> m_idByKey;
+    /** Engines whose pace was seen and not told yet. */
+    std::vector<std::string> m_newPaces;
     std::set<std::string, std::less<>> m_evacuated;
     std::unordered_map<std::uint32_t, std::vector<engine_load>> m_peerLoads;
     /** Sum of m_peerLoads, also for engines that this node does not know yet. */
--- a/src/dispatch/fleet_member.h
+++ b/src/dispatch/fleet_member.h
@@ -38,6 +38,9 @@
     source_state source = source_state::NotRead;
     std::vector<engine_load> loads;
 
+    /** Engines whose pace the node saw lately. */
+    std::vector<engine_pace> paces;
+
     struct team_use
     {
         std::string team;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -33,6 +33,9 @@
  * one. */
 constexpr std::uint64_t statusesPerChangedUse = 4;
 
+/** Engines whose pace one status tells; a node sees a few new ones between two statuses. */
+constexpr std::size_t pacesPerStatus = 4;
+
 /** Waiting requests are looked at in this interval; a slot of an engine frees every few of them. */
 constexpr core::duration tickInterval = 20ms;
 
@@ -440,6 +443,7 @@
     const core::time_point now = monotonicNow();
     const std::uint32_t address = from.address;
     const std::vector<dispatch::engine_load> loads = received.loads;
+    m_board.onPeerPaces(received.paces);
     const dispatch::status_change change = m_fleet.onStatus(std::move(received), now);
     if (change.isNew)
         logPeer("peer_joined", "heard a node for the first time", address);
@@ -485,6 +489,7 @@
     result.revisions = m_catalogue.revisions();
     result.source = sourceState(monotonicNow());
     result.loads = m_board.ownLoads();
+    result.paces = m_board.takeNewPaces(pacesPerStatus);
     addChangedUses(result, whole);
     result.queues = m_admission.queues();
     for (const auto &[address, member] : m_fleet.members()) {
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -26,6 +26,8 @@
     status.revisions.assign(message.revisions().begin(), message.revisions().end());
     for (const fleet::EngineLoad &entry : message.loads())
         status.loads.push_back({entry.engine(), entry.running()});
+    for (const fleet::EnginePace &entry : message.paces())
+        status.paces.push_back({entry.engine(), entry.pace_seconds(), entry.read_seconds()});
     for (const fleet::TeamUse &entry : message.uses())
         status.uses.push_back({entry.team(), entry.total()});
     for (const fleet::Waiting &entry : message.queues())
@@ -81,6 +83,12 @@
         entry.set_engine(load.engine);
         entry.set_running(load.running);
     }
+    for (const dispatch::engine_pace &pace : status.paces) {
+        fleet::EnginePace &entry = *message.add_paces();
+        entry.set_engine(pace.engine);
+        entry.set_pace_seconds(static_cast<float>(pace.paceSeconds));
+        entry.set_read_seconds(static_cast<float>(pace.readSeconds));
+    }
     for (const dispatch::node_status::team_use &use : status.uses) {
         fleet::TeamUse &entry = *message.add_uses();
         entry.set_team(use.team);
--- a/tests/dispatch/engine_board_test.cpp
+++ b/tests/dispatch/engine_board_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(neverMoreThanTheSlots);
     CPPUNIT_TEST(peersLoadsCount);
     CPPUNIT_TEST(slowerEngineGetsLess);
+    CPPUNIT_TEST(peersTellThePaceOfEngines);
     CPPUNIT_TEST(longAnswersKeepAwayFromSlowEngines);
     CPPUNIT_TEST(longPromptsKeepAwayFromSlowEngines);
     CPPUNIT_TEST(drainingAndEvacuatedEnginesGetNothing);
@@ -73,6 +74,27 @@
         CPPUNIT_ASSERT_EQUAL(6U, loads[engine_board::keyOf("slow")]);
     }
 
+    // Guards against a node of a large fleet that learns of a slow engine at its callers' expense.
+    void peersTellThePaceOfEngines()
+    {
+        engine_board seen("d1", 1);
+        add(seen, "fast", 18);
+        add(seen, "slow", 18);
+        seen.onPace("fast", 30ms);
+        seen.onPace("slow", 140ms);
+        engine_board told("d1", 2);
+        add(told, "fast", 18);
+        add(told, "slow", 18);
+        told.onPeerPaces(seen.takeNewPaces(4));
+        CPPUNIT_ASSERT(seen.takeNewPaces(4).empty());
+        const pick_request usual{.upstream = "u", .promptTokens = 600, .objective = 300ms};
+        for (int i = 0; i < 18; ++i) {
+            const pick chosen = told.choose(usual, {}, m_now);
+            CPPUNIT_ASSERT_EQUAL(std::string("fast"), chosen.engine->id);
+            told.onStart("fast", m_now);
+        }
+    }
+
     // Guards against a long answer that a slow engine cannot end in time.
     void longAnswersKeepAwayFromSlowEngines()
     {
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -33,6 +33,7 @@
         status.revisions = {5, 9};
         status.loads = {{3, 4}, {5, 6}};
         status.uses = {{"t", 123.5}};
+        status.paces = {{9, 0.5, 0.25}};
         status.queues = {{"u", 3, 17}};
         status.known = {1, 2};
         status.source = dispatch::source_state::Recovering;
@@ -50,6 +51,9 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, got.loads.size());
         CPPUNIT_ASSERT_EQUAL(6U, got.loads[1].running);
         CPPUNIT_ASSERT_EQUAL(123.5, got.uses.at(0).total);
+        CPPUNIT_ASSERT_EQUAL(9U, got.paces.at(0).engine);
+        CPPUNIT_ASSERT_EQUAL(0.5, got.paces.at(0).paceSeconds);
+        CPPUNIT_ASSERT_EQUAL(0.25, got.paces.at(0).readSeconds);
         CPPUNIT_ASSERT_EQUAL(17U, got.queues.at(0).mostUrgent);
         CPPUNIT_ASSERT(status.known == got.known);
     }
