Take slots elsewhere once per exchange, and keep requests at slow engines

Each node looked for free slots every 20 ms and drew anew each time, on statuses 324 ms old, so all took the same slots.

Change: a node takes its part of the slots that look free elsewhere once per exchange, a freed slot of its own starts one request, and a new request waits if the free slots are fewer than the requests that wait at peers. A silent attempt is repeated only if another engine has room and the budget allows it. Unreachable engines are counted apart from rejections. Tests: the sharing test looks 16 times, the silent engine, the dead engines. The case of scarce slots now also holds back a request as urgent as the waiting ones.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -92,28 +92,45 @@
     const auto found = m_pools.find(upstream);
     if (found == m_pools.end())
         return grants;
-    wait_queue &queue = found->second.queue;
+    pool &state = found->second;
+    wait_queue &queue = state.queue;
+    if (const auto next = queue.next(now); next && news == slot_news::Elsewhere)
+        renewAllowance(upstream, state, next->priority, now);
+    const std::size_t most = news == slot_news::OwnEnd ? 1 : state.allowance;
     while (const auto next = queue.next(now)) {
-        if (news == slot_news::Elsewhere) {
-            const auto own = static_cast<double>(queue.size());
-            const auto others
-                = static_cast<double>(m_fleet.waitingAtPeers(upstream, next->priority, now));
-            if (std::uniform_real_distribution<double>(0, own + others)(m_random) >= own)
-                break;
-        }
+        if (grants.size() >= most)
+            break;
         const admission_request &request = m_requests.at(next->id);
-        const pick basis = choose(found->second, request, now);
+        const pick basis = choose(state, request, now);
         if (basis.outcome != pick_outcome::Picked)
             break;
         grants.push_back({next->id, *basis.engine, basis});
         m_board.onStart(basis.engine->id, now);
-        count(found->second.startsPerSecond, found->second.startsAt, now);
+        count(state.startsPerSecond, state.startsAt, now);
         queue.remove(next->id);
         m_requests.erase(next->id);
     }
+    if (news == slot_news::Elsewhere)
+        state.allowance -= grants.size();
     return grants;
 }
 
+// This node's part of the free slots follows its part of the fleet's queue.
+void admission::renewAllowance(const std::string &upstream, pool &state, std::uint32_t priority,
+                               core::time_point now)
+{
+    if (state.allowanceOf == m_newsCount)
+        return;
+    state.allowanceOf = m_newsCount;
+    const engine_board::room room = m_board.roomOf(upstream, now);
+    const auto own = static_cast<double>(state.queue.size());
+    const auto others = static_cast<double>(m_fleet.waitingAtPeers(upstream, priority, now));
+    const double part = static_cast<double>(room.slots - room.running) * own / (own + others);
+    // The rest below one slot is drawn, so that small parts are not always lost.
+    state.allowance
+        = static_cast<std::size_t>(part + std::uniform_real_distribution<double>(0, 1)(m_random));
+}
+
 std::vector<core::request_id> admission::takeExpired(core::time_point now)
 {
     std::vector<core::request_id> expired;
@@ -170,11 +187,11 @@
 {
     if (state.queue.ahead(request.priority) > 0)
         return true;
-    const std::uint32_t urgent = m_fleet.moreUrgentAtPeers(request.upstream, request.priority, now);
-    if (urgent == 0)
+    const std::uint32_t waiting = m_fleet.waitingAtPeers(request.upstream, request.priority, now);
+    if (waiting == 0)
         return false;
     const engine_board::room room = m_board.roomOf(request.upstream, now);
-    return room.running + urgent >= room.slots;
+    return room.running + waiting >= room.slots;
 }
 
 core::duration admission::expectedWait(const pool &state, std::size_t ahead,
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -89,6 +89,12 @@
     /** Tells how old the loads of peers are on average. */
     void setLoadAge(core::duration age) { m_loadAge = age; }
 
+    /**
+     * The peers have told their loads anew, or the engines have changed. Between two calls this
+     * node takes its part of the slots that look free elsewhere only once, however often it polls.
+     */
+    void onNews() { ++m_newsCount; }
+
     /** Decides on a new request, or on one that must go to another engine. */
     admission_decision submit(const admission_request &request, core::time_point now);
 
@@ -124,10 +130,15 @@
         /** Smoothed number of starts per second at this node. */
         double startsPerSecond = 0;
         core::time_point startsAt{};
+        /** Slots elsewhere that may still be taken, and the news that they follow from. */
+        std::size_t allowance = 0;
+        std::uint64_t allowanceOf = 0;
     };
 
     bool mustWait(const admission_request &request, const pool &state, core::time_point now) const;
     core::duration expectedWait(const pool &state, std::size_t ahead, core::time_point now) const;
+    void renewAllowance(const std::string &upstream, pool &state, std::uint32_t priority,
+                        core::time_point now);
     pick choose(pool &state, const admission_request &request, core::time_point now);
     static double decayed(double rate, core::time_point since, core::time_point now);
     static void count(double &rate, core::time_point &since, core::time_point now);
@@ -136,6 +147,7 @@
     const fleet_view &m_fleet;
     std::minstd_rand m_random;
     core::duration m_loadAge{};
+    std::uint64_t m_newsCount = 1;
     std::unordered_map<std::string, pool> m_pools;
     std::unordered_map<core::request_id, admission_request> m_requests;
 };
--- a/src/dispatch/engine_board.cpp
+++ b/src/dispatch/engine_board.cpp
@@ -344,6 +344,17 @@
         = m_readSeconds > 0 ? std::min(m_readSeconds, target->readSeconds) : target->readSeconds;
 }
 
+bool engine_board::hasRoomBeside(std::string_view upstream, std::string_view id,
+                                 core::time_point now) const
+{
+    const auto ids = m_byUpstream.find(std::string(upstream));
+    return ids != m_byUpstream.end() && std::ranges::any_of(ids->second, [&](const auto &other) {
+               const engine &each = m_engines.at(other);
+               return other != id && isUsable(each, now) && !isSilent(each, now)
+                      && each.running + each.peersRunning < each.entry.slots;
+           });
+}
+
 std::vector<engine_load> engine_board::ownLoads() const
 {
     std::vector<engine_load> loads;
--- a/src/dispatch/engine_board.h
+++ b/src/dispatch/engine_board.h
@@ -146,6 +146,9 @@
     /** True if requests may be sent to the engine now. */
     bool usable(std::string_view id, core::time_point now) const;
 
+    /** True if an engine of the upstream other than `id` has room. */
+    bool hasRoomBeside(std::string_view upstream, std::string_view id, core::time_point now) const;
+
     /** Loads of this node, without those that are zero. */
     std::vector<engine_load> ownLoads() const;
 
--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -141,8 +141,8 @@
         if (inTouch(member, now) && member.status.ready && !member.status.leaving)
             ready.push_back(&member.status);
     }
-    std::ranges::stable_partition(
-        ready, [domain](const node_status *each) { return each->domain == domain; });
+    std::stable_partition(ready.begin(), ready.end(),
+                          [domain](const node_status *each) { return each->domain == domain; });
     return ready;
 }
 
@@ -215,12 +215,6 @@
     return count;
 }
 
-std::uint32_t fleet_view::moreUrgentAtPeers(std::string_view upstream, std::uint32_t priority,
-                                            core::time_point now) const
-{
-    return priority == 0 ? 0 : waitingAtPeers(upstream, priority - 1, now);
-}
-
 bool fleet_view::inTouch(const fleet_member &member, core::time_point now) const
 {
     return member.heard && now - member.lastHeard <= m_times.silence;
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -95,10 +95,6 @@
     std::uint32_t waitingAtPeers(std::string_view upstream, std::uint32_t priority,
                                  core::time_point now) const;
 
-    /** Waiting at the peers in touch with a greater urgency. */
-    std::uint32_t moreUrgentAtPeers(std::string_view upstream, std::uint32_t priority,
-                                    core::time_point now) const;
-
     bool inTouch(const fleet_member &member, core::time_point now) const;
     const std::map<std::uint32_t, fleet_member> &members() const noexcept { return m_members; }
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -421,6 +421,7 @@
         m_limits.readTimeout = limits.headerTimeout;
         m_limits.idleTimeout = limits.idleTimeout;
     }
+    m_admission.onNews();
     startAllWaiting();
 }
 
@@ -464,6 +465,7 @@
     const std::string bytes = encodeStatus(status(m_statusSequence % statusesPerWholeOne == 0));
     for (const std::uint32_t peer : m_fleet.peers())
         m_peerPort.send({peer, m_settings.peers.port}, bytes);
+    m_admission.onNews();
     // On average half of the interval has passed since a peer's last status.
     m_admission.setLoadAge(statusInterval() / 2);
     m_statusTimer.startOnce(statusInterval());
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -36,8 +36,15 @@
 /** A new connection takes one round trip and a few milliseconds; a lost packet takes longer. */
 constexpr core::duration connectTimeout = 300ms;
 
-/** Engines that one request may find unreachable or full before it is refused. */
-constexpr std::uint32_t mostNotRun = 3;
+/** Engines that may reject one request before it is refused; each rejection uses the retry budget.
+ */
+constexpr std::uint32_t mostRejections = 3;
+
+/**
+ * Engines that one request may find unreachable before it is refused. When a domain goes down, many
+ * entries are still listed; a refused connection costs a round trip and reaches no engine.
+ */
+constexpr std::uint32_t mostUnreachable = 8;
 
 /** Part of a request's time for which it waits for a slot. */
 constexpr int waitPercent = 25;
@@ -304,7 +311,10 @@
         return;
     }
     const core::duration quiet = m_services.now() - m_lastEventAt;
-    if (quiet >= stallLimit() && mayRepeat()) {
+    // The engine may only be slow, so the request is taken from it only if another one has room.
+    const core::time_point now = m_services.now();
+    if (quiet >= stallLimit() && mayRepeat()
+        && m_services.board.hasRoomBeside(m_upstream, m_engine->id, now) && repeatAllowed()) {
         onStall();
         return;
     }
@@ -327,7 +337,8 @@
 void request_flow::onStall()
 {
     m_mayHaveRun = true;
-    afterFailure("stalled", dispatch::attempt_result::Failed);
+    m_services.attemptFailed(m_record, "stalled");
+    repeatElsewhere(dispatch::attempt_result::Failed);
 }
 
 http1::head_verdict request_flow::onHead(const http1::message_head &head)
@@ -509,14 +520,14 @@
 // The attempt certainly did not run, so another engine may take the request, whatever its kind.
 void request_flow::afterNotRun()
 {
-    ++m_notRun;
+    const bool reachedEngine = m_answer.notRun;
+    ++(reachedEngine ? m_rejections : m_unreachable);
     if (m_runs > 0)
         --m_runs;
     m_tried.push_back(m_record.engine);
     const core::time_point now = m_services.now();
-    const bool reachedEngine = m_answer.notRun;
     const bool allowed
-        = m_notRun <= mostNotRun && now < m_deadline
+        = m_rejections <= mostRejections && m_unreachable <= mostUnreachable && now < m_deadline
           && (!reachedEngine
               || m_services.retries.tryRepeat(m_upstream, m_services.fleet.share(now), now));
     if (allowed) {
@@ -537,20 +548,25 @@
     const std::string reason(failure);
     m_services.attemptFailed(m_record, reason);
     const bool repeat = mayRepeat() && m_mode != relay_mode::Bytes;
-    if (m_engine)
-        endAttempt(result, false);
-    m_events.dropRest();
-    m_tried.push_back(m_record.engine);
     if (repeat && repeatAllowed()) {
-        submit();
+        repeatElsewhere(result);
         return;
     }
+    endAttempt(result, false);
     if (answerBegun())
         breakOff(reason);
     else
         answerOwn(badGateway, flow_outcome::Failed, reason);
 }
 
+void request_flow::repeatElsewhere(dispatch::attempt_result result)
+{
+    endAttempt(result, false);
+    m_events.dropRest();
+    m_tried.push_back(m_record.engine);
+    submit();
+}
+
 bool request_flow::mayRepeat() const
 {
     return m_route->repeatable() && m_runs < m_route->maxAttempts
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -84,6 +84,7 @@
     void completeCollected(bool reusable);
     void afterNotRun();
     void afterFailure(std::string_view failure, dispatch::attempt_result result);
+    void repeatElsewhere(dispatch::attempt_result result);
     bool mayRepeat() const;
     bool repeatAllowed();
 
@@ -135,8 +136,9 @@
     std::vector<std::string> m_tried;
     /** Attempts that run, ran or may have run. */
     std::uint32_t m_runs = 0;
-    /** Attempts that certainly did not run. */
-    std::uint32_t m_notRun = 0;
+    /** Attempts that an engine rejected, and those that reached none. */
+    std::uint32_t m_rejections = 0;
+    std::uint32_t m_unreachable = 0;
     bool m_mayHaveRun = false;
     bool m_waiting = false;
     bool m_answerBegun = false;
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -91,7 +91,8 @@
         submit(1, 0);
         tellQueue(3, 1);
         CPPUNIT_ASSERT(submit(2, 2).outcome == admission_outcome::Wait);
-        CPPUNIT_ASSERT(submit(3, 1).outcome == admission_outcome::Start);
+        CPPUNIT_ASSERT(submit(3, 1).outcome == admission_outcome::Wait);
+        CPPUNIT_ASSERT(submit(4, 0).outcome == admission_outcome::Start);
     }
 
     // Guards against all nodes that rush for one slot that a peer reports free.
@@ -111,7 +112,9 @@
             board.onStart("e1", m_now);
             node.submit(request(1, 0), m_now);
             board.onEnd("e1", attempt_result::Neutral, m_now);
-            taken += static_cast<int>(node.poll("u", slot_news::Elsewhere, m_now).size());
+            // However often it looks, the node takes its part once.
+            for (int look = 0; look < 16; ++look)
+                taken += static_cast<int>(node.poll("u", slot_news::Elsewhere, m_now).size());
         }
         // One of eight waiting requests is here.
         CPPUNIT_ASSERT(taken > rounds / 16 && taken < rounds / 4);
--- a/tests/dispatch/fleet_view_test.cpp
+++ b/tests/dispatch/fleet_view_test.cpp
@@ -145,10 +145,10 @@
         node_status busy = status(2, 1);
         busy.queues = {{"u", 4, 1}};
         view.onStatus(busy, m_now);
-        CPPUNIT_ASSERT_EQUAL(4U, view.moreUrgentAtPeers("u", 2, m_now));
-        CPPUNIT_ASSERT_EQUAL(0U, view.moreUrgentAtPeers("u", 1, m_now));
-        CPPUNIT_ASSERT_EQUAL(0U, view.moreUrgentAtPeers("v", 2, m_now));
-        CPPUNIT_ASSERT_EQUAL(0U, view.moreUrgentAtPeers("u", 2, m_now + 5s));
+        CPPUNIT_ASSERT_EQUAL(4U, view.waitingAtPeers("u", 1, m_now));
+        CPPUNIT_ASSERT_EQUAL(0U, view.waitingAtPeers("u", 0, m_now));
+        CPPUNIT_ASSERT_EQUAL(0U, view.waitingAtPeers("v", 2, m_now));
+        CPPUNIT_ASSERT_EQUAL(0U, view.waitingAtPeers("u", 2, m_now + 5s));
     }
 
 private:
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -118,6 +118,21 @@
 private:
     void start()
     {
+        // A port that is free on one address may be taken on another, or by a datagram socket.
+        bool started = false;
+        for (int attempt = 0; attempt < 20 && !started; ++attempt)
+            started = startAll();
+        CPPUNIT_ASSERT(started);
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            dispatch::configuration settings;
+            settings.version = 1;
+            m_nodes[i]->write(gateway::collection_id::Operators, "configuration", 10, settings);
+        }
+    }
+
+    bool startAll()
+    {
+        m_nodes.clear();
         m_peerPort = transport::freePort();
         const std::uint16_t callerPort = transport::freePort();
         for (std::uint32_t i = 1; i <= 3; ++i) {
@@ -125,11 +140,10 @@
             m_nodes.push_back(
                 std::make_unique<test_node>(m_loop.reactor(), address(i), callerPort, m_peerPort,
                                             std::vector<std::uint32_t>{address(1), address(9)}));
-            CPPUNIT_ASSERT(m_nodes.back()->node->start());
-            dispatch::configuration settings;
-            settings.version = 1;
-            m_nodes.back()->write(gateway::collection_id::Operators, "configuration", 10, settings);
+            if (!m_nodes.back()->node->start())
+                return false;
         }
+        return true;
     }
 
     static double versionOf(test_node &node)
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -61,12 +61,19 @@
     events().onWritten(collection, {key, revision, value});
 }
 
-gateway_fixture::gateway_fixture()
-    : callerPort(transport::freePort()),
-      node(loop.reactor(), INADDR_LOOPBACK, callerPort, transport::freePort(), {})
+// A free port may be taken before the node binds it, or by a datagram socket.
+std::unique_ptr<test_node> gateway_fixture::startedNode()
 {
-    if (!node.node->start())
-        throw std::runtime_error("the node does not start");
+    constexpr int mostAttempts = 20;
+    for (int attempt = 0; attempt < mostAttempts; ++attempt) {
+        callerPort = transport::freePort();
+        auto started
+            = std::make_unique<test_node>(loop.reactor(), INADDR_LOOPBACK, callerPort,
+                                          transport::freePort(), std::vector<std::uint32_t>());
+        if (started->node->start())
+            return started;
+    }
+    throw std::runtime_error("the node does not start");
 }
 
 listening_socket &gateway_fixture::addEngine(const std::string &id, std::uint32_t slots)
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -38,8 +38,6 @@
 class gateway_fixture
 {
 public:
-    gateway_fixture();
-
     /** Engine whose answers the test writes; it becomes known to the node. */
     tests::listening_socket &addEngine(const std::string &id, std::uint32_t slots = 4);
 
@@ -61,11 +59,14 @@
     std::string requestAt(raw_socket &engine);
 
     loopback loop;
-    std::uint16_t callerPort;
-    test_node node;
+    std::uint16_t callerPort = 0;
+    std::unique_ptr<test_node> owner = startedNode();
+    test_node &node = *owner;
     std::uint64_t revision = 0;
 
 private:
+    std::unique_ptr<test_node> startedNode();
+
     std::vector<std::unique_ptr<listening_socket>> m_engines;
 };
 
--- a/tests/gateway/node_settings_test.cpp
+++ b/tests/gateway/node_settings_test.cpp
@@ -21,7 +21,7 @@
     "graceSeconds": 8, "longestAddressTtlSeconds": 5, "descriptors": 4100,
 })";
 
-std::string with(std::string from, const std::string &to)
+std::string with(const std::string &from, const std::string &to)
 {
     std::string text = valid;
     text.replace(text.find(from), from.size(), to);
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -62,6 +62,8 @@
     CPPUNIT_TEST(overQuotaIsRefusedAndNeverSent);
     CPPUNIT_TEST(refusedRequestIsRefunded);
     CPPUNIT_TEST(silentEngineLosesARepeatableRequest);
+    CPPUNIT_TEST(slowEngineKeepsItsRequestIfThereIsNoOther);
+    CPPUNIT_TEST(deadEnginesAreTriedUntilASoundOneIsFound);
     CPPUNIT_TEST(deadlineEndsARequestThatMayRun);
     CPPUNIT_TEST(evacuatedDomainGetsNothing);
     CPPUNIT_TEST(leavingNodeEndsWhatRuns);
@@ -419,6 +421,48 @@
         CPPUNIT_ASSERT(m_gateway.answerOf(*caller).ends_with("fine"));
     }
 
+    // Guards against a request that is taken from a slow engine although no other one has room.
+    void slowEngineKeepsItsRequestIfThereIsNoOther()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/plain/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        m_gateway.loop.runFor(700ms);
+        engine.receive();
+        CPPUNIT_ASSERT(!engine.ended());
+        engine.send(answer("200 OK", "Id: 1\r\nSigned: s\r\n", "slow"));
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).ends_with("slow"));
+    }
+
+    // Guards against a refusal while sound engines have room, since dead ones are still listed.
+    void deadEnginesAreTriedUntilASoundOneIsFound()
+    {
+        for (int i = 0; i < 6; ++i) {
+            std::uint16_t port = 0;
+            {
+                const listening_socket closed;
+                port = closed.port();
+            }
+            const std::string id = "dead" + std::to_string(i);
+            m_gateway.node.write(
+                gateway::collection_id::Engines, "engine/" + id, ++m_gateway.revision,
+                dispatch::engine_entry{.id = id,
+                                       .upstream = "u",
+                                       .address = "127.0.0.1:" + std::to_string(port),
+                                       .domain = "d1",
+                                       .slots = 4});
+        }
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(answer("200 OK", "Id: 1\r\nSigned: s\r\n", "found"));
+        CPPUNIT_ASSERT(m_gateway.answerOf(*caller).ends_with("found"));
+    }
+
     // Guards against "not run" for a request that an engine may still run.
     void deadlineEndsARequestThatMayRun()
     {
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -156,10 +156,10 @@
             {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n", "HTTP/1.1 413 "},
             {"GET / HTTP/1.1\r\nLong: " + std::string(20'000, 'a') + "\r\n\r\n", "HTTP/1.1 431 "},
         };
-        for (const auto &[request, answer] : cases) {
+        for (const auto &each : cases) {
             tests::raw_socket caller(server.port());
-            caller.send(request);
-            m_loop.waitFor(answer, [&] { return caller.receive().starts_with(answer); });
+            caller.send(each.first);
+            m_loop.waitFor(each.second, [&] { return caller.receive().starts_with(each.second); });
             caller.closeSending();
             m_loop.waitFor("end", [&] {
                 caller.receive();
