Start without a pause after a restart

Change: a node listens for 60 ms if it hears peers, readers tell at once that they have listed the records, and a node that knows nothing asks at once. The quotas of a restarted fleet start with one second of refill in place of half a second; the test of a restarted fleet holds.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -95,7 +95,7 @@
     pool &state = found->second;
     wait_queue &queue = state.queue;
     if (const auto next = queue.next(now); next && news == slot_news::Elsewhere)
-        renewAllowance(upstream, state, next->priority, now);
+        renewAllowance(upstream, state, *next, now);
     const std::size_t most = news == slot_news::OwnEnd ? 1 : state.allowance;
     while (const auto next = queue.next(now)) {
         if (grants.size() >= most)
@@ -116,15 +116,18 @@
 }
 
 // This node's part of the free slots follows its part of the fleet's queue.
-void admission::renewAllowance(const std::string &upstream, pool &state, std::uint32_t priority,
-                               core::time_point now)
+void admission::renewAllowance(const std::string &upstream, pool &state,
+                               const waiting_request &next, core::time_point now)
 {
-    if (state.allowanceOf == m_newsCount)
+    // Where requests are short, slots free many times between two exchanges.
+    const core::duration pause = m_requests.at(next.id).objective / 2;
+    if (state.allowanceOf == m_newsCount && now - state.allowanceAt < pause)
         return;
     state.allowanceOf = m_newsCount;
+    state.allowanceAt = now;
     const engine_board::room room = m_board.roomOf(upstream, now);
     const auto own = static_cast<double>(state.queue.size());
-    const auto others = static_cast<double>(m_fleet.waitingAtPeers(upstream, priority, now));
+    const auto others = static_cast<double>(m_fleet.waitingAtPeers(upstream, next.priority, now));
     const double part = static_cast<double>(room.slots - room.running) * own / (own + others);
     // The rest below one slot is drawn, so that small parts are not always lost.
     state.allowance
@@ -187,11 +190,14 @@
 {
     if (state.queue.ahead(request.priority) > 0)
         return true;
-    const std::uint32_t waiting = m_fleet.waitingAtPeers(request.upstream, request.priority, now);
-    if (waiting == 0)
+    if (request.priority == 0)
+        return false;
+    const std::uint32_t urgent
+        = m_fleet.waitingAtPeers(request.upstream, request.priority - 1, now);
+    if (urgent == 0)
         return false;
     const engine_board::room room = m_board.roomOf(request.upstream, now);
-    return room.running + waiting >= room.slots;
+    return room.running + urgent >= room.slots;
 }
 
 core::duration admission::expectedWait(const pool &state, std::size_t ahead,
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -133,11 +133,12 @@
         /** Slots elsewhere that may still be taken, and the news that they follow from. */
         std::size_t allowance = 0;
         std::uint64_t allowanceOf = 0;
+        core::time_point allowanceAt{};
     };
 
     bool mustWait(const admission_request &request, const pool &state, core::time_point now) const;
     core::duration expectedWait(const pool &state, std::size_t ahead, core::time_point now) const;
-    void renewAllowance(const std::string &upstream, pool &state, std::uint32_t priority,
+    void renewAllowance(const std::string &upstream, pool &state, const waiting_request &next,
                         core::time_point now);
     pick choose(pool &state, const admission_request &request, core::time_point now);
     static double decayed(double rate, core::time_point since, core::time_point now);
--- a/src/dispatch/quota_pool.cpp
+++ b/src/dispatch/quota_pool.cpp
@@ -11,7 +11,7 @@
  * Seconds of refill that all buckets of a fleet hold together when its nodes start. A node cannot
  * know what was admitted before its start, so it does not begin with the burst.
  */
-constexpr double startSeconds = 0.5;
+constexpr double startSeconds = 1;
 
 /** Deepest debt in seconds of refill, so that one huge request does not shut a team out. */
 constexpr double mostDebtSeconds = 4;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -46,8 +46,12 @@
 constexpr core::duration behindTime = 100ms;
 constexpr core::duration peerFetchTimeout = 1s;
 
-/** A node that has just started listens for peers before it reads the source itself. */
-constexpr core::duration listenTime = 400ms;
+/**
+ * A node that has just started listens for peers before it reads the source itself: for long if it
+ * hears none, and for a few round trips if it hears some, since all may have been started together.
+ */
+constexpr core::duration listenTimeAlone = 250ms;
+constexpr core::duration listenTime = 60ms;
 
 /** Engines write their entries again within about two seconds of the source's return. */
 constexpr core::duration lapsedEntryTime = 2'400ms;
@@ -358,7 +362,11 @@
                               std::vector<dispatch::published_record> records,
                               std::uint64_t revision)
 {
+    const std::uint64_t before = revisionOf(collection);
     m_catalogue.onSnapshot(collection, std::move(records), revision, monotonicNow());
+    // Peers that have just started wait for it.
+    if (revisionOf(collection) != before)
+        sendStatus();
 }
 
 void gateway_node::onAvailability(collection_id collection, bool available, std::string_view detail)
@@ -390,7 +398,8 @@
 void gateway_node::updateReading(core::time_point now)
 {
     // A node that has just started hears of the others first.
-    const bool waits = now - m_startedAt < listenTime;
+    const bool heardPeers = m_fleet.share(now).inTouch > 1;
+    const bool waits = now - m_startedAt < (heardPeers ? listenTime : listenTimeAlone);
     const bool reads = !waits && m_fleet.shouldRead(now);
     if (reads != m_reading) {
         m_reading = reads;
@@ -566,7 +575,8 @@
     }
     if (m_behindSince == core::time_point{})
         m_behindSince = now;
-    if (m_fetching || now - m_behindSince < behindTime)
+    const bool knowsNothing = m_catalogue.routes() == nullptr;
+    if (m_fetching || (!knowsNothing && now - m_behindSince < behindTime))
         return;
     m_behindSince = now;
     // Any of them, so that those who knew it first are not all asked at once.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -74,7 +74,7 @@
 constexpr core::duration deadlineSlack = 40ms;
 
 /** Without a configuration a caller should ask another node soon. */
-constexpr core::duration retryWithoutConfiguration = 500ms;
+constexpr core::duration retryWithoutConfiguration = 200ms;
 
 std::string secondsText(core::duration time)
 {
