Log the events of streams that did not end

Cause: the line of a stream that was broken off said 0 events.

Change: the count is taken where the flow ends.

Conclusion: an engineer sees how far the stream came.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -464,7 +464,6 @@
         m_caller.write(rest);
         m_caller.finishStream();
     }
-    m_record.events = m_events.events();
     finish(flow_outcome::Answered, "");
 }
 
@@ -663,6 +662,7 @@
     m_attemptTimer.stop();
     m_record.outcome = outcome;
     m_record.reason = reason;
+    m_record.events = m_events.events();
     m_record.total = m_services.now() - m_arrivedAt;
     m_services.done(m_id, m_record);
 }
