Read whole numbers in one place

Cause: the request flow and the adapter had the same function, found by reading the change for duplicates; requestSent() had no caller.

Change: core::wholeNumber serves both; requestSent() is gone. Behaviour and tests are unchanged.

Conclusion: one copy. Left: fleet_view's unused domain, idleCount() and teamByName(), and the repeated opening of cases in request_flow_test.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,9 +1,9 @@
 #include "gateway/request_flow.h"
 
+#include "core/whole_number.h"
 #include "http1/forwarded_headers.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <cmath>
 #include <iomanip>
@@ -83,15 +83,6 @@
     return text.str();
 }
 
-std::optional<std::uint64_t> number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (read.ec != std::errc() || read.ptr != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 } // namespace
 
 request_flow::request_flow(flow_services &services, core::request_id id,
@@ -423,8 +414,8 @@
     const auto first = m_events.firstId();
     if (!first || !m_events.lastId())
         return !answerBegun();
-    const auto next = number(*first);
-    const auto last = number(*m_events.lastId());
+    const auto next = core::wholeNumber(*first);
+    const auto last = core::wholeNumber(*m_events.lastId());
     return next && last && *next == *last + 1;
 }
 
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -77,9 +77,6 @@
 
     bool connected() const noexcept { return m_channel.connected(); }
 
-    /** True once the kernel took the whole request. */
-    bool requestSent() const noexcept { return m_channel.unsentBytes() == 0; }
-
     /** Slows the sender of the response down while false. */
     void setReading(bool reading) { m_channel.setReading(reading); }
 
