Share the engines out and tell their few nodes of each change at once

In that time 2.6 requests start at each engine, so many nodes took the last free slot of the same one. Shorter intervals were ruled out: statuses to all already cost about 50 KB/s.

Change: assignEngines gives each engine to four nodes by rendezvous hashing with a bound, half of them in its failure domain. A start or end at an engine goes to these nodes as a datagram within 4 ms (EngineNews). A node takes a preferred engine with room first; elsewhere it leaves a margin for unseen starts. Free slots of preferred engines are taken by chance at each look at the queue. An engine out of reach is told to all nodes. Upstreams with too few engines for two a node stay as they were.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -36,6 +36,12 @@
 
 } // namespace
 
+/**
+ * Chance that a free slot of a preferred engine is taken in one look at the queue. The few other
+ * nodes that prefer the engine see the slot too, and hear of a start within one look.
+ */
+constexpr double preferredSlotChance = 0.34;
+
 std::string_view toString(refusal_cause cause) noexcept
 {
     static constexpr std::array<std::string_view, 4> words
@@ -53,7 +59,7 @@
     admission_decision decision;
     const bool waits = mustWait(request, state, now);
     if (!waits) {
-        decision.basis = choose(state, request, now);
+        decision.basis = choose(state, request, engine_choice::Any, now);
         if (decision.basis.outcome == pick_outcome::Picked) {
             decision.outcome = admission_outcome::Start;
             decision.engine = *decision.basis.engine;
@@ -96,23 +102,42 @@
     wait_queue &queue = state.queue;
     if (const auto next = queue.next(now); next && news == slot_news::Elsewhere)
         renewAllowance(upstream, state, *next, now);
-    const std::size_t most = news == slot_news::OwnEnd ? 1 : state.allowance;
-    while (const auto next = queue.next(now)) {
-        if (grants.size() >= most)
+    if (news == slot_news::OwnEnd) {
+        grant(state, 1, engine_choice::Any, grants, now);
+        return grants;
+    }
+    if (queue.size() > 0)
+        grant(state, drawPreferred(upstream, now), engine_choice::Preferred, grants, now);
+    state.allowance -= grant(state, state.allowance, engine_choice::Any, grants, now);
+    return grants;
+}
+
+std::size_t admission::grant(pool &state, std::size_t most, engine_choice engines,
+                             std::vector<admission_grant> &grants, core::time_point now)
+{
+    std::size_t granted = 0;
+    while (granted < most) {
+        const auto next = state.queue.next(now);
+        if (!next)
             break;
-        const admission_request &request = m_requests.at(next->id);
-        const pick basis = choose(state, request, now);
+        const pick basis = choose(state, m_requests.at(next->id), engines, now);
         if (basis.outcome != pick_outcome::Picked)
             break;
+        ++granted;
         grants.push_back({next->id, *basis.engine, basis});
         m_board.onStart(basis.engine->id, now);
         count(state.startsPerSecond, state.startsAt, now);
-        queue.remove(next->id);
+        state.queue.remove(next->id);
         m_requests.erase(next->id);
     }
-    if (news == slot_news::Elsewhere)
-        state.allowance -= grants.size();
-    return grants;
+    return granted;
+}
+
+std::size_t admission::drawPreferred(const std::string &upstream, core::time_point now)
+{
+    const engine_board::room room = m_board.preferredRoomOf(upstream, now);
+    return std::binomial_distribution<std::size_t>(room.slots - room.running,
+                                                   preferredSlotChance)(m_random);
 }
 
 // This node's part of the free slots follows its part of the fleet's queue.
@@ -126,9 +151,12 @@
     state.allowanceOf = m_newsCount;
     state.allowanceAt = now;
     const engine_board::room room = m_board.roomOf(upstream, now);
+    const engine_board::room preferred = m_board.preferredRoomOf(upstream, now);
+    const auto free
+        = static_cast<double>((room.slots - room.running) - (preferred.slots - preferred.running));
     const auto own = static_cast<double>(state.queue.size());
     const auto others = static_cast<double>(m_fleet.waitingAtPeers(upstream, next.priority, now));
-    const double part = static_cast<double>(room.slots - room.running) * own / (own + others);
+    const double part = free * own / (own + others);
     // The rest below one slot is drawn, so that small parts are not always lost.
     state.allowance
         = static_cast<std::size_t>(part + std::uniform_real_distribution<double>(0, 1)(m_random));
@@ -207,22 +235,24 @@
     return fromSeconds(static_cast<double>(ahead) / rate);
 }
 
-pick admission::choose(pool &state, const admission_request &request, core::time_point now)
+pick admission::choose(const pool &state, const admission_request &request, engine_choice engines,
+                       core::time_point now)
 {
     const fleet_share share = m_fleet.share(now);
     const auto peers = static_cast<double>(share.inTouch - 1);
-    const std::size_t engines = m_board.roomOf(request.upstream, now).engines;
+    const std::size_t usable = m_board.roomOf(request.upstream, now).engines;
     // Callers spread over the nodes evenly, so peers start about as much as this node does.
     const double unseen = decayed(state.startsPerSecond, state.startsAt, now) * peers
                           * seconds(m_loadAge)
-                          / static_cast<double>(std::max<std::size_t>(engines, 1));
+                          / static_cast<double>(std::max<std::size_t>(usable, 1));
     return m_board.choose({.upstream = request.upstream,
                            .excluded = request.excluded,
                            .unseenStarts = unseen,
                            .promptTokens = request.promptTokens,
                            .outputTokens = request.outputTokens,
                            .objective = request.objective,
-                           .timeLeft = request.deadline - now},
+                           .timeLeft = request.deadline - now,
+                           .preferredOnly = engines == engine_choice::Preferred},
                           share, now);
 }
 
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -78,7 +78,8 @@
  * to an engine only while the fleet runs less there than the engine works on at once. A slot that a
  * request of this node frees goes to this node's queue first; of slots that free elsewhere each
  * node takes a part that follows its part of the fleet's queue, so that the nodes do not all rush
- * for one slot. Not thread-safe.
+ * for one slot. Slots of preferred engines are known almost exactly and are taken by chance within
+ * a few looks. Not thread-safe.
  */
 class admission
 {
@@ -140,7 +141,13 @@
     core::duration expectedWait(const pool &state, std::size_t ahead, core::time_point now) const;
     void renewAllowance(const std::string &upstream, pool &state, const waiting_request &next,
                         core::time_point now);
-    pick choose(pool &state, const admission_request &request, core::time_point now);
+    enum class engine_choice : std::uint8_t { Any, Preferred };
+    pick choose(const pool &state, const admission_request &request, engine_choice engines,
+                core::time_point now);
+    /** Starts at most `most` waiting requests; returns their number. */
+    std::size_t grant(pool &state, std::size_t most, engine_choice engines,
+                      std::vector<admission_grant> &grants, core::time_point now);
+    std::size_t drawPreferred(const std::string &upstream, core::time_point now);
     static double decayed(double rate, core::time_point since, core::time_point now);
     static void count(double &rate, core::time_point &since, core::time_point now);
 
--- /dev/null
+++ b/src/dispatch/engine_affinity.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "dispatch/engine_board.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/** A node, as far as the choice of its engines needs it. */
+struct node_place
+{
+    /** IPv4 address in host byte order; names the node. */
+    std::uint32_t address = 0;
+    std::string domain;
+
+    bool operator==(const node_place &) const = default;
+};
+
+/** An engine, as far as the choice of its nodes needs it. */
+struct engine_place
+{
+    engine_key key = 0;
+    std::string domain;
+};
+
+/** Addresses of the nodes that prefer each engine. */
+using engine_affinity = std::unordered_map<engine_key, std::vector<std::uint32_t>>;
+
+/**
+ * Chooses a few nodes for each engine of one upstream.
+ *
+ * These nodes go to the engine first and hear of each start and end there at once, so they know its
+ * free slots almost exactly, which a large fleet cannot tell everyone. Engines go to nodes evenly,
+ * half of them within their failure domain. Nodes with the same view get the same result, and a
+ * node that leaves moves few others. Empty if there are too few engines for each node to get
+ * at least two. Thread-safe.
+ */
+engine_affinity assignEngines(std::span<const node_place> nodes,
+                              std::span<const engine_place> engines);
+
+} // namespace comfreypass::dispatch
--- a/src/dispatch/engine_board.cpp
+++ b/src/dispatch/engine_board.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -103,8 +104,11 @@
     const bool restarted = !isNew && target.entry.startedAt != entry.startedAt;
     if (!isNew && target.entry.upstream != entry.upstream)
         std::erase(m_byUpstream[target.entry.upstream], entry.id);
-    if (isNew || target.entry.upstream != entry.upstream)
+    if (isNew || target.entry.upstream != entry.upstream) {
         m_byUpstream[entry.upstream].push_back(entry.id);
+        target.preference = affinity::None;
+        ++m_membershipVersion;
+    }
     target.entry = entry;
     target.key = keyOf(entry.id);
     m_idByKey[target.key] = entry.id;
@@ -134,6 +138,7 @@
     std::erase(m_byUpstream[found->second.entry.upstream], found->first);
     m_idByKey.erase(found->second.key);
     m_engines.erase(found);
+    ++m_membershipVersion;
 }
 
 void engine_board::setEvacuated(std::string_view domain, bool evacuated, core::time_point now)
@@ -179,6 +184,69 @@
     }
 }
 
+void engine_board::setPeerLoad(std::uint32_t peer, const engine_load &load)
+{
+    std::vector<engine_load> &loads = m_peerLoads[peer];
+    auto known = std::ranges::find(loads, load.engine, &engine_load::engine);
+    if (known == loads.end())
+        known = loads.insert(loads.end(), {load.engine, 0});
+    std::uint32_t &sum = m_peersRunning[load.engine];
+    sum += load.running;
+    sum -= known->running;
+    const std::uint32_t running = sum;
+    known->running = load.running;
+    if (load.running == 0)
+        loads.erase(known);
+    if (running == 0)
+        m_peersRunning.erase(load.engine);
+    const auto id = m_idByKey.find(load.engine);
+    if (id == m_idByKey.end())
+        return;
+    if (engine *target = findEngine(id->second))
+        target->peersRunning = running;
+}
+
+void engine_board::onPeerUnreachable(engine_key key, core::time_point now)
+{
+    const auto id = m_idByKey.find(key);
+    engine *target = id == m_idByKey.end() ? nullptr : findEngine(id->second);
+    // The peer alone may be cut off from the engine.
+    if (target == nullptr || now - target->heardAt < firstAvoidance)
+        return;
+    target->avoidUntil = std::max(target->avoidUntil, now + firstAvoidance);
+}
+
+void engine_board::setPreferred(std::string_view upstream, std::span<const engine_key> preferred,
+                                bool shared)
+{
+    for (engine *each : enginesOf(upstream)) {
+        const bool own = std::ranges::find(preferred, each->key) != preferred.end();
+        each->preference = !shared ? affinity::None : own ? affinity::Preferred : affinity::Other;
+    }
+}
+
+std::vector<engine_load> engine_board::takeLoadChanges()
+{
+    std::vector<engine_load> loads;
+    for (const engine_key key : std::exchange(m_changedLoads, {})) {
+        const auto id = m_idByKey.find(key);
+        const engine *target = id == m_idByKey.end() ? nullptr : findEngine(id->second);
+        loads.push_back({key, target == nullptr ? 0 : target->running});
+    }
+    return loads;
+}
+
+std::vector<engine_key> engine_board::takeUnreachable()
+{
+    return std::exchange(m_unreachable, {});
+}
+
+void engine_board::noteLoadChange(engine_key key)
+{
+    if (std::ranges::find(m_changedLoads, key) == m_changedLoads.end())
+        m_changedLoads.push_back(key);
+}
+
 pick engine_board::choose(const pick_request &request, const fleet_share &share,
                           core::time_point now)
 {
@@ -201,15 +269,21 @@
             fastest = std::min(fastest, each->pace);
     }
     std::erase_if(candidates, [&](const engine *each) {
-        return each->running + each->peersRunning >= each->entry.slots
-               || !mayUseCold(*each, share, now);
+        return !hasRoom(*each, request.unseenStarts) || !mayUseCold(*each, share, now)
+               || (request.preferredOnly && each->preference != affinity::Preferred);
     });
     std::vector<candidate> open;
     open.reserve(candidates.size());
     for (engine *each : candidates)
         open.push_back({each, fixedCost(*each, request, fastest, now)});
     keepBest(open);
-    keepSample(open, request.unseenStarts);
+    const auto isPreferred = [](const candidate &each) {
+        return each.target->preference == affinity::Preferred;
+    };
+    if (std::ranges::any_of(open, isPreferred))
+        std::erase_if(open, std::not_fn(isPreferred));
+    else
+        keepSample(open, request.unseenStarts);
     engine *best = nullptr;
     double least = std::numeric_limits<double>::max();
     for (const candidate &each : open) {
@@ -238,6 +312,7 @@
         return;
     if (target->running++ == 0)
         target->heardAt = now;
+    noteLoadChange(target->key);
 }
 
 void engine_board::onBytes(std::string_view id, core::time_point now)
@@ -253,6 +328,7 @@
         return;
     if (target->running > 0)
         --target->running;
+    noteLoadChange(target->key);
     switch (result) {
     case attempt_result::Served:
         target->unreachableInARow = 0;
@@ -271,6 +347,7 @@
         target->avoidUntil = now + longestAvoidance;
         break;
     case attempt_result::Unreachable: {
+        m_unreachable.push_back(target->key);
         const std::uint32_t doublings = std::min<std::uint32_t>(target->unreachableInARow++, 4);
         const core::duration pause
             = std::min<core::duration>(firstAvoidance * (1U << doublings), longestAvoidance);
@@ -366,6 +443,20 @@
 }
 
 engine_board::room engine_board::roomOf(std::string_view upstream, core::time_point now) const
+{
+    return sumRoom(upstream, now, [](const engine &) { return true; });
+}
+
+engine_board::room engine_board::preferredRoomOf(std::string_view upstream,
+                                                 core::time_point now) const
+{
+    return sumRoom(upstream, now,
+                   [](const engine &each) { return each.preference == affinity::Preferred; });
+}
+
+template<typename Filter>
+engine_board::room engine_board::sumRoom(std::string_view upstream, core::time_point now,
+                                         Filter filter) const
 {
     room total;
     const auto ids = m_byUpstream.find(std::string(upstream));
@@ -373,7 +464,7 @@
         return total;
     for (const std::string &id : ids->second) {
         const engine &each = m_engines.at(id);
-        if (!isUsable(each, now))
+        if (!isUsable(each, now) || !filter(each))
             continue;
         ++total.engines;
         total.slots += each.entry.slots;
@@ -416,6 +507,14 @@
               + std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(1 / rate));
 }
 
+// What a node hears late has changed by starts and ends of others, whose difference spreads as the
+// root of their number.
+bool engine_board::hasRoom(const engine &candidate, double unseenStarts)
+{
+    const double margin = candidate.preference == affinity::Other ? std::sqrt(unseenStarts) : 0;
+    return candidate.running + candidate.peersRunning + std::lround(margin) < candidate.entry.slots;
+}
+
 // A slower engine is used once the better ones have no room, not when they are merely busy: an
 // engine that batches works hardly slower for one request more.
 void engine_board::keepBest(std::vector<candidate> &candidates)
--- a/src/dispatch/engine_board.h
+++ b/src/dispatch/engine_board.h
@@ -53,6 +53,8 @@
     core::duration objective{};
     /** Time after which the answer is worthless; 0 if there is no such time. */
     core::duration timeLeft{};
+    /** Only engines that this node prefers are considered. */
+    bool preferredOnly = false;
 };
 
 enum class pick_outcome : std::uint8_t {
@@ -96,7 +98,11 @@
  * The load of an engine is what this node runs there, which it knows exactly, plus what its peers
  * last told. Of the engines with room it takes the one that is expected to work fastest at its
  * load, among a sample that is the smaller the more the nodes do not see of each other: if all took
- * the best of all engines, they would take the same one until the next status. Not thread-safe.
+ * the best of all engines, they would take the same one until the next status.
+ *
+ * Where the node prefers some engines, it hears of each change at these at once. It goes to others
+ * only when none of its own has room, and then leaves a margin for what it has not heard yet. Not
+ * thread-safe.
  */
 class engine_board
 {
@@ -119,6 +125,28 @@
     /** Replaces what one peer runs at the engines. */
     void setPeerLoads(std::uint32_t peer, std::span<const engine_load> loads);
 
+    /** Replaces what one peer runs at one engine. */
+    void setPeerLoad(std::uint32_t peer, const engine_load &load);
+
+    /** A peer could not reach the engine; ignored if this node has just heard from it. */
+    void onPeerUnreachable(engine_key key, core::time_point now);
+
+    /**
+     * Sets the engines of an upstream that this node prefers. `shared` is false if the upstream's
+     * engines are not shared out among the nodes, so that all of them are equal.
+     */
+    void setPreferred(std::string_view upstream, std::span<const engine_key> preferred,
+                      bool shared);
+
+    /** Engines of this node whose own load changed since the last call, with their loads. */
+    std::vector<engine_load> takeLoadChanges();
+
+    /** Engines that this node found unreachable since the last call. */
+    std::vector<engine_key> takeUnreachable();
+
+    /** True if one of the two calls above would return something. */
+    bool hasNews() const noexcept { return !m_changedLoads.empty() || !m_unreachable.empty(); }
+
     /** Chooses an engine. Takes a cold engine's permission if it picks one. */
     pick choose(const pick_request &request, const fleet_share &share, core::time_point now);
 
@@ -161,6 +189,20 @@
     };
     room roomOf(std::string_view upstream, core::time_point now) const;
 
+    /** The same for the engines that this node prefers. */
+    room preferredRoomOf(std::string_view upstream, core::time_point now) const;
+
+    /** Visits the entries of all engines. */
+    template<typename Visitor>
+    void forEach(Visitor visit) const
+    {
+        for (const auto &[id, each] : m_engines)
+            visit(each.entry, each.key);
+    }
+
+    /** Changes whenever an engine comes, goes or moves to another upstream. */
+    std::uint64_t membershipVersion() const noexcept { return m_membershipVersion; }
+
     /** The entry of an engine; nullptr if it is unknown. */
     const engine_entry *find(std::string_view id) const;
 
@@ -169,6 +211,15 @@
     static engine_key keyOf(std::string_view id) noexcept;
 
 private:
+    /** How this node stands to an engine. */
+    enum class affinity : std::uint8_t {
+        /** The engines of the upstream are not shared out. */
+        None,
+        Preferred,
+        /** Other nodes prefer it, and this node hears of its load late. */
+        Other,
+    };
+
     struct engine
     {
         engine_entry entry;
@@ -193,6 +244,7 @@
         double readSeconds = 0;
         /** Answers of which this node saw the pace. */
         std::uint32_t pacesSeen = 0;
+        affinity preference = affinity::None;
     };
 
     bool isUsable(const engine &candidate, core::time_point now) const;
@@ -205,6 +257,10 @@
     };
     static void keepBest(std::vector<candidate> &candidates);
     void keepSample(std::vector<candidate> &candidates, double unseenStarts);
+    static bool hasRoom(const engine &candidate, double unseenStarts);
+    template<typename Filter>
+    room sumRoom(std::string_view upstream, core::time_point now, Filter filter) const;
+    void noteLoadChange(engine_key key);
     /** Cost that does not depend on the load: times, failures, distance. */
     double fixedCost(const engine &candidate, const pick_request &request, double fastest,
                      core::time_point now) const;
@@ -226,6 +282,9 @@
     std::unordered_map<std::uint32_t, std::vector<engine_load>> m_peerLoads;
     /** Sum of m_peerLoads, also for engines that this node does not know yet. */
     std::unordered_map<engine_key, std::uint32_t> m_peersRunning;
+    std::vector<engine_key> m_changedLoads;
+    std::vector<engine_key> m_unreachable;
+    std::uint64_t m_membershipVersion = 0;
     /** Least readSeconds of all engines lately; stands for engines that are not known. */
     double m_readSeconds = 0;
 };
--- /dev/null
+++ b/src/dispatch/engine_sharing.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "dispatch/engine_affinity.h"
+#include "dispatch/engine_board.h"
+#include "dispatch/fleet_member.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/**
+ * Shares the engines of each upstream out among the nodes, and tells which nodes must hear of what
+ * happened at an engine. Not thread-safe.
+ */
+class engine_sharing
+{
+public:
+    /** The board must outlive the object. */
+    engine_sharing(std::uint32_t self, engine_board &board) : m_self(self), m_board(board) { }
+
+    /**
+     * Shares the engines out anew if nodes or engines have changed. `nodes` are those in touch,
+     * this one included, ordered by address.
+     */
+    void update(std::vector<node_place> nodes);
+
+    /**
+     * What happened at this node's engines since the last call, by the address of the node to tell;
+     * address, life and sequence are left to the caller. Loads go to the nodes that prefer the
+     * engine, engines out of reach to all `peers`.
+     */
+    std::map<std::uint32_t, engine_news> takeNews(std::span<const std::uint32_t> peers);
+
+private:
+    std::uint32_t m_self;
+    engine_board &m_board;
+    std::vector<node_place> m_nodes;
+    std::uint64_t m_boardVersion = 0;
+    engine_affinity m_affinity;
+};
+
+} // namespace comfreypass::dispatch
--- a/src/dispatch/fleet_member.h
+++ b/src/dispatch/fleet_member.h
@@ -61,6 +61,18 @@
     std::vector<std::uint32_t> known;
 };
 
+/** What a node tells at once of single engines, to the nodes that prefer them. */
+struct engine_news
+{
+    std::uint32_t address = 0;
+    std::uint64_t life = 0;
+    /** From the same count as the sequence of the statuses. */
+    std::uint64_t sequence = 0;
+    std::vector<engine_load> loads;
+    /** Engines to which the node could not connect. */
+    std::vector<engine_key> unreachable;
+};
+
 /** A peer as this node knows it. */
 struct fleet_member
 {
--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -90,6 +90,29 @@
     return change;
 }
 
+bool fleet_view::acceptNews(const engine_news &news)
+{
+    const auto found = m_members.find(news.address);
+    if (found == m_members.end() || !found->second.heard)
+        return false;
+    node_status &last = found->second.status;
+    if (last.life != news.life || news.sequence <= last.sequence)
+        return false;
+    last.sequence = news.sequence;
+    return true;
+}
+
+std::vector<node_place> fleet_view::places(core::time_point now) const
+{
+    std::vector<node_place> result = {{m_self, m_domain}};
+    for (const auto &[address, member] : m_members) {
+        if (inTouch(member, now) && !member.status.leaving)
+            result.push_back({address, member.status.domain});
+    }
+    std::ranges::sort(result, {}, &node_place::address);
+    return result;
+}
+
 std::vector<std::uint32_t> fleet_view::peers() const
 {
     std::vector<std::uint32_t> addresses;
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "dispatch/engine_affinity.h"
 #include "dispatch/fleet_member.h"
 #include "dispatch/fleet_share.h"
 
@@ -49,6 +50,12 @@
     /** Takes a status; an older one of the same process than the last is ignored. */
     status_change onStatus(node_status status, core::time_point now);
 
+    /** True if the news come from the known process of a peer and are newer than all it told. */
+    bool acceptNews(const engine_news &news);
+
+    /** The nodes in touch that do not leave, this node included. */
+    std::vector<node_place> places(core::time_point now) const;
+
     /** Addresses to which this node sends its status. */
     std::vector<std::uint32_t> peers() const;
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -26,6 +26,12 @@
 /** Added for each peer, so that the messages of a large fleet stay within a node's share. */
 constexpr core::duration statusIntervalPerPeer = 4ms;
 
+/**
+ * News of engines are collected for this time. It is a few network times between domains, so that
+ * a start and an end in one loop go into one datagram and the news still come at once.
+ */
+constexpr core::duration newsDelay = 4ms;
+
 /** Every so many statuses one names all known nodes and the use of all teams. */
 constexpr std::uint64_t statusesPerWholeOne = 16;
 
@@ -133,6 +139,7 @@
       m_life(randomLife()), m_random(static_cast<std::uint32_t>(m_life)),
       m_board(m_settings.domain, static_cast<std::uint32_t>(m_random())),
       m_fleet(m_settings.peers.address, m_settings.domain, {}),
+      m_sharing(m_settings.peers.address, m_board),
       m_admission(m_board, m_fleet, static_cast<std::uint32_t>(m_random())),
       m_retries({m_settings.retryRatio, m_settings.retryExtra, m_settings.retryWindow}),
       m_links(reactor, m_deleter), m_catalogue(decoder, m_board, [this] { onCatalogueChanged(); }),
@@ -165,7 +172,8 @@
       m_peerPort(reactor, [this](const http1::endpoint &from,
                                  std::string_view bytes) { onDatagram(from, bytes); }),
       m_peerClient(reactor), m_statusTimer(reactor, [this] { sendStatus(); }),
-      m_tickTimer(reactor, [this] { tick(); }), m_sweepTimer(reactor, [this] { sweep(); })
+      m_newsTimer(reactor, [this] { sendNews(); }), m_tickTimer(reactor, [this] { tick(); }),
+      m_sweepTimer(reactor, [this] { sweep(); })
 { }
 
 gateway_node::~gateway_node()
@@ -277,6 +285,7 @@
         flow->refuseLeaving();
     else
         flow->begin();
+    sendNewsSoon();
 }
 
 void gateway_node::onCallerGone(http1::server_connection &connection)
@@ -443,6 +452,37 @@
         onPeerStatus(from, std::move(*status));
     else if (const auto *update = std::get_if<record_update>(&decoded.value()))
         m_catalogue.onPeerUpdate(*update, monotonicNow());
+    else if (const auto *news = std::get_if<dispatch::engine_news>(&decoded.value()))
+        onPeerNews(from, *news);
+}
+
+void gateway_node::onPeerNews(const http1::endpoint &from, const dispatch::engine_news &news)
+{
+    if (news.address != from.address || !m_fleet.acceptNews(news))
+        return;
+    for (const dispatch::engine_load &load : news.loads)
+        m_board.setPeerLoad(news.address, load);
+    const core::time_point now = monotonicNow();
+    for (const dispatch::engine_key key : news.unreachable)
+        m_board.onPeerUnreachable(key, now);
+}
+
+void gateway_node::sendNewsSoon()
+{
+    if (m_board.hasNews() && !std::exchange(m_newsPending, true))
+        m_newsTimer.startOnce(newsDelay);
+}
+
+void gateway_node::sendNews()
+{
+    m_newsPending = false;
+    const std::vector<std::uint32_t> peers = m_fleet.peers();
+    for (auto &[peer, news] : m_sharing.takeNews(peers)) {
+        news.address = m_settings.peers.address;
+        news.life = m_life;
+        news.sequence = ++m_sequence;
+        m_peerPort.send({peer, m_settings.peers.port}, encodeNews(news));
+    }
 }
 
 void gateway_node::onPeerStatus(const http1::endpoint &from, dispatch::node_status received)
@@ -471,7 +511,7 @@
 
 void gateway_node::sendStatus()
 {
-    const std::string bytes = encodeStatus(status(m_statusSequence % statusesPerWholeOne == 0));
+    const std::string bytes = encodeStatus(status(m_statusCount++ % statusesPerWholeOne == 0));
     for (const std::uint32_t peer : m_fleet.peers())
         m_peerPort.send({peer, m_settings.peers.port}, bytes);
     m_admission.onNews();
@@ -496,7 +536,7 @@
     result.callerPort = m_settings.callers.port;
     result.ready = ready();
     result.leaving = m_leaving;
-    result.sequence = ++m_statusSequence;
+    result.sequence = ++m_sequence;
     result.revisions = m_catalogue.revisions();
     result.source = sourceState(monotonicNow());
     result.loads = m_board.ownLoads();
@@ -515,8 +555,8 @@
     m_quotas.forEachOwnTotal([&](const std::string &team, double total) {
         told_use &told = m_toldUses[team];
         if (told.total != total)
-            told = {total, m_statusSequence};
-        if (whole || m_statusSequence - told.changedAt < statusesPerChangedUse)
+            told = {total, m_statusCount};
+        if (whole || m_statusCount - told.changedAt < statusesPerChangedUse)
             target.uses.push_back({team, total});
     });
 }
@@ -542,6 +582,7 @@
         m_board.setPeerLoads(silent, {});
     }
     m_fleet.forget(now);
+    m_sharing.update(m_fleet.places(now));
     m_records.setReaders(m_fleet.readerPlace(now).count);
     m_catalogue.removeLapsed(now);
     m_links.closeExpired(now);
@@ -619,6 +660,7 @@
                               monotonicNow());
     }
     m_starting = false;
+    sendNewsSoon();
 }
 
 request_flow *gateway_node::findFlow(core::request_id id)
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -4,6 +4,7 @@
 #include "core/result.h"
 #include "dispatch/admission.h"
 #include "dispatch/engine_board.h"
+#include "dispatch/engine_sharing.h"
 #include "dispatch/fleet_view.h"
 #include "dispatch/quota_pool.h"
 #include "dispatch/retry_budget.h"
@@ -103,6 +104,10 @@
     void updateReading(core::time_point now);
     dispatch::source_state sourceState(core::time_point now) const;
 
+    void onPeerNews(const http1::endpoint &from, const dispatch::engine_news &news);
+    void sendNews();
+    void sendNewsSoon();
+
     void sendStatus();
     dispatch::node_status status(bool whole);
     void addChangedUses(dispatch::node_status &target, bool whole);
@@ -127,6 +132,7 @@
     http1::server_limits m_limits;
     dispatch::engine_board m_board;
     dispatch::fleet_view m_fleet;
+    dispatch::engine_sharing m_sharing;
     dispatch::admission m_admission;
     dispatch::quota_pool m_quotas;
     dispatch::retry_budget m_retries;
@@ -142,13 +148,16 @@
     std::unordered_map<http1::server_connection *, core::request_id> m_flowOfConnection;
     std::unordered_map<core::request_id, std::shared_ptr<request_flow>> m_flows;
     core::request_id m_lastFlow = 0;
-    std::uint64_t m_statusSequence = 0;
+    /** Datagrams that named a sequence number. */
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_statusCount = 0;
+    bool m_newsPending = false;
     struct told_use
     {
         double total = 0;
         std::uint64_t changedAt = 0;
     };
-    /** Totals in the last statuses, and the sequence number at which each changed. */
+    /** Totals in the last statuses, and the count of statuses at which each changed. */
     std::map<std::string, told_use> m_toldUses;
     core::time_point m_behindSince{};
     bool m_fetching = false;
@@ -162,6 +171,7 @@
     core::time_point m_leavingSince{};
 
     transport::reactor_timer m_statusTimer;
+    transport::reactor_timer m_newsTimer;
     transport::reactor_timer m_tickTimer;
     transport::reactor_timer m_sweepTimer;
 };
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -63,6 +63,18 @@
     return update;
 }
 
+dispatch::engine_news readNews(const fleet::EngineNews &message)
+{
+    dispatch::engine_news news;
+    news.address = message.address();
+    news.life = message.life();
+    news.sequence = message.sequence();
+    for (const fleet::EngineLoad &entry : message.loads())
+        news.loads.push_back({entry.engine(), entry.running()});
+    news.unreachable.assign(message.unreachable().begin(), message.unreachable().end());
+    return news;
+}
+
 } // namespace
 
 std::string encodeStatus(const dispatch::node_status &status)
@@ -121,6 +133,23 @@
     return wrapper.SerializeAsString();
 }
 
+std::string encodeNews(const dispatch::engine_news &news)
+{
+    fleet::PeerMessage wrapper;
+    fleet::EngineNews &message = *wrapper.mutable_news();
+    message.set_address(news.address);
+    message.set_life(news.life);
+    message.set_sequence(news.sequence);
+    for (const dispatch::engine_load &load : news.loads) {
+        fleet::EngineLoad &entry = *message.add_loads();
+        entry.set_engine(load.engine);
+        entry.set_running(load.running);
+    }
+    for (const dispatch::engine_key key : news.unreachable)
+        message.add_unreachable(key);
+    return wrapper.SerializeAsString();
+}
+
 core::result<peer_message> decodeMessage(std::string_view bytes)
 {
     fleet::PeerMessage message;
@@ -130,6 +159,8 @@
         return peer_message(readStatus(message.status()));
     if (message.has_update())
         return peer_message(readUpdate(message.update()));
+    if (message.has_news() && message.news().address() != 0)
+        return peer_message(readNews(message.news()));
     return parseError("datagram of a peer");
 }
 
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(shortRequestsDoNotWaitForNews);
     CPPUNIT_TEST(adviceToComeBackIsSpread);
     CPPUNIT_TEST(excludedEngineIsNotTriedAgain);
+    CPPUNIT_TEST(preferredSlotsAreTakenWithinAFewLooks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +158,31 @@
         CPPUNIT_ASSERT(decision.cause == refusal_cause::NoEngine);
     }
 
+    // Guards against slots of a preferred engine that stay empty until the next exchange while
+    // requests wait, and nodes that all take them in one look.
+    void preferredSlotsAreTakenWithinAFewLooks()
+    {
+        const std::vector<engine_key> own = {engine_board::keyOf("e1")};
+        m_board.setPreferred("u", own, true);
+        tellQueue(100, 0);
+        int inFirstLook = 0;
+        constexpr int rounds = 200;
+        for (int round = 0; round < rounds; ++round) {
+            const auto id = static_cast<core::request_id>(round + 10);
+            m_board.onStart("e1", m_now);
+            m_board.onStart("e1", m_now);
+            submit(id, 0);
+            m_board.onEnd("e1", attempt_result::Neutral, m_now);
+            int looks = 1;
+            while (m_admission.poll("u", slot_news::Elsewhere, m_now).empty())
+                CPPUNIT_ASSERT(++looks < 40);
+            inFirstLook += looks == 1 ? 1 : 0;
+            m_board.onEnd("e1", attempt_result::Neutral, m_now);
+            m_board.onEnd("e1", attempt_result::Neutral, m_now);
+        }
+        CPPUNIT_ASSERT(inFirstLook > rounds / 5 && inFirstLook < rounds / 2);
+    }
+
 private:
     admission_request request(core::request_id id, std::uint32_t priority) const
     {
--- a/tests/dispatch/engine_board_test.cpp
+++ b/tests/dispatch/engine_board_test.cpp
@@ -29,6 +29,10 @@
     CPPUNIT_TEST(failingEngineGetsLess);
     CPPUNIT_TEST(reusedIdIsANewEngine);
     CPPUNIT_TEST(movedEngineServesItsNewUpstreamOnly);
+    CPPUNIT_TEST(preferredEnginesGoFirst);
+    CPPUNIT_TEST(singleLoadsReplaceWhatPeersTold);
+    CPPUNIT_TEST(peersTellOfEnginesOutOfReach);
+    CPPUNIT_TEST(changedLoadsAreToldOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,6 +284,85 @@
                        == pick_outcome::NoEngine);
     }
 
+    // Guards against slots of other nodes' engines that are taken by old loads.
+    void preferredEnginesGoFirst()
+    {
+        engine_board board("d1", 1);
+        add(board, "own", 4);
+        add(board, "other", 4);
+        const std::vector<engine_key> own = {engine_board::keyOf("own")};
+        board.setPreferred("u", own, true);
+        CPPUNIT_ASSERT_EQUAL(4U, board.preferredRoomOf("u", m_now).slots);
+        // Four unseen starts at each engine leave a margin of two slots at the other one.
+        const pick_request request{.upstream = "u", .unseenStarts = 4};
+        for (int i = 0; i < 4; ++i) {
+            const pick chosen = board.choose(request, {}, m_now);
+            CPPUNIT_ASSERT_EQUAL(std::string("own"), chosen.engine->id);
+            board.onStart("own", m_now);
+        }
+        CPPUNIT_ASSERT(board.choose({.upstream = "u", .preferredOnly = true}, {}, m_now).outcome
+                       == pick_outcome::NoRoom);
+        for (int i = 0; i < 2; ++i) {
+            const pick chosen = board.choose(request, {}, m_now);
+            CPPUNIT_ASSERT_EQUAL(std::string("other"), chosen.engine->id);
+            board.onStart("other", m_now);
+        }
+        CPPUNIT_ASSERT(board.choose(request, {}, m_now).outcome == pick_outcome::NoRoom);
+        board.setPreferred("u", {}, false);
+        CPPUNIT_ASSERT(board.choose(request, {}, m_now).outcome == pick_outcome::Picked);
+    }
+
+    // Guards against loads that are counted twice when news and statuses alternate.
+    void singleLoadsReplaceWhatPeersTold()
+    {
+        engine_board board("d1", 1);
+        add(board, "e1", 4);
+        const engine_key key = engine_board::keyOf("e1");
+        board.setPeerLoad(7, {key, 2});
+        CPPUNIT_ASSERT_EQUAL(2U, board.roomOf("u", m_now).running);
+        board.setPeerLoad(7, {key, 3});
+        CPPUNIT_ASSERT_EQUAL(3U, board.roomOf("u", m_now).running);
+        const std::vector<engine_load> whole = {{key, 1}};
+        board.setPeerLoads(7, whole);
+        CPPUNIT_ASSERT_EQUAL(1U, board.roomOf("u", m_now).running);
+        board.setPeerLoad(7, {key, 0});
+        CPPUNIT_ASSERT_EQUAL(0U, board.roomOf("u", m_now).running);
+        board.setPeerLoads(7, {});
+        CPPUNIT_ASSERT_EQUAL(0U, board.roomOf("u", m_now).running);
+    }
+
+    // Guards against each node of a large fleet finding out alone that an engine has crashed, and
+    // against a node that is cut off from an engine and keeps the others away from it.
+    void peersTellOfEnginesOutOfReach()
+    {
+        engine_board board("d1", 1);
+        add(board, "e1", 4);
+        board.onPeerUnreachable(engine_board::keyOf("e1"), m_now);
+        CPPUNIT_ASSERT(!board.usable("e1", m_now));
+        CPPUNIT_ASSERT(board.usable("e1", m_now + 300ms));
+        board.onBytes("e1", m_now + 300ms);
+        board.onPeerUnreachable(engine_board::keyOf("e1"), m_now + 310ms);
+        CPPUNIT_ASSERT(board.usable("e1", m_now + 310ms));
+    }
+
+    // Guards against messages without news, and news that are lost.
+    void changedLoadsAreToldOnce()
+    {
+        engine_board board("d1", 1);
+        add(board, "e1", 4);
+        CPPUNIT_ASSERT(!board.hasNews());
+        board.onStart("e1", m_now);
+        board.onStart("e1", m_now);
+        const std::vector<engine_load> changes = board.takeLoadChanges();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.size());
+        CPPUNIT_ASSERT_EQUAL(2U, changes.at(0).running);
+        CPPUNIT_ASSERT(!board.hasNews());
+        board.onEnd("e1", attempt_result::Unreachable, m_now);
+        CPPUNIT_ASSERT_EQUAL(1U, board.takeLoadChanges().at(0).running);
+        CPPUNIT_ASSERT(board.takeUnreachable() == std::vector{engine_board::keyOf("e1")});
+        CPPUNIT_ASSERT(board.takeUnreachable().empty());
+    }
+
 private:
     static engine_entry make(const std::string &id, std::uint32_t slots)
     {
--- a/tests/dispatch/fleet_view_test.cpp
+++ b/tests/dispatch/fleet_view_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(newestRecordsAreFound);
     CPPUNIT_TEST(fewNodesReadTheSource);
     CPPUNIT_TEST(moreUrgentRequestsElsewhereAreSeen);
+    CPPUNIT_TEST(overtakenNewsAreIgnored);
+    CPPUNIT_TEST(leavingNodesGetNoEngines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -151,6 +153,39 @@
         CPPUNIT_ASSERT_EQUAL(0U, view.waitingAtPeers("u", 2, m_now + 5s));
     }
 
+    // Guards against an old load that replaces a newer one, and news of a process that is gone.
+    void overtakenNewsAreIgnored()
+    {
+        fleet_view view(1, "d1", {});
+        engine_news news{.address = 2, .life = 1, .sequence = 5, .loads = {}, .unreachable = {}};
+        CPPUNIT_ASSERT(!view.acceptNews(news));
+        view.onStatus(status(2, 4), m_now);
+        CPPUNIT_ASSERT(view.acceptNews(news));
+        CPPUNIT_ASSERT(!view.acceptNews(news));
+        news.sequence = 6;
+        news.life = 2;
+        CPPUNIT_ASSERT(!view.acceptNews(news));
+        node_status late = status(2, 3);
+        late.ready = false;
+        view.onStatus(late, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.readyPeers("d1", m_now).size());
+    }
+
+    // Guards against engines whose nodes are all about to stop.
+    void leavingNodesGetNoEngines()
+    {
+        fleet_view view(3, "d1", {});
+        view.onStatus(status(2, 1), m_now);
+        node_status leaving = status(4, 1);
+        leaving.leaving = true;
+        view.onStatus(leaving, m_now);
+        view.onStatus(status(5, 1), m_now - 5s);
+        const std::vector<node_place> places = view.places(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, places.size());
+        CPPUNIT_ASSERT_EQUAL(2U, places.at(0).address);
+        CPPUNIT_ASSERT_EQUAL(3U, places.at(1).address);
+    }
+
 private:
     static node_status status(std::uint32_t address, std::uint64_t sequence)
     {
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/admission.h"
+#include "dispatch/engine_sharing.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -23,6 +24,8 @@
     core::duration exchange;
     /** Part of all slots that the load takes on average. */
     double load;
+    /** Nodes prefer some engines each and hear of these at once. */
+    bool sharesEngines = false;
 };
 
 /** Nodes that place requests on engines by loads that are exchanged at times. */
@@ -70,6 +73,7 @@
                                                                        m_now);
             if (decision.outcome != admission_outcome::Start)
                 continue;
+            tellNews(taker);
             const auto engine = static_cast<std::size_t>(std::stoul(decision.engine.id.substr(1)));
             ++started;
             if (m_running[engine]++ >= m_plan.slots)
@@ -91,12 +95,14 @@
     {
         explicit node(std::uint32_t number)
             : address(number), board("d" + std::to_string(number % 4), number),
-              fleet(number, "d1", {.silence = 1h, .memory = 1h}), decisions(board, fleet, number)
+              fleet(number, "d" + std::to_string(number % 4), {.silence = 1h, .memory = 1h}),
+              sharing(number, board), decisions(board, fleet, number)
         { }
 
         std::uint32_t address;
         engine_board board;
         fleet_view fleet;
+        engine_sharing sharing;
         admission decisions;
     };
 
@@ -116,6 +122,23 @@
             --m_running[ended.engine];
             ended.owner->decisions.onEnd("u", "e" + std::to_string(ended.engine),
                                          attempt_result::Served, ended.at);
+            tellNews(*ended.owner);
+        }
+    }
+
+    void tellNews(node &from)
+    {
+        if (!m_plan.sharesEngines)
+            return;
+        for (auto &[address, news] : from.sharing.takeNews({})) {
+            news.address = from.address;
+            news.life = 1;
+            news.sequence = ++m_sequence;
+            node &to = *m_nodes[address - 1];
+            if (!to.fleet.acceptNews(news))
+                continue;
+            for (const engine_load &load : news.loads)
+                to.board.setPeerLoad(news.address, load);
         }
     }
 
@@ -126,6 +149,7 @@
         for (const auto &from : m_nodes) {
             node_status status;
             status.address = from->address;
+            status.domain = "d" + std::to_string(from->address % 4);
             status.life = 1;
             status.sequence = m_sequence;
             const std::vector<engine_load> loads = from->board.ownLoads();
@@ -136,6 +160,10 @@
                 to->board.setPeerLoads(from->address, loads);
             }
         }
+        for (const auto &each : m_nodes) {
+            if (m_plan.sharesEngines)
+                each->sharing.update(each->fleet.places(m_now));
+        }
     }
 
     fleet_plan m_plan;
@@ -156,6 +184,7 @@
     CPPUNIT_TEST_SUITE(placement_test);
     CPPUNIT_TEST(largeFleetDoesNotRushToOneEngine);
     CPPUNIT_TEST(smallFleetStillFindsTheEmptiestEngine);
+    CPPUNIT_TEST(sharedOutEnginesAreSeldomCrowded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -177,6 +206,17 @@
         const double aware = placement_fleet(plan, true).crowded(20s);
         CPPUNIT_ASSERT(aware <= blind + 0.01);
     }
+
+    // Guards against a large fleet that overfills engines on a heavy day, when most are nearly
+    // full.
+    void sharedOutEnginesAreSeldomCrowded()
+    {
+        fleet_plan plan{.nodes = 81, .engines = 112, .slots = 7, .exchange = 324ms, .load = 0.9};
+        const double equal = placement_fleet(plan, true).crowded(6s);
+        plan.sharesEngines = true;
+        const double shared = placement_fleet(plan, true).crowded(6s);
+        CPPUNIT_ASSERT(shared < equal / 4);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(recordsComeBackWhole);
     CPPUNIT_TEST(peerGetsWhatItLacks);
     CPPUNIT_TEST(updateComesBackWhole);
+    CPPUNIT_TEST(newsComeBackWhole);
     CPPUNIT_TEST(garbageIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -58,6 +59,26 @@
         CPPUNIT_ASSERT(status.known == got.known);
     }
 
+    // Guards against a field that is not passed on.
+    void newsComeBackWhole()
+    {
+        const dispatch::engine_news news{.address = 0x0a010019,
+                                         .life = 0x123456789abcdef0,
+                                         .sequence = 78,
+                                         .loads = {{3, 0}, {5, 6}},
+                                         .unreachable = {9}};
+        const auto decoded = decodeMessage(encodeNews(news));
+        CPPUNIT_ASSERT(decoded);
+        const auto &got = std::get<dispatch::engine_news>(decoded.value());
+        CPPUNIT_ASSERT_EQUAL(news.address, got.address);
+        CPPUNIT_ASSERT_EQUAL(news.life, got.life);
+        CPPUNIT_ASSERT_EQUAL(news.sequence, got.sequence);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, got.loads.size());
+        CPPUNIT_ASSERT_EQUAL(3U, got.loads[0].engine);
+        CPPUNIT_ASSERT_EQUAL(0U, got.loads[0].running);
+        CPPUNIT_ASSERT(news.unreachable == got.unreachable);
+    }
+
     // Guards against a record that changes on the way to a peer.
     void recordsComeBackWhole()
     {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(refusalsAreTriedAgain);
     CPPUNIT_TEST(restartReadsTheListAgain);
     CPPUNIT_TEST(knownRevisionIsWatched);
+    CPPUNIT_TEST(silentWatchIsTriedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -142,6 +143,20 @@
         CPPUNIT_ASSERT_EQUAL(calls, m_client->calls());
     }
 
+    // Guards against a connection to the store that goes silent without a sign: a node that is the
+    // only reader must notice it within the 2 s in which a configuration has to be in force.
+    void silentWatchIsTriedAgain()
+    {
+        m_client->start(m_events, {});
+        // The stand-in never answers the second watch.
+        m_loop.waitFor("third watch", [&] { return m_watched.size() >= 3; });
+        CPPUNIT_ASSERT(m_events.has("lost"));
+        CPPUNIT_ASSERT_EQUAL(std::string("9"), m_watched.at(2));
+        CPPUNIT_ASSERT_EQUAL(1, m_lists);
+        for (const int milliseconds : m_watchMilliseconds)
+            CPPUNIT_ASSERT(milliseconds > 0 && milliseconds <= 1'000);
+    }
+
 private:
     void answer(transport::http_exchange &exchange)
     {
@@ -179,6 +194,7 @@
     void answerWatch(transport::http_exchange &exchange)
     {
         m_watched.push_back(exchange.request().arguments.at("After"));
+        m_watchMilliseconds.push_back(std::stoi(exchange.request().arguments.at("WaitMs")));
         if (m_watchStatus != 200)
             exchange.respond(m_watchStatus, {}, "");
         else if (m_watched.size() == 1)
@@ -193,6 +209,7 @@
     std::unique_ptr<store_client> m_client;
     recorded_events m_events;
     std::vector<std::string> m_watched;
+    std::vector<int> m_watchMilliseconds;
     unsigned m_listStatus = 200;
     unsigned m_watchStatus = 200;
     int m_lists = 0;
