Take slots of other nodes' engines only within a node's part of them

Cause: engines that join a busy fleet look empty to every node at once, and a new engine was not yet shared out, so no margin held.

Change: a node takes engines that others prefer only within a part of their free slots that follows its queue and is renewed with each exchange, at a new request as well as for waiting ones. It draws among them by free slots. A new engine of a shared upstream belongs to others until it is shared out, which now happens within a tick.

Bookings of 15 ms are still refused with free slots.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -59,7 +59,7 @@
     admission_decision decision;
     const bool waits = mustWait(request, state, now);
     if (!waits) {
-        decision.basis = choose(state, request, engine_choice::Any, now);
+        decision.basis = chooseWithin(state, request, now);
         if (decision.basis.outcome == pick_outcome::Picked) {
             decision.outcome = admission_outcome::Start;
             decision.engine = *decision.basis.engine;
@@ -100,18 +100,35 @@
         return grants;
     pool &state = found->second;
     wait_queue &queue = state.queue;
-    if (const auto next = queue.next(now); next && news == slot_news::Elsewhere)
-        renewAllowance(upstream, state, *next, now);
+    const auto next = queue.next(now);
+    if (!next)
+        return grants;
     if (news == slot_news::OwnEnd) {
-        grant(state, 1, engine_choice::Any, grants, now);
+        grant(state, 1, engine_choice::Known, grants, now);
         return grants;
     }
-    if (queue.size() > 0)
-        grant(state, drawPreferred(upstream, now), engine_choice::Preferred, grants, now);
+    renewAllowance(upstream, state, m_requests.at(next->id), now);
+    grant(state, drawPreferred(upstream, now), engine_choice::Known, grants, now);
     state.allowance -= grant(state, state.allowance, engine_choice::Any, grants, now);
     return grants;
 }
 
+// An engine that other nodes prefer is taken within this node's part of the slots there only.
+pick admission::chooseWithin(pool &state, const admission_request &request, core::time_point now)
+{
+    const pick known = choose(state, request, engine_choice::Known, now);
+    if (known.outcome == pick_outcome::Picked
+        || m_board.preferredRoomOf(request.upstream, now).engines == 0)
+        return known;
+    renewAllowance(request.upstream, state, request, now);
+    if (state.allowance == 0)
+        return known;
+    const pick any = choose(state, request, engine_choice::Any, now);
+    if (any.outcome == pick_outcome::Picked)
+        --state.allowance;
+    return any;
+}
+
 std::size_t admission::grant(pool &state, std::size_t most, engine_choice engines,
                              std::vector<admission_grant> &grants, core::time_point now)
 {
@@ -142,21 +159,27 @@
 
 // This node's part of the free slots follows its part of the fleet's queue.
 void admission::renewAllowance(const std::string &upstream, pool &state,
-                               const waiting_request &next, core::time_point now)
+                               const admission_request &next, core::time_point now)
 {
+    const engine_board::room preferred = m_board.preferredRoomOf(upstream, now);
+    const bool shared = preferred.engines > 0;
     // Where requests are short, slots free many times between two exchanges.
-    const core::duration pause = m_requests.at(next.id).objective / 2;
-    if (state.allowanceOf == m_newsCount && now - state.allowanceAt < pause)
+    const bool passed = !shared && now - state.allowanceAt >= next.objective / 2;
+    if (state.allowanceOf == m_newsCount && !passed)
         return;
     state.allowanceOf = m_newsCount;
     state.allowanceAt = now;
     const engine_board::room room = m_board.roomOf(upstream, now);
-    const engine_board::room preferred = m_board.preferredRoomOf(upstream, now);
     const auto free
         = static_cast<double>((room.slots - room.running) - (preferred.slots - preferred.running));
-    const auto own = static_cast<double>(state.queue.size());
-    const auto others = static_cast<double>(m_fleet.waitingAtPeers(upstream, next.priority, now));
-    const double part = free * own / (own + others);
+    auto own = static_cast<double>(state.queue.size());
+    auto others = static_cast<double>(m_fleet.waitingAtPeers(upstream, next.priority, now));
+    if (shared) {
+        // Each node may also get one that does not wait yet.
+        own += 1;
+        others += static_cast<double>(m_fleet.share(now).inTouch - 1);
+    }
+    const double part = own > 0 ? free * own / (own + others) : 0;
     // The rest below one slot is drawn, so that small parts are not always lost.
     state.allowance
         = static_cast<std::size_t>(part + std::uniform_real_distribution<double>(0, 1)(m_random));
@@ -252,7 +275,7 @@
                            .outputTokens = request.outputTokens,
                            .objective = request.objective,
                            .timeLeft = request.deadline - now,
-                           .preferredOnly = engines == engine_choice::Preferred},
+                           .knownOnly = engines == engine_choice::Known},
                           share, now);
 }
 
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -139,9 +139,11 @@
 
     bool mustWait(const admission_request &request, const pool &state, core::time_point now) const;
     core::duration expectedWait(const pool &state, std::size_t ahead, core::time_point now) const;
-    void renewAllowance(const std::string &upstream, pool &state, const waiting_request &next,
+    void renewAllowance(const std::string &upstream, pool &state, const admission_request &next,
                         core::time_point now);
-    enum class engine_choice : std::uint8_t { Any, Preferred };
+    /** `Known` leaves out the engines whose load this node hears late. */
+    enum class engine_choice : std::uint8_t { Any, Known };
+    pick chooseWithin(pool &state, const admission_request &request, core::time_point now);
     pick choose(const pool &state, const admission_request &request, engine_choice engines,
                 core::time_point now);
     /** Starts at most `most` waiting requests; returns their number. */
--- a/src/dispatch/engine_board.cpp
+++ b/src/dispatch/engine_board.cpp
@@ -117,7 +117,7 @@
         std::erase(m_byUpstream[target.entry.upstream], entry.id);
     if (isNew || target.entry.upstream != entry.upstream) {
         m_byUpstream[entry.upstream].push_back(entry.id);
-        target.preference = affinity::None;
+        target.preference = m_shared.contains(entry.upstream) ? affinity::Other : affinity::None;
         ++m_membershipVersion;
     }
     target.entry = entry;
@@ -259,6 +259,10 @@
 void engine_board::setPreferred(std::string_view upstream, std::span<const engine_key> preferred,
                                 bool shared)
 {
+    if (shared)
+        m_shared.emplace(upstream);
+    else if (const auto found = m_shared.find(upstream); found != m_shared.end())
+        m_shared.erase(found);
     for (engine *each : enginesOf(upstream)) {
         const bool own = std::ranges::find(preferred, each->key) != preferred.end();
         each->preference = !shared ? affinity::None : own ? affinity::Preferred : affinity::Other;
@@ -311,7 +315,7 @@
     }
     std::erase_if(candidates, [&](const engine *each) {
         return !hasRoom(*each, request.unseenStarts) || !mayUseCold(*each, share, now)
-               || (request.preferredOnly && each->preference != affinity::Preferred);
+               || (request.knownOnly && each->preference == affinity::Other);
     });
     std::vector<candidate> open;
     open.reserve(candidates.size());
@@ -323,6 +327,8 @@
     };
     if (std::ranges::any_of(open, isPreferred))
         std::erase_if(open, std::not_fn(isPreferred));
+    else if (!open.empty() && open.front().target->preference == affinity::Other)
+        keepOneByRoom(open);
     else
         keepSample(open, request.unseenStarts);
     engine *best = nullptr;
@@ -594,6 +600,17 @@
     candidates.resize(size);
 }
 
+// Nodes whose views are equally old spread over the engines as their free slots do.
+void engine_board::keepOneByRoom(std::vector<candidate> &candidates)
+{
+    std::vector<double> free;
+    free.reserve(candidates.size());
+    for (const candidate &each : candidates)
+        free.push_back(each.target->entry.slots - each.target->running - each.target->peersRunning);
+    std::discrete_distribution<std::size_t> drawn(free.begin(), free.end());
+    candidates = {candidates[drawn(m_random)]};
+}
+
 double engine_board::fixedCost(const engine &candidate, const pick_request &request, double fastest,
                                core::time_point now) const
 {
--- a/src/dispatch/engine_board.h
+++ b/src/dispatch/engine_board.h
@@ -53,8 +53,8 @@
     core::duration objective{};
     /** Time after which the answer is worthless; 0 if there is no such time. */
     core::duration timeLeft{};
-    /** Only engines that this node prefers are considered. */
-    bool preferredOnly = false;
+    /** Engines that other nodes prefer are left out. */
+    bool knownOnly = false;
 };
 
 enum class pick_outcome : std::uint8_t {
@@ -263,6 +263,7 @@
     };
     static void keepBest(std::vector<candidate> &candidates);
     void keepSample(std::vector<candidate> &candidates, double unseenStarts);
+    void keepOneByRoom(std::vector<candidate> &candidates);
     static bool hasRoom(const engine &candidate, double unseenStarts);
     template<typename Filter>
     room sumRoom(std::string_view upstream, core::time_point now, Filter filter) const;
@@ -289,6 +290,8 @@
     /** Engines whose pace was seen and not told yet. */
     std::vector<std::string> m_newPaces;
     std::set<std::string, std::less<>> m_evacuated;
+    /** Upstreams whose engines the nodes share out. */
+    std::set<std::string, std::less<>> m_shared;
     std::unordered_map<std::uint32_t, std::vector<engine_load>> m_peerLoads;
     /** Sum of m_peerLoads, also for engines that this node does not know yet. */
     std::unordered_map<engine_key, std::uint32_t> m_peersRunning;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -439,7 +439,6 @@
         m_limits.readTimeout = limits.headerTimeout;
         m_limits.idleTimeout = limits.idleTimeout;
     }
-    m_admission.onNews();
     startAllWaiting();
 }
 
@@ -564,6 +563,7 @@
 void gateway_node::tick()
 {
     const core::time_point now = monotonicNow();
+    m_sharing.update(m_fleet.places(now));
     for (const core::request_id id : m_admission.takeExpired(now)) {
         if (request_flow *flow = findFlow(id))
             flow->onWaitExpired();
@@ -582,7 +582,6 @@
         m_board.setPeerLoads(silent, {});
     }
     m_fleet.forget(now);
-    m_sharing.update(m_fleet.places(now));
     m_records.setReaders(m_fleet.readerPlace(now).count);
     m_catalogue.removeLapsed(now);
     m_links.closeExpired(now);
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(adviceToComeBackIsSpread);
     CPPUNIT_TEST(excludedEngineIsNotTriedAgain);
     CPPUNIT_TEST(preferredSlotsAreTakenWithinAFewLooks);
+    CPPUNIT_TEST(emptyEngineOfOthersIsTakenInParts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,6 +184,43 @@
         CPPUNIT_ASSERT(inFirstLook > rounds / 5 && inFirstLook < rounds / 2);
     }
 
+    // Guards against an engine that joins a busy fleet and gets the requests of all nodes at once.
+    void emptyEngineOfOthersIsTakenInParts()
+    {
+        int taken = 0;
+        constexpr int rounds = 300;
+        constexpr std::uint32_t peers = 9;
+        for (std::uint32_t round = 1; round <= rounds; ++round) {
+            engine_board board("d1", round);
+            fleet_view fleet(1, "d1", {});
+            for (std::uint32_t peer = 2; peer < 2 + peers; ++peer) {
+                node_status status;
+                status.address = peer;
+                status.life = 1;
+                status.sequence = 1;
+                fleet.onStatus(status, m_now);
+            }
+            admission node(board, fleet, round);
+            const engine_entry own{
+                .id = "own", .upstream = "u", .address = "127.0.0.1:1", .domain = "d1", .slots = 1};
+            board.update(own, nullptr, m_now);
+            const std::vector<engine_key> preferred = {engine_board::keyOf("own")};
+            board.setPreferred("u", preferred, true);
+            board.onStart("own", m_now);
+            engine_entry joined = own;
+            joined.id = "joined";
+            joined.slots = 7;
+            board.update(joined, nullptr, m_now);
+            for (core::request_id id = 1; id <= 5; ++id)
+                taken += node.submit(request(id, 0), m_now).outcome == admission_outcome::Start;
+            for (int look = 0; look < 8; ++look)
+                taken += static_cast<int>(node.poll("u", slot_news::Elsewhere, m_now).size());
+        }
+        // Ten nodes and seven slots.
+        CPPUNIT_ASSERT(taken > rounds / 3);
+        CPPUNIT_ASSERT(taken < rounds * 3 / 2);
+    }
+
 private:
     admission_request request(core::request_id id, std::uint32_t priority) const
     {
--- a/tests/dispatch/engine_board_test.cpp
+++ b/tests/dispatch/engine_board_test.cpp
@@ -302,7 +302,7 @@
             CPPUNIT_ASSERT_EQUAL(std::string("own"), chosen.engine->id);
             board.onStart("own", m_now);
         }
-        CPPUNIT_ASSERT(board.choose({.upstream = "u", .preferredOnly = true}, {}, m_now).outcome
+        CPPUNIT_ASSERT(board.choose({.upstream = "u", .knownOnly = true}, {}, m_now).outcome
                        == pick_outcome::NoRoom);
         for (int i = 0; i < 2; ++i) {
             const pick chosen = board.choose(request, {}, m_now);
