Smooth the reported loads of short requests and pace their queue

Cause: bookings take 15 ms, statuses come every 324 ms. The expected wait came from the node's own few ends a second, so a queue of two was refused. A single long request at first kept a node from seeing that requests are short.

Change: where requests end between two exchanges and the engines are not shared out, peers' loads are smoothed over 2 s and spread evenly over the engines; while requests wait, starts follow the slots that free in a time and the node's part of the queue. The time at engines is smoothed from below, and the expected wait uses the whole upstream's rate.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -17,6 +17,16 @@
 /** Time constant of the smoothed rates, in seconds; about one usual generation. */
 constexpr double rateSeconds = 2;
 
+/** A node that has not looked for longer takes the slots that free in this time. */
+constexpr core::duration longestTurnover = 100ms;
+
+/**
+ * Weights of a new observation in the smoothed time at the engines. Times that are much longer than
+ * usual come from trouble; a node that sees few requests must not take them for the usual time.
+ */
+constexpr double shorterServiceWeight = 0.5;
+constexpr double longerServiceWeight = 0.05;
+
 /** A node that has seen no end yet expects this many per second. */
 constexpr double leastEndRate = 2;
 
@@ -69,7 +79,7 @@
         }
     }
     decision.ahead = state.queue.ahead(request.priority);
-    decision.expectedWait = expectedWait(state, decision.ahead, now);
+    decision.expectedWait = expectedWait(request.upstream, decision.ahead, now);
     decision.retryAfter = retryAfter(request.upstream, now);
     if (state.queue.size() >= mostWaiting) {
         decision.cause = refusal_cause::QueueFull;
@@ -117,8 +127,7 @@
 pick admission::chooseWithin(pool &state, const admission_request &request, core::time_point now)
 {
     const pick known = choose(state, request, engine_choice::Known, now);
-    if (known.outcome == pick_outcome::Picked
-        || m_board.preferredRoomOf(request.upstream, now).engines == 0)
+    if (known.outcome == pick_outcome::Picked || !m_board.sharedOut(request.upstream))
         return known;
     renewAllowance(request.upstream, state, request, now);
     if (state.allowance == 0)
@@ -162,16 +171,21 @@
                                const admission_request &next, core::time_point now)
 {
     const engine_board::room preferred = m_board.preferredRoomOf(upstream, now);
-    const bool shared = preferred.engines > 0;
+    const bool shared = m_board.sharedOut(upstream);
     // Where requests are short, slots free many times between two exchanges.
-    const bool passed = !shared && now - state.allowanceAt >= next.objective / 2;
-    if (state.allowanceOf == m_newsCount && !passed)
+    const bool ends = !shared && endsBetweenExchanges(state);
+    const core::duration pause = ends ? fromSeconds(state.serviceSeconds) : next.objective / 2;
+    const core::duration passed = now - state.allowanceAt;
+    if (state.allowanceOf == m_newsCount && (shared || passed < pause))
         return;
     state.allowanceOf = m_newsCount;
     state.allowanceAt = now;
     const engine_board::room room = m_board.roomOf(upstream, now);
-    const auto free
+    auto free
         = static_cast<double>((room.slots - room.running) - (preferred.slots - preferred.running));
+    if (ends)
+        free = std::max(free, room.slots * seconds(std::min(passed, longestTurnover))
+                                  / state.serviceSeconds);
     auto own = static_cast<double>(state.queue.size());
     auto others = static_cast<double>(m_fleet.waitingAtPeers(upstream, next.priority, now));
     if (shared) {
@@ -207,17 +221,24 @@
 }
 
 void admission::onEnd(const std::string &upstream, std::string_view engineId, attempt_result result,
-                      core::time_point now)
+                      core::duration ran, core::time_point now)
 {
     m_board.onEnd(engineId, result, now);
     pool &state = m_pools[upstream];
     count(state.endsPerSecond, state.endsAt, now);
+    if (result != attempt_result::Served || ran <= core::duration::zero())
+        return;
+    const double value = seconds(ran);
+    if (state.serviceSeconds <= 0)
+        state.serviceSeconds = value;
+    const double weight = value < state.serviceSeconds ? shorterServiceWeight : longerServiceWeight;
+    state.serviceSeconds += weight * (value - state.serviceSeconds);
 }
 
 core::duration admission::retryAfter(const std::string &upstream, core::time_point now)
 {
     const pool &state = m_pools[upstream];
-    const core::duration wait = expectedWait(state, state.queue.size(), now);
+    const core::duration wait = expectedWait(upstream, state.queue.size(), now);
     // Spread, so that callers that were refused together do not come back together.
     const double factor = std::uniform_real_distribution<double>(0.7, 1.3)(m_random);
     const core::duration bounded = std::clamp(wait, leastRetryAfter, mostRetryAfter);
@@ -251,14 +272,41 @@
     return room.running + urgent >= room.slots;
 }
 
-core::duration admission::expectedWait(const pool &state, std::size_t ahead,
-                                       core::time_point now) const
+bool admission::endsBetweenExchanges(const pool &state) const
+{
+    return state.serviceSeconds > 0 && state.serviceSeconds < seconds(m_loadAge);
+}
+
+core::duration admission::expectedWait(const std::string &upstream, std::size_t ahead,
+                                       core::time_point now)
 {
-    const double rate = std::max(decayed(state.endsPerSecond, state.endsAt, now), leastEndRate);
+    const pool &state = m_pools[upstream];
+    double rate = std::max(decayed(state.endsPerSecond, state.endsAt, now), leastEndRate);
+    if (endsBetweenExchanges(state)) {
+        // Slots free all over the upstream and are shared among the nodes.
+        const double all = m_board.roomOf(upstream, now).slots / state.serviceSeconds;
+        rate = std::max(rate, all / static_cast<double>(m_fleet.share(now).inTouch));
+    }
     return fromSeconds(static_cast<double>(ahead) / rate);
 }
 
-pick admission::choose(const pool &state, const admission_request &request, engine_choice engines,
+// Single reports say little of short requests. Nodes that all reacted to the latest ones would stop
+// and start together, so the reports are smoothed; and with a queue the starts follow the slots
+// that free in a time, however busy the engines looked.
+std::optional<double> admission::peersPerSlot(pool &state, const std::string &upstream,
+                                              core::time_point now)
+{
+    if (m_board.sharedOut(upstream) || !endsBetweenExchanges(state))
+        return std::nullopt;
+    const engine_board::room room = m_board.roomOf(upstream, now);
+    const double told = room.peersRunning / std::max(1.0, static_cast<double>(room.slots));
+    const double kept = decayed(1, state.peersAt, now);
+    state.peersPerSlot = kept * state.peersPerSlot + (1 - kept) * told;
+    state.peersAt = now;
+    return state.queue.empty() ? state.peersPerSlot : 0;
+}
+
+pick admission::choose(pool &state, const admission_request &request, engine_choice engines,
                        core::time_point now)
 {
     const fleet_share share = m_fleet.share(now);
@@ -275,7 +323,8 @@
                            .outputTokens = request.outputTokens,
                            .objective = request.objective,
                            .timeLeft = request.deadline - now,
-                           .knownOnly = engines == engine_choice::Known},
+                           .knownOnly = engines == engine_choice::Known,
+                           .peersPerSlot = peersPerSlot(state, request.upstream, now)},
                           share, now);
 }
 
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -7,6 +7,7 @@
 #include "dispatch/wait_queue.h"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -79,7 +80,11 @@
  * request of this node frees goes to this node's queue first; of slots that free elsewhere each
  * node takes a part that follows its part of the fleet's queue, so that the nodes do not all rush
  * for one slot. Slots of preferred engines are known almost exactly and are taken by chance within
- * a few looks. Not thread-safe.
+ * a few looks.
+ *
+ * Where requests are shorter than the time between two exchanges, what peers told says how busy the
+ * upstream is but not which engine has room, so only the upstream as a whole can be full. Not
+ * thread-safe.
  */
 class admission
 {
@@ -109,9 +114,9 @@
     /** The request no longer waits. */
     void cancel(core::request_id id);
 
-    /** A request that was started has ended at the engine. */
+    /** A request that was started has ended at the engine after `ran`; zero if that is unknown. */
     void onEnd(const std::string &upstream, std::string_view engineId, attempt_result result,
-               core::time_point now);
+               core::duration ran, core::time_point now);
 
     /** When a caller that is refused now should come back. */
     core::duration retryAfter(const std::string &upstream, core::time_point now);
@@ -128,6 +133,11 @@
         /** Smoothed number of ends per second at this node. */
         double endsPerSecond = 0;
         core::time_point endsAt{};
+        /** Smoothed time that an engine works on a request; 0 is unknown. */
+        double serviceSeconds = 0;
+        /** Smoothed number of requests that peers run for each slot. */
+        double peersPerSlot = 0;
+        core::time_point peersAt{};
         /** Smoothed number of starts per second at this node. */
         double startsPerSecond = 0;
         core::time_point startsAt{};
@@ -138,13 +148,18 @@
     };
 
     bool mustWait(const admission_request &request, const pool &state, core::time_point now) const;
-    core::duration expectedWait(const pool &state, std::size_t ahead, core::time_point now) const;
+    /** True if most of the running requests that peers told have ended since. */
+    bool endsBetweenExchanges(const pool &state) const;
+    core::duration expectedWait(const std::string &upstream, std::size_t ahead,
+                                core::time_point now);
     void renewAllowance(const std::string &upstream, pool &state, const admission_request &next,
                         core::time_point now);
     /** `Known` leaves out the engines whose load this node hears late. */
     enum class engine_choice : std::uint8_t { Any, Known };
     pick chooseWithin(pool &state, const admission_request &request, core::time_point now);
-    pick choose(const pool &state, const admission_request &request, engine_choice engines,
+    std::optional<double> peersPerSlot(pool &state, const std::string &upstream,
+                                       core::time_point now);
+    pick choose(pool &state, const admission_request &request, engine_choice engines,
                 core::time_point now);
     /** Starts at most `most` waiting requests; returns their number. */
     std::size_t grant(pool &state, std::size_t most, engine_choice engines,
--- a/src/dispatch/engine_board.cpp
+++ b/src/dispatch/engine_board.cpp
@@ -314,7 +314,7 @@
             fastest = std::min(fastest, each->pace);
     }
     std::erase_if(candidates, [&](const engine *each) {
-        return !hasRoom(*each, request.unseenStarts) || !mayUseCold(*each, share, now)
+        return !hasRoom(*each, request) || !mayUseCold(*each, share, now)
                || (request.knownOnly && each->preference == affinity::Other);
     });
     std::vector<candidate> open;
@@ -334,7 +334,9 @@
     engine *best = nullptr;
     double least = std::numeric_limits<double>::max();
     for (const candidate &each : open) {
-        const double price = each.fixedCost + loadCost(*each.target);
+        const double peers = request.peersPerSlot ? *request.peersPerSlot * each.target->entry.slots
+                                                  : each.target->peersRunning;
+        const double price = each.fixedCost + loadCost(*each.target, peers);
         if (price < least) {
             least = price;
             best = each.target;
@@ -527,6 +529,7 @@
         ++total.engines;
         total.slots += each->entry.slots;
         total.running += std::min(each->entry.slots, each->running + each->peersRunning);
+        total.peersRunning += each->peersRunning;
     }
     return total;
 }
@@ -567,9 +570,13 @@
 
 // What a node hears late has changed by starts and ends of others, whose difference spreads as the
 // root of their number.
-bool engine_board::hasRoom(const engine &candidate, double unseenStarts)
+bool engine_board::hasRoom(const engine &candidate, const pick_request &request)
 {
-    const double margin = candidate.preference == affinity::Other ? std::sqrt(unseenStarts) : 0;
+    if (request.peersPerSlot)
+        return candidate.running + *request.peersPerSlot * candidate.entry.slots
+               < candidate.entry.slots;
+    const double margin
+        = candidate.preference == affinity::Other ? std::sqrt(request.unseenStarts) : 0;
     return candidate.running + candidate.peersRunning + std::lround(margin) < candidate.entry.slots;
 }
 
@@ -634,10 +641,10 @@
     return sum;
 }
 
-double engine_board::loadCost(const engine &candidate)
+double engine_board::loadCost(const engine &candidate, double peersRunning)
 {
-    const double load = static_cast<double>(candidate.running + candidate.peersRunning + 1)
-                        / std::max<double>(1, candidate.entry.slots);
+    const double load
+        = (candidate.running + peersRunning + 1) / std::max<double>(1, candidate.entry.slots);
     return load * load * load + std::uniform_real_distribution<double>(0, tieBreakCost)(m_random);
 }
 
--- a/src/dispatch/engine_board.h
+++ b/src/dispatch/engine_board.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -55,6 +56,11 @@
     core::duration timeLeft{};
     /** Engines that other nodes prefer are left out. */
     bool knownOnly = false;
+    /**
+     * Requests of peers for each slot, if what peers told is too old for single engines; then each
+     * engine is taken to run an equal part of them.
+     */
+    std::optional<double> peersPerSlot = {};
 };
 
 enum class pick_outcome : std::uint8_t {
@@ -138,6 +144,9 @@
     void setPreferred(std::string_view upstream, std::span<const engine_key> preferred,
                       bool shared);
 
+    /** True if the upstream's engines are shared out among the nodes. */
+    bool sharedOut(std::string_view upstream) const { return m_shared.contains(upstream); }
+
     /** Engines of this node whose own load changed since the last call, with their loads. */
     std::vector<engine_load> takeLoadChanges();
 
@@ -186,6 +195,8 @@
         std::size_t engines = 0;
         std::uint32_t slots = 0;
         std::uint32_t running = 0;
+        /** Requests of peers, also beyond the slots. */
+        std::uint32_t peersRunning = 0;
     };
     room roomOf(std::string_view upstream, core::time_point now) const;
 
@@ -264,14 +275,14 @@
     static void keepBest(std::vector<candidate> &candidates);
     void keepSample(std::vector<candidate> &candidates, double unseenStarts);
     void keepOneByRoom(std::vector<candidate> &candidates);
-    static bool hasRoom(const engine &candidate, double unseenStarts);
+    static bool hasRoom(const engine &candidate, const pick_request &request);
     template<typename Filter>
     room sumRoom(std::string_view upstream, core::time_point now, Filter filter) const;
     void noteLoadChange(engine_key key);
     /** Cost that does not depend on the load: times, failures, distance. */
     double fixedCost(const engine &candidate, const pick_request &request, double fastest,
                      core::time_point now) const;
-    double loadCost(const engine &candidate);
+    double loadCost(const engine &candidate, double peersRunning);
     static bool isSilent(const engine &candidate, core::time_point now);
     static double failuresNow(const engine &candidate, core::time_point now);
     static void makeCold(engine &target, core::time_point until);
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -656,7 +656,7 @@
             flow->onGrant(grant);
         else
             m_admission.onEnd(upstream, grant.engine.id, dispatch::attempt_result::Neutral,
-                              monotonicNow());
+                              core::duration::zero(), monotonicNow());
     }
     m_starting = false;
     sendNewsSoon();
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -585,7 +585,7 @@
             m_services.links.discard(std::move(m_link.connection));
     }
     m_link = {};
-    m_services.admission.onEnd(m_upstream, engineId, result, now);
+    m_services.admission.onEnd(m_upstream, engineId, result, now - m_attemptStartedAt, now);
     m_services.slotFreed(m_upstream);
 }
 
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(excludedEngineIsNotTriedAgain);
     CPPUNIT_TEST(preferredSlotsAreTakenWithinAFewLooks);
     CPPUNIT_TEST(emptyEngineOfOthersIsTakenInParts);
+    CPPUNIT_TEST(shortRequestsAreNotRefusedByOldLoads);
+    CPPUNIT_TEST(nodeWithoutUsableEnginesOfItsOwnUsesOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,7 +44,7 @@
         CPPUNIT_ASSERT(submit(3, 5).outcome == admission_outcome::Wait);
         CPPUNIT_ASSERT(submit(4, 0).outcome == admission_outcome::Wait);
         CPPUNIT_ASSERT(m_admission.poll("u", slot_news::OwnEnd, m_now).empty());
-        m_admission.onEnd("u", "e1", attempt_result::Served, m_now);
+        m_admission.onEnd("u", "e1", attempt_result::Served, {}, m_now);
         const auto grants = m_admission.poll("u", slot_news::OwnEnd, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
         CPPUNIT_ASSERT_EQUAL(core::request_id{4}, grants.at(0).id);
@@ -54,7 +56,7 @@
         submit(1, 0);
         submit(2, 0);
         submit(3, 1);
-        m_admission.onEnd("u", "e1", attempt_result::Served, m_now);
+        m_admission.onEnd("u", "e1", attempt_result::Served, {}, m_now);
         CPPUNIT_ASSERT(submit(4, 1).outcome == admission_outcome::Wait);
         CPPUNIT_ASSERT(submit(5, 0).outcome == admission_outcome::Start);
     }
@@ -221,6 +223,49 @@
         CPPUNIT_ASSERT(taken < rounds * 3 / 2);
     }
 
+    // Guards against a node that refuses everything while the engines that it prefers are away.
+    void nodeWithoutUsableEnginesOfItsOwnUsesOthers()
+    {
+        const engine_entry other{
+            .id = "e2", .upstream = "u", .address = "127.0.0.1:2", .domain = "d2", .slots = 6};
+        m_board.update(other, nullptr, m_now);
+        const std::vector<engine_key> own = {engine_board::keyOf("e1")};
+        m_board.setPreferred("u", own, true);
+        m_board.setEvacuated("d1", true, m_now);
+        CPPUNIT_ASSERT(submit(1, 0).outcome == admission_outcome::Start);
+        m_board.remove("e1");
+        CPPUNIT_ASSERT(submit(2, 0).outcome == admission_outcome::Start);
+    }
+
+    // Guards against bookings of 15 ms that wait, or are refused, because the engines looked full
+    // at the moment of the last exchange 160 ms ago.
+    void shortRequestsAreNotRefusedByOldLoads()
+    {
+        m_admission.setLoadAge(160ms);
+        const engine_entry other{
+            .id = "e2", .upstream = "u", .address = "127.0.0.1:2", .domain = "d1", .slots = 6};
+        m_board.update(other, nullptr, m_now);
+        tellQueue(0, 0);
+        // The first one met a hiccup.
+        for (core::request_id id = 1; id <= 5; ++id) {
+            submit(id, 0);
+            m_admission.onEnd("u", "e1", attempt_result::Served, id == 1 ? 600ms : 15ms, m_now);
+        }
+        const std::vector<engine_load> told = {{engine_board::keyOf("e1"), 2}};
+        m_board.setPeerLoads(2, told);
+        std::map<std::string, int> started;
+        for (core::request_id id = 11; id <= 14; ++id)
+            ++started[submit(id, 0).engine.id];
+        CPPUNIT_ASSERT(started["e1"] > 0);
+        CPPUNIT_ASSERT(started["e2"] > 0);
+        // The upstream as a whole still gets full, and its queue moves on in milliseconds.
+        core::request_id next = 20;
+        while (submit(next, 0).outcome == admission_outcome::Start)
+            CPPUNIT_ASSERT(++next < 40);
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT(submit(++next, 0).outcome == admission_outcome::Wait);
+    }
+
 private:
     admission_request request(core::request_id id, std::uint32_t priority) const
     {
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -121,7 +121,7 @@
             m_ends.pop();
             --m_running[ended.engine];
             ended.owner->decisions.onEnd("u", "e" + std::to_string(ended.engine),
-                                         attempt_result::Served, ended.at);
+                                         attempt_result::Served, {}, ended.at);
             tellNews(*ended.owner);
         }
     }
