Explain a request from the nodes' logs

Change: `comfreypass explain --id ID FILE...` prints the request's lines in order and what its node had learned before: configuration, source of records, the request's engines and peers in the last ten seconds. Cut lines are counted and skipped, a prefix before the brace is ignored.

--- a/src/app/explain_command.cpp
+++ b/src/app/explain_command.cpp
@@ -7,6 +7,7 @@
 #include "node/load_poller.h"
 #include "node/pool_preview.h"
 #include "node/routing_table.h"
+#include "observe/request_story.h"
 #include "sheet/parse_sheet.h"
 
 #include <CLI/CLI.hpp>
@@ -14,6 +15,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <fstream>
+#include <iostream>
 #include <ostream>
 #include <utility>
 
@@ -74,14 +77,71 @@
     table.write(terminal.out());
 }
 
+std::string fieldsText(const observe::log_entry &entry)
+{
+    std::string text;
+    for (const auto &[name, value] : entry.fields) {
+        const bool isNews = name != "request" && !value.empty() && value != entry.message;
+        if (isNews)
+            text += (text.empty() ? "" : " ") + name + "=" + value;
+    }
+    return text;
+}
+
+void writeTable(std::ostream &out, const std::vector<observe::log_entry> &entries)
+{
+    text_table table({"TIME", "NODE", "EVENT", "MESSAGE", "DETAILS"});
+    for (const observe::log_entry &each : entries)
+        table.addRow({each.time, each.node, each.event, each.message, fieldsText(each)});
+    table.write(out);
+}
+
+json::array asJson(const std::vector<observe::log_entry> &entries)
+{
+    json::array list;
+    for (const observe::log_entry &each : entries) {
+        json::object object{{"time", each.time},
+                            {"node", each.node},
+                            {"event", each.event},
+                            {"message", each.message}};
+        for (const auto &[name, value] : each.fields)
+            object.emplace(name, value);
+        list.push_back(std::move(object));
+    }
+    return list;
+}
+
+void write(console &terminal, output_format format, const std::string &id,
+           const observe::request_story &story)
+{
+    if (format == output_format::Json) {
+        const json::object document{{"request", id},
+                                    {"lines", asJson(story.ownLines())},
+                                    {"known_before", asJson(story.beliefs())},
+                                    {"lines_read", story.linesRead()},
+                                    {"lines_skipped", story.linesSkipped()}};
+        terminal.out() << json::serialize(document) << '\n';
+        return;
+    }
+    terminal.out() << "request " << id << "\n\nWhat the node had learned by then\n";
+    writeTable(terminal.out(), story.beliefs());
+    terminal.out() << "\nThe request\n";
+    writeTable(terminal.out(), story.ownLines());
+    terminal.out() << '\n'
+                   << story.linesRead() << " lines read, " << story.linesSkipped()
+                   << " skipped as no log lines\n";
+}
+
 } // namespace
 
 void explain_command::addOptions(CLI::App &options)
 {
-    options.add_option("--sheet", m_sheetPath, "Sheet file")->required();
-    options.add_option("--snapshot", m_snapshotPath, "Instances and their load")->required();
-    options.add_option("--team", m_team, "Team that makes the request")->required();
-    options.add_option("--model", m_model, "Model that is asked for")->required();
+    options.add_option("--id", m_requestId, "Id of a request that the logs name");
+    options.add_option("logs", m_logPaths, "Logs of the nodes, with --id");
+    options.add_option("--sheet", m_sheetPath, "Sheet file");
+    options.add_option("--snapshot", m_snapshotPath, "Instances and their load");
+    options.add_option("--team", m_team, "Team that makes the request");
+    options.add_option("--model", m_model, "Model that is asked for");
     options.add_option("--tier", m_tier, "Tier; the team's highest if not given")
         ->check(CLI::Range(0, static_cast<int>(core::lowestTier)));
     options.add_option("--prompt-tokens", m_promptTokens, "Tokens of the prompt")
@@ -95,6 +155,44 @@
 }
 
 int explain_command::run(console &terminal)
+{
+    if (!m_requestId.empty())
+        return explainRequest(terminal);
+    if (m_sheetPath.empty() || m_snapshotPath.empty() || m_team.empty() || m_model.empty()) {
+        terminal.err() << "give --id and logs, or --sheet, --snapshot, --team and --model\n";
+        return InvalidInput;
+    }
+    return explainRouting(terminal);
+}
+
+int explain_command::explainRequest(console &terminal)
+{
+    observe::request_story story(m_requestId);
+    const auto readAll = [&story](std::istream &source) {
+        for (std::string line; std::getline(source, line);)
+            story.feed(line);
+    };
+    if (m_logPaths.empty())
+        readAll(std::cin);
+    for (const std::string &path : m_logPaths) {
+        std::ifstream file(path);
+        if (!file) {
+            terminal.err() << path << ": cannot be read; check the path and its permissions\n";
+            return InvalidInput;
+        }
+        readAll(file);
+    }
+    const std::vector<observe::log_entry> own = story.ownLines();
+    if (own.empty()) {
+        terminal.err() << "none of " << story.linesRead() << " lines names the request '"
+                       << m_requestId << "'; its node may have left the line out under load\n";
+        return Failure;
+    }
+    write(terminal, m_format, m_requestId, story);
+    return Success;
+}
+
+int explain_command::explainRouting(console &terminal)
 {
     const auto sheetText = readTextFile(m_sheetPath, sheet::maxSheetBytes);
     const auto snapshotText = readTextFile(m_snapshotPath, maxSnapshotBytes);
--- /dev/null
+++ b/src/observe/request_story.cpp
@@ -0,0 +1,161 @@
+#include "observe/request_story.h"
+
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+
+namespace comfreypass::observe {
+
+namespace {
+
+namespace json = boost::json;
+
+/** "2026-03-24T13:09:44.602Z" up to the seconds. */
+constexpr std::size_t secondsTextSize = 19;
+
+/** Events of engines and peers that are older than this seldom explain a request. */
+constexpr int recentSeconds = 10;
+
+std::optional<log_entry> parseEntry(std::string_view line)
+{
+    const std::size_t brace = line.find('{');
+    if (brace == std::string_view::npos)
+        return std::nullopt;
+    line.remove_prefix(brace);
+    boost::system::error_code error;
+    const json::value value = json::parse({line.data(), line.size()}, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    log_entry entry;
+    for (const auto &[name, field] : value.get_object()) {
+        if (!field.is_string())
+            continue;
+        const std::string text(field.get_string());
+        if (name == "time")
+            entry.time = text;
+        else if (name == "node")
+            entry.node = text;
+        else if (name == "event")
+            entry.event = text;
+        else if (name == "message")
+            entry.message = text;
+        else if (name != "level")
+            entry.fields.emplace_back(name, text);
+    }
+    if (entry.event.empty() || entry.time.size() < secondsTextSize)
+        return std::nullopt;
+    return entry;
+}
+
+/** Seconds of the day; good enough for the distance of two lines of one request. */
+int secondOfDay(std::string_view time)
+{
+    constexpr int secondsPerMinute = 60;
+    const auto two = [time](std::size_t at) {
+        return (time[at] - '0') * 10 + (time[at + 1] - '0');
+    };
+    return (two(11) * secondsPerMinute + two(14)) * secondsPerMinute + two(17);
+}
+
+bool isRecent(const log_entry &belief, const log_entry &own)
+{
+    return secondOfDay(own.time) - secondOfDay(belief.time) <= recentSeconds;
+}
+
+} // namespace
+
+std::string_view log_entry::field(std::string_view name) const noexcept
+{
+    const auto found = std::ranges::find(fields, name, &std::pair<std::string, std::string>::first);
+    return found == fields.end() ? std::string_view() : std::string_view(found->second);
+}
+
+/** Which events a node's beliefs follow from. */
+struct request_story::belief_rule
+{
+    std::string_view event;
+    /** Only the latest of a topic counts; events without a topic all count while they are recent.
+     */
+    std::string_view topic;
+    /** Only if it names an engine of the request. */
+    bool ofEngine;
+};
+
+void request_story::feed(std::string_view line)
+{
+    ++m_lines;
+    std::optional<log_entry> entry = parseEntry(line);
+    if (!entry) {
+        ++m_skipped;
+        return;
+    }
+    if (entry->field("request") == m_id)
+        m_own.push_back(std::move(*entry));
+    else if (entry->field("request").empty())
+        m_beliefs.push_back(std::move(*entry));
+}
+
+std::vector<log_entry> request_story::ownLines() const
+{
+    std::vector<log_entry> lines = m_own;
+    std::ranges::stable_sort(lines, {}, &log_entry::time);
+    return lines;
+}
+
+bool request_story::concerns(const log_entry &belief, const belief_rule &rule) const
+{
+    return !rule.ofEngine || std::ranges::any_of(m_own, [&](const log_entry &own) {
+        return !own.field("engine").empty() && own.field("engine") == belief.field("engine");
+    });
+}
+
+std::vector<log_entry> request_story::beliefs() const
+{
+    static constexpr std::array<belief_rule, 14> rules = {{
+        {"node_started", "process", false},
+        {"node_stopping", "process", false},
+        {"configuration_applied", "configuration", false},
+        {"records_lost", "records", false},
+        {"records_regained", "records", false},
+        {"records_from_peer", "peer records", false},
+        {"engine_added", "", true},
+        {"engine_changed", "", true},
+        {"engine_removed", "", true},
+        {"domain_evacuated", "", false},
+        {"domain_restored", "", false},
+        {"peer_silent", "", false},
+        {"peer_returned", "", false},
+        {"log_lines_left_out", "log", false},
+    }};
+    std::vector<log_entry> result;
+    // By node and topic.
+    std::map<std::pair<std::string, std::string_view>, log_entry> latest;
+    const std::vector<log_entry> own = ownLines();
+    for (const log_entry &belief : m_beliefs) {
+        const auto rule
+            = std::ranges::find(rules, std::string_view(belief.event), &belief_rule::event);
+        const auto last
+            = std::ranges::find_if(own.rbegin(), own.rend(),
+                                   [&](const log_entry &each) { return each.node == belief.node; });
+        if (rule == rules.end() || last == own.rend() || belief.time > last->time
+            || !concerns(belief, *rule))
+            continue;
+        if (rule->topic.empty()) {
+            if (isRecent(belief, *last))
+                result.push_back(belief);
+            continue;
+        }
+        log_entry &kept = latest[{belief.node, rule->topic}];
+        if (kept.time <= belief.time)
+            kept = belief;
+    }
+    for (auto &[key, entry] : latest)
+        result.push_back(std::move(entry));
+    std::ranges::stable_sort(result, {}, &log_entry::time);
+    return result;
+}
+
+} // namespace comfreypass::observe
--- a/tests/app/command_line_test.cpp
+++ b/tests/app/command_line_test.cpp
@@ -83,9 +83,36 @@
     CPPUNIT_TEST(everyCommandDocumentsItsExitCodes);
     CPPUNIT_TEST(wrongArgumentsAreUsageErrors);
     CPPUNIT_TEST(coloursOnlyWhereAskedFor);
+    CPPUNIT_TEST(requestIsExplainedFromLogs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a request whose cause is in the logs and not on the page.
+    void requestIsExplainedFromLogs()
+    {
+        const temporary_file first(
+            R"({"time":"2026-03-24T10:00:03.000Z","level":"warning","node":"a",)"
+            R"("event":"request_ended","message":"refused","request":"r1","reason":"no_engine"})"
+            "\ncut line\n");
+        const temporary_file second(
+            R"({"time":"2026-03-24T10:00:01.000Z","level":"info","node":"a",)"
+            R"("event":"configuration_applied","message":"in force","version":"4"})"
+            "\n");
+        const run_result table = runWith({"explain", "--id", "r1", first.path(), second.path()});
+        CPPUNIT_ASSERT_EQUAL(int{Success}, table.code);
+        for (const char *text : {"no_engine", "version=4", "3 lines read, 1 skipped"})
+            CPPUNIT_ASSERT_MESSAGE(text, table.prints(text));
+        const run_result document
+            = runWith({"explain", "--id", "r1", "--output", "json", first.path(), second.path()});
+        const auto parsed = boost::json::parse(document.out).as_object();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parsed.at("lines").as_array().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parsed.at("known_before").as_array().size());
+        CPPUNIT_ASSERT_EQUAL(int{Failure}, runWith({"explain", "--id", "r2", first.path()}).code);
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput},
+                             runWith({"explain", "--id", "r1", "/nowhere/node.log"}).code);
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, runWith({"explain", "--team", "t"}).code);
+    }
+
     // Guards against examples that users copy and that do not load.
     void everyExampleIsValid()
     {
