Add a fault soak of real gateway processes

Change: tests/platform/soak starts four `comfreypass gateway` processes with stand-ins of the store and of seven engines behind a loopback proxy. From a seed it kills, stops, pauses and restarts nodes, delays, silences, resets and refuses connections to engines and store, lets engines fail, takes them out, publishes configurations and evacuates domains, in overlap. Callers keep their connections open. Checked: at most one run where a repeat is not allowed, true refusals, seals, whole events, answers by nodes that run on, time-outs, the retry budget, evacuations, exit codes, and that service returns.

Conclusion: kept; datagrams between nodes are not disturbed yet.

--- /dev/null
+++ b/tests/platform/soak/engine.py
@@ -0,0 +1,81 @@
+"""Stand-in of an engine: plain answers and resumable event streams; counts what it runs."""
+
+import asyncio
+import collections
+import time
+
+from http_io import encode, read_message
+
+SLOTS = 6
+STREAM_EVENTS = 8
+EVENT_SECONDS = 0.03
+PLAIN_SECONDS = 0.015
+
+
+class Engine:
+    """`runs` maps the id of each attempt to the engines that ran it, with times."""
+
+    def __init__(self, name, runs):
+        self.name = name
+        self.runs = runs
+        self.failing = False
+        self.running = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                await self._answer(await read_message(reader), writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, request, writer):
+        attempt = request.headers["comfreypass-attempt-id"]
+        headers = {"Comfreypass-Attempt-Id": attempt}
+        if request.headers["comfreypass-expect-instance"] != self.name:
+            await self._reply(writer, "421 Misdirected Request", headers, b"")
+            return
+        if self.running >= 2 * SLOTS:
+            headers["Comfreypass-Not-Executed"] = "full"
+            await self._reply(writer, "503 Service Unavailable", headers, b"")
+            return
+        self.runs[attempt].append((self.name, time.monotonic()))
+        headers["Comfreypass-Response-Seal"] = self.name + "/" + attempt
+        self.running += 1
+        try:
+            if self.failing:
+                await self._reply(writer, "500 Internal Server Error", headers, b"failed")
+            elif request.start.split()[1].startswith("/stream"):
+                await self._stream(request, writer, headers)
+            else:
+                await asyncio.sleep(PLAIN_SECONDS)
+                await self._reply(writer, "200 OK", headers, attempt.encode())
+        finally:
+            self.running -= 1
+
+    @staticmethod
+    async def _reply(writer, status, headers, body):
+        writer.write(encode("HTTP/1.1 " + status, {**headers, "Content-Length": len(body)}, body))
+        await writer.drain()
+
+    @staticmethod
+    async def _stream(request, writer, headers):
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        headers.update({"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"})
+        writer.write(encode("HTTP/1.1 200 OK", headers))
+        for number in range(first, STREAM_EVENTS + 1):
+            await asyncio.sleep(EVENT_SECONDS)
+            event = b"id: %d\ndata: token\n\n" % number
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+def shared_runs():
+    return collections.defaultdict(list)
--- /dev/null
+++ b/tests/platform/soak/http_io.py
@@ -0,0 +1,49 @@
+"""Small HTTP/1.1 reading and writing on asyncio streams."""
+
+
+class Message:
+    """Start line, headers (lower-case names) and body of a request or an answer."""
+
+    def __init__(self, start, headers, body):
+        self.start = start
+        self.headers = headers
+        self.body = body
+
+
+async def read_head(reader):
+    """Returns (start line, headers); None if the peer has closed before the first byte."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_chunks(reader):
+    """Yields the chunks of a body until the last one; raises IncompleteReadError on a cut."""
+    while True:
+        size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+        data = await reader.readexactly(size + 2)
+        if size == 0:
+            return
+        yield data[:-2]
+
+
+async def read_message(reader):
+    """Reads one whole message."""
+    start, headers = await read_head(reader)
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        body = b"".join([chunk async for chunk in read_chunks(reader)])
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    else:
+        body = b""
+    return Message(start, headers, body)
+
+
+def encode(start, headers, body=b""):
+    lines = [start] + ["%s: %s" % field for field in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
--- /dev/null
+++ b/tests/platform/soak/proxy.py
@@ -0,0 +1,64 @@
+"""A loopback proxy that delays, silences, resets or refuses connections."""
+
+import asyncio
+import socket
+import struct
+
+MODES = ("pass", "delay", "silent_to_target", "silent_from_target", "refuse")
+BLOCK = 65_536
+
+
+class Proxy:
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.mode = "pass"
+        self.delay = 0.0
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    def reset_all(self):
+        """Ends the open connections with a reset, as a crashed process does."""
+        for writer in list(self.writers):
+            abort(writer)
+
+    async def _serve(self, reader, writer):
+        if self.mode == "refuse":
+            abort(writer)
+            return
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target_port)
+        except OSError:
+            abort(writer)
+            return
+        self.writers |= {writer, target_writer}
+        try:
+            await asyncio.gather(self._copy(reader, target_writer, "silent_to_target"),
+                                 self._copy(target_reader, writer, "silent_from_target"))
+        finally:
+            for each in (writer, target_writer):
+                self.writers.discard(each)
+                each.close()
+
+    async def _copy(self, reader, writer, silent_mode):
+        try:
+            while data := await reader.read(BLOCK):
+                if self.mode == "delay":
+                    await asyncio.sleep(self.delay)
+                if self.mode != silent_mode:
+                    writer.write(data)
+                    await writer.drain()
+            writer.close()
+        except (ConnectionError, OSError):
+            writer.close()
+
+
+def abort(writer):
+    if writer.is_closing():
+        return
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- /dev/null
+++ b/tests/platform/soak/soak.py
@@ -0,0 +1,327 @@
+"""Randomised soak of gateway processes: faults from outside, promises checked from both ends.
+
+Usage: soak.py --node PROGRAM [--seed N] [--seconds N]. A failure prints its seed; the same seed
+gives the same faults at the same times, though not the same interleaving.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from callers import Caller
+from engine import Engine, shared_runs
+from node import GRACE_SECONDS, Node
+from proxy import MODES, Proxy
+from store import Store
+
+DOMAINS = ("d0", "d1")
+NODES = 4
+CALLERS = 16
+MODEL_ENGINES = 4
+PLAIN_ENGINES = 3
+RETRY_RATIO, RETRY_EXTRA, RETRY_WINDOW = 0.2, 20, 10
+MAX_ATTEMPTS = 2
+# Route time-outs, and the time that a busy machine may add before an answer counts as missing.
+TIMEOUT_SECONDS = {"/once/x": 2, "/again/x": 2, "/stream/x": 5}
+SLACK_SECONDS = 3
+# Service is back this long after the last fault; the platform's bound for it.
+RECOVERY_SECONDS = 15
+CALM_REQUESTS = 40
+FAULTS_PER_SECOND = 2
+# An evacuated domain gets no new requests after this time.
+EVACUATION_SECONDS = 5
+
+
+def configuration(version):
+    def route(name, path, kind, service):
+        return {"Name": name, "Host": "h", "PathPrefix": path, "Kind": kind,
+                "TimeoutMs": TIMEOUT_SECONDS[path + "x"] * 1000, "AimMs": 300, "Priority": 1,
+                "Service": service, "MaxAttempts": MAX_ATTEMPTS, "Public": True,
+                "Resumable": kind == "streaming"}
+    return {"Version": version, "Tenants": [],
+            "Routes": [route("once", "/once/", "non_idempotent", "plain"),
+                       route("again", "/again/", "idempotent", "plain"),
+                       route("stream", "/stream/", "streaming", "model")],
+            "Services": [{"Name": name, "MaxConns": 100, "ColdS": 0, "ColdPerS": 0}
+                         for name in ("plain", "model")],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
+
+
+class Soak:
+    def __init__(self, program, seed, seconds, folder):
+        self.program, self.seed, self.seconds, self.folder = program, seed, seconds, folder
+        self.random = random.Random(seed)
+        self.runs = shared_runs()
+        self.outcomes = []
+        self.failures = []
+        self.version = 1
+        self.evacuations = []
+
+    async def start(self):
+        self.store = Store()
+        self.store_proxy = Proxy(await self.store.start())
+        store_port = await self.store_proxy.start()
+        self.engines = []
+        for number in range(MODEL_ENGINES + PLAIN_ENGINES):
+            engine = Engine("e%d" % number, self.runs)
+            engine.service = "model" if number < MODEL_ENGINES else "plain"
+            engine.domain = DOMAINS[number % len(DOMAINS)]
+            engine.proxy = Proxy(await engine.start())
+            engine.port = await engine.proxy.start()
+            self.engines.append(engine)
+            await self.list_engine(engine)
+        await self.store.put("op/config", configuration(self.version))
+        # Addresses of the loopback net that no other run on this machine uses.
+        net = "127.%d.%d." % (1 + os.getpid() % 250, 1 + os.getpid() // 250 % 250)
+        addresses = [net + str(number + 1) for number in range(NODES)]
+        self.nodes = [Node(self.program, self.folder, number, address,
+                           DOMAINS[number % len(DOMAINS)], addresses[:3], store_port)
+                      for number, address in enumerate(addresses)]
+        for node in self.nodes:
+            node.start()
+
+    async def list_engine(self, engine):
+        await self.store.put("servers/" + engine.name, {
+            "Service": engine.service, "Address": "127.0.0.1:%d" % engine.port,
+            "Zone": engine.domain, "Slots": 6, "State": "ready", "ColdLeftMs": 0, "born": 1})
+
+    async def everyone_serves(self, limit):
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            versions = [await node.version() for node in self.nodes]
+            if all(version == self.version for version in versions):
+                return True
+            await asyncio.sleep(0.2)
+        self.failures.append("versions in force %s, published %d" % (versions, self.version))
+        return False
+
+    # Faults: each runs for a drawn time and undoes itself.
+
+    async def kill_node(self, seconds):
+        node = self.free_node("kill")
+        if node is None:
+            return
+        node.signal(signal.SIGKILL)
+        node.process.wait()
+        await asyncio.sleep(seconds)
+        node.start()
+        node.end_trouble()
+
+    async def stop_node(self, seconds):
+        node = self.free_node("stop")
+        if node is None:
+            return
+        # Before the process handles signals, the default action ends it; it has no callers yet.
+        allowed = (0,) if await node.listens() else (0, -signal.SIGTERM)
+        node.signal(signal.SIGTERM)
+        end = time.monotonic() + GRACE_SECONDS + SLACK_SECONDS
+        while node.process.poll() is None and time.monotonic() < end:
+            await asyncio.sleep(0.05)
+        if node.process.poll() not in allowed:
+            self.failures.append("%s ended with %s after the order to stop"
+                                 % (node.name, node.process.poll()))
+            node.end()
+        await asyncio.sleep(seconds / 4)
+        node.start()
+        node.end_trouble()
+
+    async def pause_node(self, seconds):
+        node = self.free_node("pause")
+        if node is None:
+            return
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        node.signal(signal.SIGCONT)
+        node.end_trouble()
+
+    async def cut_engine(self, seconds):
+        await self.disturb(self.random.choice(self.engines).proxy, seconds)
+
+    async def cut_store(self, seconds):
+        await self.disturb(self.store_proxy, seconds)
+
+    async def fail_engine(self, seconds):
+        engine = self.random.choice(self.engines)
+        engine.failing = True
+        await asyncio.sleep(seconds)
+        engine.failing = False
+
+    async def remove_engine(self, seconds):
+        engine = self.random.choice(self.engines)
+        engine.proxy.mode = "refuse"
+        engine.proxy.reset_all()
+        await asyncio.sleep(seconds / 2)
+        await self.store.remove("servers/" + engine.name)
+        await asyncio.sleep(seconds / 2)
+        engine.proxy.mode = "pass"
+        await self.list_engine(engine)
+
+    async def publish(self, _seconds):
+        self.version += 1
+        await self.store.put("op/config", configuration(self.version))
+
+    async def evacuate(self, seconds):
+        domain = self.random.choice(DOMAINS)
+        start = time.monotonic()
+        await self.store.put("op/evacuate/" + domain, {})
+        await asyncio.sleep(seconds * 2)
+        self.evacuations.append((domain, start, time.monotonic()))
+        await self.store.remove("op/evacuate/" + domain)
+
+    FAULTS = (kill_node, stop_node, pause_node, cut_engine, cut_engine, cut_store, fail_engine,
+              remove_engine, publish, evacuate)
+
+    def free_node(self, kind):
+        free = [node for node in self.nodes if all(ended for _, _, ended in node.troubles)]
+        node = self.random.choice(free) if free else None
+        if node is not None:
+            node.begin_trouble(kind)
+        return node
+
+    async def disturb(self, proxy, seconds):
+        proxy.mode = self.random.choice(MODES[1:])
+        proxy.delay = self.random.uniform(0.02, 0.5)
+        if self.random.random() < 0.5:
+            proxy.reset_all()
+        await asyncio.sleep(seconds)
+        proxy.mode = "pass"
+        # What was silenced is lost to both ends.
+        proxy.reset_all()
+
+    async def run_faults(self, until):
+        tasks = []
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.expovariate(FAULTS_PER_SECOND))
+            fault = self.random.choice(self.FAULTS)
+            tasks.append(asyncio.create_task(fault(self, self.random.uniform(0.3, 3))))
+        await asyncio.gather(*tasks)
+
+    async def run(self):
+        try:
+            await self.play()
+        finally:
+            # What the stand-ins still wait for is cancelled and of no interest.
+            asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+            self.end()
+
+    async def play(self):
+        await self.start()
+        if not await self.everyone_serves(RECOVERY_SECONDS):
+            return
+        callers = [Caller(number, self.nodes, self.outcomes, self.seed)
+                   for number in range(CALLERS)]
+        end = time.monotonic() + self.seconds
+        sending = [asyncio.create_task(caller.run(end)) for caller in callers]
+        await self.run_faults(end)
+        await asyncio.gather(*sending)
+        await self.everyone_serves(RECOVERY_SECONDS)
+        await self.check_recovery()
+        self.check_nodes()
+        self.check_outcomes()
+        self.check_runs()
+
+    async def check_recovery(self):
+        end = time.monotonic() + RECOVERY_SECONDS
+        caller = Caller(CALLERS, self.nodes, [], self.seed)
+        served = 0
+        while served < CALM_REQUESTS and time.monotonic() < end:
+            outcome = await caller.send_one()
+            good = outcome is not None and outcome.status == 200 and outcome.whole
+            served = served + 1 if good else 0
+            caller.hang_up()
+        if served < CALM_REQUESTS:
+            self.failures.append("not back %d s after the faults; last: %r"
+                                 % (RECOVERY_SECONDS, outcome))
+
+    def check_nodes(self):
+        for node in self.nodes:
+            if node.process.poll() is not None:
+                self.failures.append("%s ended with %s by itself" % (node.name, node.process.poll()))
+
+    def check_outcomes(self):
+        for outcome in self.outcomes:
+            ran = len(self.runs[outcome.attempt])
+            span = outcome.start, outcome.end
+            gone = outcome.node.troubled(*span, ("kill", "stop"))
+            hindered = gone or outcome.node.troubled(*span, ("pause",))
+            limit = TIMEOUT_SECONDS[outcome.path] + SLACK_SECONDS
+            if outcome.status is None and not gone:
+                self.fail("no answer from a node that ran on", outcome)
+            if not hindered and outcome.end - outcome.start > limit:
+                self.fail("answered after the time-out of the route", outcome)
+            if outcome.status == 503 and not outcome.sealed and ran:
+                self.fail("refused as not run, but it ran %d times" % ran, outcome)
+            if outcome.status == 200 and not outcome.sealed:
+                self.fail("success without an engine's seal", outcome)
+            if outcome.status == 200 and outcome.sealed and not ran:
+                self.fail("success of a request that did not run", outcome)
+            if outcome.events != list(range(1, len(outcome.events) + 1)):
+                self.fail("events are missing or doubled", outcome)
+            if outcome.path == "/once/x" and ran > 1:
+                self.fail("ran %d times" % ran, outcome)
+            if ran > MAX_ATTEMPTS:
+                self.fail("ran %d times, allowed are %d" % (ran, MAX_ATTEMPTS), outcome)
+
+    def check_runs(self):
+        starts = sorted(outcome.start for outcome in self.outcomes)
+        repeats = sorted(at for attempt in self.runs.values() for _, at in attempt[1:])
+        for last in repeats:
+            count = sum(last - RETRY_WINDOW <= at <= last for at in repeats)
+            asked = sum(last - RETRY_WINDOW <= at <= last for at in starts)
+            if count > RETRY_RATIO * asked + RETRY_EXTRA:
+                self.failures.append("%d repeats for %d requests" % (count, asked))
+                break
+        for domain, start, end in self.evacuations:
+            if any(node.troubled(start, end, ("pause", "kill", "stop")) for node in self.nodes):
+                continue
+            names = {engine.name for engine in self.engines if engine.domain == domain}
+            late = [(name, at - start) for attempt in self.runs.values() for name, at in attempt
+                    if name in names and start + EVACUATION_SECONDS < at < end]
+            if late:
+                self.failures.append("evacuated domain %s got %s" % (domain, late[:3]))
+
+    def fail(self, what, outcome):
+        self.failures.append("%s: %r; ran at %s" % (what, outcome, self.runs[outcome.attempt]))
+
+    def summary(self):
+        counts = {}
+        for outcome in self.outcomes:
+            counts[outcome.status] = counts.get(outcome.status, 0) + 1
+        troubles = sum(len(node.troubles) for node in self.nodes)
+        return "%d requests, by status %s, %d processes disturbed" % (
+            len(self.outcomes), counts, troubles)
+
+    def end(self):
+        for node in getattr(self, "nodes", []):
+            if node.process is not None:
+                node.end()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--node", required=True, help="the comfreypass program")
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--keep-logs", default=None, help="folder for the nodes' logs")
+    options = parser.parse_args()
+    seed = options.seed if options.seed is not None else random.SystemRandom().randrange(10**9)
+    with tempfile.TemporaryDirectory() as folder:
+        if options.keep_logs:
+            folder = options.keep_logs
+            os.makedirs(folder, exist_ok=True)
+        soak = Soak(options.node, seed, options.seconds, folder)
+        asyncio.run(soak.run())
+    print("seed %d: %s" % (seed, soak.summary()))
+    for failure in soak.failures[:10]:
+        print("seed %d: FAILED: %s" % (seed, failure))
+    return 1 if soak.failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
