Check the gateway's settings and the operators' configuration

Cause: an operator saw only in the nodes' logs that a configuration contradicts itself, when it was in force.

All errors of a configuration at once, diff and report are not built for the gateway's formats.

--- a/src/app/check_command.cpp
+++ b/src/app/check_command.cpp
@@ -79,11 +79,13 @@
     static const std::map<std::string, document_kind> words
         = {{"auto", document_kind::Auto},
            {"sheet", document_kind::Sheet},
-           {"settings", document_kind::Settings}};
+           {"settings", document_kind::Settings},
+           {"gateway-settings", document_kind::GatewaySettings},
+           {"configuration", document_kind::Configuration}};
     options.add_option("files", m_paths, "Sheets and settings files")->required();
     options.add_option("--kind", m_kind, "Kind of the files; auto (default) decides by their keys")
         ->transform(CLI::CheckedTransformer(words))
-        ->option_text("sheet|settings|auto");
+        ->option_text("sheet|settings|gateway-settings|configuration|auto");
     addOutputOption(options, m_format);
 }
 
--- a/src/app/document_check.cpp
+++ b/src/app/document_check.cpp
@@ -1,6 +1,9 @@
 #include "app/document_check.h"
 
 #include "app/text_file.h"
+#include "dispatch/configuration_check.h"
+#include "gateway/node_settings.h"
+#include "platform/platform_records.h"
 #include "sheet/parse_json.h"
 #include "sheet/parse_settings.h"
 #include "sheet/parse_sheet.h"
@@ -57,6 +60,21 @@
     check.asSettings = std::move(parsed.value().value);
 }
 
+void checkGatewaySettings(document_check &check, std::string_view text)
+{
+    if (auto parsed = gateway::parseNodeSettings(text); !parsed)
+        check.errors = std::move(parsed).error();
+}
+
+void checkConfiguration(document_check &check, std::string_view text)
+{
+    const auto read = platform::platform_records::readConfiguration(text);
+    if (!read)
+        check.errors.push_back(read.error());
+    else
+        check.warnings = dispatch::findContradictions(read.value());
+}
+
 /** Reports a value that a settings file has in common with an earlier one. */
 class uniqueness
 {
@@ -79,7 +97,8 @@
 
 std::string_view toString(document_kind kind) noexcept
 {
-    static constexpr std::array<std::string_view, 3> names = {"document", "sheet", "settings"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"document", "sheet", "settings", "gateway settings", "configuration"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -102,16 +121,15 @@
         }
         check.kind = detectKind(document.value());
     }
-    if (check.kind == document_kind::Sheet) {
-        checkSheet(check, text.value());
-    } else if (check.kind == document_kind::Settings) {
-        checkSettings(check, text.value());
-    } else {
+    static constexpr std::array<void (*)(document_check &, std::string_view), 5> checks
+        = {nullptr, &checkSheet, &checkSettings, &checkGatewaySettings, &checkConfiguration};
+    if (const auto function = checks.at(static_cast<std::size_t>(check.kind)))
+        function(check, text.value());
+    else
         check.errors.push_back({core::errc::ParseFailed,
                                 {},
                                 "has the keys of neither a sheet nor settings",
                                 "say which it is with --kind"});
-    }
     return check;
 }
 
--- a/src/app/document_check.h
+++ b/src/app/document_check.h
@@ -12,9 +12,16 @@
 
 namespace comfreypass::app {
 
-enum class document_kind : std::uint8_t { Auto, Sheet, Settings };
+enum class document_kind : std::uint8_t {
+    Auto,
+    Sheet,
+    Settings,
+    GatewaySettings,
+    /** The operators' configuration as the gateway's source holds it. */
+    Configuration,
+};
 
-/** "sheet" or "settings"; "document" where the kind is not known. Thread-safe. */
+/** Such as "sheet"; "document" where the kind is not known. Thread-safe. */
 std::string_view toString(document_kind kind) noexcept;
 
 /** What checking one file found. */
--- a/tests/app/command_line_test.cpp
+++ b/tests/app/command_line_test.cpp
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(wrongArgumentsAreUsageErrors);
     CPPUNIT_TEST(coloursOnlyWhereAskedFor);
     CPPUNIT_TEST(requestIsExplainedFromLogs);
+    CPPUNIT_TEST(gatewayFilesAreChecked);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -113,6 +114,26 @@
         CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, runWith({"explain", "--team", "t"}).code);
     }
 
+    // Guards against a change to the gateway that is only found wrong when it is in force.
+    void gatewayFilesAreChecked()
+    {
+        const temporary_file settings(R"({"name": "n", "listen": {}, "unknown": 1})");
+        const run_result bad = runWith({"check", "--kind", "gateway-settings", settings.path()});
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput}, bad.code);
+        for (const char *text : {"/failureDomain", "/listen/callers", "/records", "/unknown"})
+            CPPUNIT_ASSERT_MESSAGE(text, bad.prints(text));
+        const temporary_file configuration(
+            R"({"Version":1,"Routes":[{"Name":"r1","Host":"h","PathPrefix":"/a/","TimeoutMs":100,)"
+            R"("AimMs":200,"Service":"s1","Public":true}],"Services":[{"Name":"s1"}]})");
+        const run_result odd = runWith({"check", "--kind", "configuration", configuration.path()});
+        CPPUNIT_ASSERT_EQUAL(int{Success}, odd.code);
+        CPPUNIT_ASSERT(odd.prints("1 warning"));
+        CPPUNIT_ASSERT(odd.prints("route r1"));
+        const temporary_file broken(R"({"Version":1,"Routes":[{"Name":"r1"}]})");
+        CPPUNIT_ASSERT_EQUAL(int{InvalidInput},
+                             runWith({"check", "--kind", "configuration", broken.path()}).code);
+    }
+
     // Guards against examples that users copy and that do not load.
     void everyExampleIsValid()
     {
