Add an experiment tool that plays installations on virtual time

Change: src/experiment plays a plan (nodes, engines, requests, outages, loads; JSON with comments) with the gateway's shipped decision code, one set for each node and messages that take time, and with baselines: random, least load by reports 1.5 s old, two choices, and a bound with full knowledge that starts only what can be on time. Engines work in steps that grow with their load and read prompts between events. `comfreypass experiment PLAN` prints tables or JSON and an SVG plot. docs/examples/busy-hour.plan.json is a busy hour of 81 nodes and 112 engines.

Not modelled: memory of prompts, preemption, cold starts, connections, quotas.

--- a/src/app/command_table.cpp
+++ b/src/app/command_table.cpp
@@ -3,6 +3,7 @@
 #include "app/check_command.h"
 #include "app/demo_command.h"
 #include "app/diff_command.h"
+#include "app/experiment_command.h"
 #include "app/explain_command.h"
 #include "app/gateway_command.h"
 #include "app/report_command.h"
@@ -33,8 +34,10 @@
                 make<diff_command>},
     command_row{"report", "Show how fast the error budget is used, from saved metrics",
                 report_command::footer, make<report_command>},
-    command_row{"explain", "Tell where a model request would go, and why", explain_command::footer,
-                make<explain_command>},
+    command_row{"explain", "Tell why a request went as it did, or where one would go",
+                explain_command::footer, make<explain_command>},
+    command_row{"experiment", "Play an installation on virtual time, with the gateway's decisions",
+                experiment_command::footer, make<experiment_command>},
     command_row{"version", "Print the version", version_command::footer, make<version_command>},
 };
 
--- /dev/null
+++ b/src/experiment/engine_model.cpp
@@ -0,0 +1,66 @@
+#include "experiment/engine_model.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace comfreypass::experiment {
+
+void engine_model::submit(core::request_id id, double promptTokens, std::uint32_t events)
+{
+    m_requests.push_back({id, promptTokens, promptTokens, events, events});
+}
+
+double engine_model::cancel(core::request_id id)
+{
+    const auto found = std::ranges::find(m_requests, id, &running_request::id);
+    if (found == m_requests.end())
+        return 0;
+    const double read = found->promptTokens - found->promptLeft;
+    m_requests.erase(found);
+    return read;
+}
+
+std::vector<core::request_id> engine_model::crash()
+{
+    std::vector<core::request_id> lost;
+    for (const running_request &each : std::exchange(m_requests, {}))
+        lost.push_back(each.id);
+    return lost;
+}
+
+std::vector<engine_progress> engine_model::step()
+{
+    std::vector<engine_progress> progress;
+    const std::size_t running = runningCount();
+    double readable
+        = m_group.promptTokensPerSecond * std::chrono::duration<double>(stepTime()).count();
+    for (std::size_t i = 0; i < running; ++i) {
+        running_request &each = m_requests[i];
+        if (each.promptLeft > 0) {
+            const double read = std::min(readable, each.promptLeft);
+            each.promptLeft -= read;
+            readable -= read;
+            if (each.promptLeft > 0)
+                continue;
+        }
+        const bool first = each.eventsLeft == each.events;
+        --each.eventsLeft;
+        if (first || each.eventsLeft == 0)
+            progress.push_back({each.id, first, each.eventsLeft == 0});
+    }
+    std::erase_if(m_requests, [](const running_request &each) { return each.eventsLeft == 0; });
+    return progress;
+}
+
+core::duration engine_model::stepTime() const
+{
+    return m_group.step + m_group.stepGrowth * static_cast<int>(runningCount() - 1);
+}
+
+std::size_t engine_model::runningCount() const noexcept
+{
+    return std::min<std::size_t>(m_requests.size(), m_group.slots);
+}
+
+} // namespace comfreypass::experiment
--- /dev/null
+++ b/src/experiment/full_knowledge.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "experiment/experiment_plan.h"
+#include "experiment/placement.h"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace comfreypass::experiment {
+
+/**
+ * A bound that no fleet can reach: one queue sees every engine as it is, without delay, and starts
+ * only requests that can still be on time.
+ */
+class full_knowledge final : public placement
+{
+public:
+    full_knowledge(const experiment_plan &plan, placement_host &host);
+
+    void onRequest(const simulated_request &request) override;
+    void onFirstEvent(const simulated_request &request, std::size_t engine,
+                      core::duration time) override;
+    void onEnd(const simulated_request &request, std::size_t engine,
+               dispatch::attempt_result result, core::duration ran) override;
+    void onGone(const simulated_request &request) override;
+    void onTick() override { startWaiting(); }
+
+private:
+    void startWaiting();
+    /** The engine with the least load that has room; the number of engines if there is none. */
+    std::size_t emptiest() const;
+
+    const experiment_plan &m_plan;
+    placement_host &m_host;
+    std::vector<std::uint32_t> m_slots;
+    /** Requests at each engine, those on their way included. */
+    std::vector<std::uint32_t> m_running;
+    /** By priority and order of arrival. */
+    std::map<std::pair<std::uint32_t, core::request_id>, simulated_request> m_waiting;
+    /** Smoothed time to the first event in seconds, by profile. */
+    std::vector<double> m_firstSeconds;
+    bool m_starting = false;
+};
+
+} // namespace comfreypass::experiment
--- /dev/null
+++ b/src/experiment/result_plot.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "experiment/run_result.h"
+
+#include <iosfwd>
+#include <span>
+
+namespace comfreypass::experiment {
+
+/** Writes an SVG plot of the goodput over the load, a line for each policy. Thread-safe. */
+void writePlot(std::ostream &out, std::span<const run_result> results);
+
+} // namespace comfreypass::experiment
--- /dev/null
+++ b/tests/experiment/engine_model_test.cpp
@@ -0,0 +1,93 @@
+#include "experiment/engine_model.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+using namespace comfreypass;
+using namespace comfreypass::experiment;
+using namespace std::chrono_literals;
+
+class engine_model_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(engine_model_test);
+    CPPUNIT_TEST(requestsBeyondTheSlotsWaitInOrder);
+    CPPUNIT_TEST(promptsAreReadBetweenEventsOfOthers);
+    CPPUNIT_TEST(fullerEnginesStepSlower);
+    CPPUNIT_TEST(cancelTellsWhatWasRead);
+    CPPUNIT_TEST(crashLosesAll);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a model that serves more at once than an engine does.
+    void requestsBeyondTheSlotsWaitInOrder()
+    {
+        engine_model model(group());
+        for (core::request_id id = 1; id <= 3; ++id)
+            model.submit(id, 0, 1);
+        const auto first = model.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.size());
+        CPPUNIT_ASSERT_EQUAL(core::request_id{1}, first.at(0).id);
+        CPPUNIT_ASSERT(first.at(0).firstEvent && first.at(0).ended);
+        CPPUNIT_ASSERT_EQUAL(core::request_id{3}, model.step().at(0).id);
+        CPPUNIT_ASSERT(model.idle());
+    }
+
+    // Guards against long prompts that stop the streams of others, or cost nothing.
+    void promptsAreReadBetweenEventsOfOthers()
+    {
+        engine_model model(group());
+        model.submit(1, 0, 4);
+        model.submit(2, 2'500, 1);
+        // 1,000 and some tokens are read in each step of 11 ms.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, model.step().size());
+        CPPUNIT_ASSERT(model.step().empty());
+        const auto third = model.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, third.size());
+        CPPUNIT_ASSERT_EQUAL(core::request_id{2}, third.at(0).id);
+    }
+
+    // Guards against a model in which crowding costs nothing.
+    void fullerEnginesStepSlower()
+    {
+        engine_model model(group());
+        model.submit(1, 0, 4);
+        CPPUNIT_ASSERT(model.stepTime() == 10ms);
+        model.submit(2, 0, 4);
+        model.submit(3, 0, 4);
+        CPPUNIT_ASSERT(model.stepTime() == 11ms);
+    }
+
+    // Guards against waste that is not counted.
+    void cancelTellsWhatWasRead()
+    {
+        engine_model model(group());
+        model.submit(1, 2'500, 1);
+        model.step();
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1'000, model.cancel(1), 1);
+        CPPUNIT_ASSERT(model.idle());
+        CPPUNIT_ASSERT_EQUAL(0.0, model.cancel(1));
+    }
+
+    // Guards against requests that survive the crash of their engine.
+    void crashLosesAll()
+    {
+        engine_model model(group());
+        model.submit(1, 0, 4);
+        model.submit(2, 0, 4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, model.crash().size());
+        CPPUNIT_ASSERT(model.idle());
+    }
+
+private:
+    static engine_group group()
+    {
+        return {.count = 1,
+                .slots = 2,
+                .step = 10ms,
+                .stepGrowth = 1ms,
+                .promptTokensPerSecond = 100'000};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(engine_model_test);
--- /dev/null
+++ b/tests/experiment/parse_plan_test.cpp
@@ -0,0 +1,58 @@
+#include "experiment/parse_plan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::experiment;
+using namespace std::chrono_literals;
+
+class parse_plan_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(parse_plan_test);
+    CPPUNIT_TEST(planIsRead);
+    CPPUNIT_TEST(everyErrorNamesItsPlace);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a value that is read into another field or unit.
+    void planIsRead()
+    {
+        const auto read = parsePlan(R"({"nodes": 3, "domains": 2, "messageDelayMs": 1.5,
+            "lengthSeconds": 4, "warmUpSeconds": 1, "seed": 9,
+            // Two generations.
+            "engines": [{"count": 2, "slots": 4, "stepMs": 30}, {"count": 1, "slots": 8}],
+            "requests": [{"name": "a", "perSecond": 5, "objectiveMs": 250, "priority": 2}],
+            "outages": [{"atSeconds": 2, "lengthSeconds": 1, "engines": 1}],
+            "loads": [{"factor": 0.5}, {"factor": 2}]})");
+        CPPUNIT_ASSERT(read);
+        const experiment_plan &plan = read.value();
+        CPPUNIT_ASSERT_EQUAL(3U, plan.nodes);
+        CPPUNIT_ASSERT(plan.messageDelay == 1500us);
+        CPPUNIT_ASSERT(plan.length == 4s && plan.warmUp == 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan.engines.size());
+        CPPUNIT_ASSERT(plan.engines.at(0).step == 30ms);
+        CPPUNIT_ASSERT(plan.requests.at(0).objective == 250ms);
+        CPPUNIT_ASSERT_EQUAL(2U, plan.requests.at(0).priority);
+        CPPUNIT_ASSERT(plan.outages.at(0).at == 2s);
+        CPPUNIT_ASSERT_EQUAL(2.0, plan.loads.at(1));
+    }
+
+    // Guards against a plan that is mended one error at a time.
+    void everyErrorNamesItsPlace()
+    {
+        const auto read = parsePlan(R"({"nodes": 0, "engines": [{"count": 1}], "extra": 1,
+            "warmUpSeconds": 20})");
+        CPPUNIT_ASSERT(!read);
+        for (const char *place : {"/nodes", "/engines/0/slots", "/extra", "/warmUpSeconds"})
+            CPPUNIT_ASSERT_MESSAGE(place,
+                                   std::ranges::any_of(read.error(), [&](const core::error &each) {
+                                       return each.where == place;
+                                   }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(parse_plan_test);
--- /dev/null
+++ b/tests/experiment/simulation_test.cpp
@@ -0,0 +1,128 @@
+#include "experiment/result_plot.h"
+#include "experiment/simulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <sstream>
+#include <string>
+
+using namespace comfreypass;
+using namespace comfreypass::experiment;
+using namespace std::chrono_literals;
+
+class simulation_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(simulation_test);
+    CPPUNIT_TEST(everyRequestEndsOnce);
+    CPPUNIT_TEST(equalPlansGiveEqualResults);
+    CPPUNIT_TEST(calmLoadIsServedByTheShippedDecisions);
+    CPPUNIT_TEST(overloadKeepsMostOfWhatIsPossible);
+    CPPUNIT_TEST(crashedEnginesAreLeftAlone);
+    CPPUNIT_TEST(plotShowsEachPolicy);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against requests that are lost or counted twice.
+    void everyRequestEndsOnce()
+    {
+        experiment_plan played = plan();
+        played.loads = {0.5, 1.5};
+        played.outages = {{.at = 2s, .length = 1s, .engines = 2}};
+        for (const run_result &run : simulateAll(played, {})) {
+            for (const profile_result &each : run.profiles) {
+                CPPUNIT_ASSERT(each.asked > 100);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(run.policy, each.asked,
+                                             each.onTime + each.late + each.refused + each.failed);
+            }
+        }
+    }
+
+    // Guards against figures that cannot be played again.
+    void equalPlansGiveEqualResults()
+    {
+        const run_result first = simulate(plan(), policies().front(), 1);
+        const run_result second = simulate(plan(), policies().front(), 1);
+        CPPUNIT_ASSERT_EQUAL(first.goodput, second.goodput);
+        CPPUNIT_ASSERT_EQUAL(first.profiles.at(0).onTime, second.profiles.at(0).onTime);
+    }
+
+    // Guards against refusals and late answers while slots are free.
+    void calmLoadIsServedByTheShippedDecisions()
+    {
+        const run_result run = simulate(plan(), policies().front(), 0.4);
+        CPPUNIT_ASSERT(run.goodput > 0.95);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, run.profiles.at(0).refused);
+    }
+
+    // Guards against a goodput that falls apart beyond capacity. The target is 0.9 of the bound.
+    void overloadKeepsMostOfWhatIsPossible()
+    {
+        std::map<std::string, double> goodput;
+        experiment_plan played = plan();
+        played.loads = {1.5};
+        for (const run_result &run : simulateAll(played, {}))
+            goodput[run.policy] = run.goodput;
+        CPPUNIT_ASSERT(goodput["shipped"] >= 0.9 * goodput["full-knowledge"]);
+        CPPUNIT_ASSERT(goodput["shipped"] > goodput["random"]);
+        CPPUNIT_ASSERT(goodput["shipped"] > goodput["least-reported"]);
+    }
+
+    // Guards against requests that go to dead engines until their reports say so.
+    void crashedEnginesAreLeftAlone()
+    {
+        experiment_plan played = plan();
+        played.outages = {{.at = 1500ms, .length = 10s, .engines = 3}};
+        const run_result run = simulate(played, policies().front(), 0.4);
+        CPPUNIT_ASSERT(run.goodput > 0.9);
+    }
+
+    // Guards against a plot without one of its lines.
+    void plotShowsEachPolicy()
+    {
+        std::vector<run_result> results(2);
+        results[0].policy = "shipped";
+        results[1].policy = "random";
+        std::ostringstream plot;
+        writePlot(plot, results);
+        CPPUNIT_ASSERT(plot.str().starts_with("<svg"));
+        CPPUNIT_ASSERT(plot.str().find(">shipped</text>") != std::string::npos);
+        CPPUNIT_ASSERT(plot.str().find(">random</text>") != std::string::npos);
+    }
+
+private:
+    /** At load 1 the streams need about all of the 20 engines' slots. */
+    static experiment_plan plan()
+    {
+        experiment_plan result;
+        result.nodes = 12;
+        result.domains = 2;
+        result.length = 4s;
+        result.warmUp = 1s;
+        result.engines = {{.count = 20,
+                           .slots = 7,
+                           .step = 39ms,
+                           .stepGrowth = 1ms,
+                           .promptTokensPerSecond = 157'000}};
+        result.requests = {{.name = "long",
+                            .perSecond = 70,
+                            .promptTokens = 4'000,
+                            .events = 30,
+                            .objective = 500ms,
+                            .priority = 0,
+                            .worth = 6},
+                           {.name = "short",
+                            .perSecond = 150,
+                            .promptTokens = 1'800,
+                            .events = 2,
+                            .objective = 300ms,
+                            .timeout = 2500ms,
+                            .priority = 2,
+                            .worth = 0.2}};
+        return result;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(simulation_test);
