--- a/src/experiment/shipped_placement.cpp
+++ b/src/experiment/shipped_placement.cpp
@@ -15,6 +15,7 @@
 // As in gateway_node, which holds them for real messages.
 constexpr core::duration shortestStatusInterval = 150ms;
 constexpr core::duration statusIntervalPerPeer = 4ms;
+constexpr core::duration lookInterval = 20ms;
 constexpr core::duration longestWait = 1'200ms;
 constexpr int waitPercent = 25;
 
@@ -38,6 +39,7 @@
     engine_sharing sharing;
     admission decisions;
     core::time_point nextStatus{};
+    core::time_point nextLook{};
     std::uint64_t sequence = 0;
 };
 
@@ -50,7 +52,9 @@
         auto &made = m_nodes.emplace_back(std::make_unique<node>(
             i + 1, domainOf(i, plan.domains), plan.seed * (plan.nodes + 1) + i + 1));
         made->decisions.setLoadAge(m_statusInterval / 2);
-        // Nodes do not send in step.
+        // Nodes do not send and look in step.
+        made->nextLook
+            = host.now() + lookInterval * static_cast<int>(i) / static_cast<int>(plan.nodes);
         made->nextStatus
             = host.now() + m_statusInterval * static_cast<int>(i) / static_cast<int>(plan.nodes);
     }
@@ -118,6 +122,9 @@
     deliverDue();
     const core::time_point now = m_host.now();
     for (const auto &each : m_nodes) {
+        if (now < each->nextLook)
+            continue;
+        each->nextLook = now + lookInterval;
         each->sharing.update(each->fleet.places(now));
         for (const core::request_id id : each->decisions.takeExpired(now))
             m_host.refuse(id);
