--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -176,6 +176,7 @@
 void admission::renewAllowance(const std::string &upstream, pool &state,
                                const admission_request &next, core::time_point now)
 {
+    const engine_board::room preferred = m_board.preferredRoomOf(upstream, now);
     const bool shared = m_board.sharedOut(upstream);
     // Where requests are short, slots free many times between two exchanges.
     const bool ends = !shared && endsBetweenExchanges(state);
@@ -185,8 +186,12 @@
         return;
     state.allowanceOf = m_newsCount;
     state.allowanceAt = now;
-    const double free = shared ? m_board.openSlotsOfOthers(upstream, unseenStarts(state, now), now)
-                               : freeSlots(upstream, state, ends ? passed : core::duration(), now);
+    const engine_board::room room = m_board.roomOf(upstream, now);
+    auto free
+        = static_cast<double>((room.slots - room.running) - (preferred.slots - preferred.running));
+    if (ends)
+        free = std::max(free, room.slots * seconds(std::min(passed, longestTurnover))
+                                  / state.serviceSeconds);
     auto own = static_cast<double>(state.queue.size());
     auto others = static_cast<double>(m_fleet.waitingAtPeers(upstream, next.priority, now));
     if (shared) {
@@ -200,18 +205,6 @@
         = static_cast<std::size_t>(part + std::uniform_real_distribution<double>(0, 1)(m_random));
 }
 
-// Slots that are free now, or those that free in `passed` if these are more.
-double admission::freeSlots(const std::string &upstream, const pool &state, core::duration passed,
-                            core::time_point now) const
-{
-    const engine_board::room room = m_board.roomOf(upstream, now);
-    const auto free = static_cast<double>(room.slots - room.running);
-    if (passed <= core::duration::zero())
-        return free;
-    return std::max(free,
-                    room.slots * seconds(std::min(passed, longestTurnover)) / state.serviceSeconds);
-}
-
 std::vector<core::request_id> admission::takeExpired(core::time_point now)
 {
     std::vector<core::request_id> expired;
@@ -344,23 +337,21 @@
 pick admission::choose(pool &state, const admission_request &request, engine_choice engines,
                        core::time_point now)
 {
+    const fleet_share share = m_fleet.share(now);
+    const auto peers = static_cast<double>(share.inTouch - 1);
+    // Callers spread over the nodes evenly, so peers start about as much as this node does.
+    const double unseen
+        = decayed(state.startsPerSecond, state.startsAt, now) * peers * seconds(m_loadAge);
     return m_board.choose({.upstream = request.upstream,
                            .excluded = request.excluded,
-                           .unseenStarts = unseenStarts(state, now),
+                           .unseenStarts = unseen,
                            .promptTokens = request.promptTokens,
                            .outputTokens = request.outputTokens,
                            .objective = request.objective,
                            .timeLeft = request.deadline - now,
                            .knownOnly = engines == engine_choice::Known,
                            .peersPerSlot = peersPerSlot(state, request.upstream, now)},
-                          m_fleet.share(now), now);
-}
-
-// Callers spread over the nodes evenly, so peers start about as much as this node does.
-double admission::unseenStarts(const pool &state, core::time_point now) const
-{
-    const auto peers = static_cast<double>(m_fleet.share(now).inTouch - 1);
-    return decayed(state.startsPerSecond, state.startsAt, now) * peers * seconds(m_loadAge);
+                          share, now);
 }
 
 double admission::decayed(double rate, core::time_point since, core::time_point now)
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -164,9 +164,6 @@
     /** `Known` leaves out the engines whose load this node hears late. */
     enum class engine_choice : std::uint8_t { Any, Known };
     pick chooseWithin(pool &state, const admission_request &request, core::time_point now);
-    double freeSlots(const std::string &upstream, const pool &state, core::duration passed,
-                     core::time_point now) const;
-    double unseenStarts(const pool &state, core::time_point now) const;
     std::optional<double> peersPerSlot(pool &state, const std::string &upstream,
                                        core::time_point now);
     pick choose(pool &state, const admission_request &request, engine_choice engines,
--- a/src/dispatch/engine_board.cpp
+++ b/src/dispatch/engine_board.cpp
@@ -559,39 +559,16 @@
               + std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(1 / rate));
 }
 
+// What a node hears late has changed by starts and ends of others, whose difference spreads as the
+// root of their number.
 bool engine_board::hasRoom(const engine &candidate, const pick_request &request,
                            double unseenStarts)
 {
     if (request.peersPerSlot)
         return candidate.running + *request.peersPerSlot * candidate.entry.slots
                < candidate.entry.slots;
-    return openSlots(candidate, unseenStarts) > 0;
-}
-
-// What a node hears late has changed by starts and ends of others, whose difference spreads as the
-// root of their number.
-std::uint32_t engine_board::openSlots(const engine &candidate, double unseenStarts)
-{
     const double margin = candidate.preference == affinity::Other ? std::sqrt(unseenStarts) : 0;
-    const auto taken = candidate.running + candidate.peersRunning
-                       + static_cast<std::uint32_t>(std::lround(margin));
-    return candidate.entry.slots > taken ? candidate.entry.slots - taken : 0;
-}
-
-std::uint32_t engine_board::openSlotsOfOthers(std::string_view upstream, double unseenStarts,
-                                              core::time_point now) const
-{
-    std::vector<engine *> usable = enginesOf(upstream);
-    std::erase_if(usable, [&](const engine *each) { return !isUsable(*each, now); });
-    eraseSuspects(usable, now);
-    const double unseen
-        = unseenStarts / static_cast<double>(std::max<std::size_t>(usable.size(), 1));
-    std::uint32_t open = 0;
-    for (const engine *each : usable) {
-        if (each->preference == affinity::Other)
-            open += openSlots(*each, unseen);
-    }
-    return open;
+    return candidate.running + candidate.peersRunning + std::lround(margin) < candidate.entry.slots;
 }
 
 // A slower engine is used once the better ones have no room, not when they are merely busy: an
--- a/src/dispatch/engine_board.h
+++ b/src/dispatch/engine_board.h
@@ -210,13 +210,6 @@
     /** The same for the engines that this node prefers. */
     room preferredRoomOf(std::string_view upstream, core::time_point now) const;
 
-    /**
-     * Free slots of engines that other nodes prefer, without the margin for `unseenStarts` of the
-     * whole upstream.
-     */
-    std::uint32_t openSlotsOfOthers(std::string_view upstream, double unseenStarts,
-                                    core::time_point now) const;
-
     /** Visits the entries of all engines. */
     template<typename Visitor>
     void forEach(Visitor visit) const
@@ -291,7 +284,6 @@
     void keepOneByRoom(std::vector<candidate> &candidates);
     /** `unseenStarts` are those at this engine. */
     static bool hasRoom(const engine &candidate, const pick_request &request, double unseenStarts);
-    static std::uint32_t openSlots(const engine &candidate, double unseenStarts);
     template<typename Filter>
     room sumRoom(std::string_view upstream, core::time_point now, Filter filter) const;
     void noteLoadChange(engine_key key);
