--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -96,8 +96,8 @@
     void setLoadAge(core::duration age) { m_loadAge = age; }
 
     /**
-     * The peers have told their loads anew, or the engines have changed. Between two calls this
-     * node takes its part of the slots that look free elsewhere only once, however often it polls.
+     * The peers have told their loads anew. Between two calls this node takes its part of the slots
+     * that look free elsewhere only once, however often it polls.
      */
     void onNews() { ++m_newsCount; }
 
--- a/src/dispatch/routing_index.cpp
+++ b/src/dispatch/routing_index.cpp
@@ -29,7 +29,6 @@
         });
     }
     for (std::size_t i = 0; i < m_settings.teams.size(); ++i) {
-        m_teamByName.emplace(m_settings.teams[i].name, i);
         for (const std::string &key : m_settings.teams[i].keys)
             m_teamByKey.emplace(key, i);
     }
@@ -56,12 +55,6 @@
     return found == m_teamByKey.end() ? nullptr : &m_settings.teams[found->second];
 }
 
-const team *routing_index::teamByName(std::string_view name) const
-{
-    const auto found = m_teamByName.find(name);
-    return found == m_teamByName.end() ? nullptr : &m_settings.teams[found->second];
-}
-
 const upstream_settings *routing_index::upstream(std::string_view name) const
 {
     const auto found = m_upstreamByName.find(name);
--- a/src/dispatch/routing_index.h
+++ b/src/dispatch/routing_index.h
@@ -28,7 +28,6 @@
     /** The team that holds a key; nullptr if there is none. */
     const team *teamOfKey(std::string_view key) const;
 
-    const team *teamByName(std::string_view name) const;
     const upstream_settings *upstream(std::string_view name) const;
 
     /** True if requests of routes that are not public need a key. */
@@ -50,7 +49,6 @@
     /** Positions in settings().routes, longest prefix first. */
     text_map<std::vector<std::size_t>> m_routesByHost;
     text_map<std::size_t> m_teamByKey;
-    text_map<std::size_t> m_teamByName;
     text_map<std::size_t> m_upstreamByName;
 };
 
--- a/src/gateway/engine_links.cpp
+++ b/src/gateway/engine_links.cpp
@@ -70,12 +70,4 @@
     std::erase_if(m_idle, [](const auto &entry) { return entry.second.empty(); });
 }
 
-std::size_t engine_links::idleCount() const noexcept
-{
-    std::size_t count = 0;
-    for (const auto &[address, kept] : m_idle)
-        count += kept.size();
-    return count;
-}
-
 } // namespace comfreypass::gateway
--- a/src/gateway/engine_links.h
+++ b/src/gateway/engine_links.h
@@ -46,8 +46,6 @@
     /** Closes the connections that are near their idle time-out or were closed by the engine. */
     void closeExpired(core::time_point now);
 
-    std::size_t idleCount() const noexcept;
-
 private:
     struct idle_link
     {
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -77,9 +77,6 @@
 
     bool connected() const noexcept { return m_channel.connected(); }
 
-    /** Slows the sender of the response down while false. */
-    void setReading(bool reading) { m_channel.setReading(reading); }
-
 private:
     void onInput() override;
     void onEnd(channel_end end) override;
