--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -172,7 +172,7 @@
         int inFirstLook = 0;
         constexpr int rounds = 200;
         for (int round = 0; round < rounds; ++round) {
-            const auto id = static_cast<core::request_id>(round + 10);
+            const auto id = static_cast<core::request_id>(round) + 10;
             m_board.onStart("e1", m_now);
             m_board.onStart("e1", m_now);
             submit(id, 0);
