Bound responses and requests whose bytes never end

On an engine that repeated interim responses was never disconnected (test stopped after 268 MB), a body of single bytes hid a stalled engine from the retry (30 s without a second attempt), and a caller that does not read made a node hold 16.6 MB for one response (1 s deadline).

What is cut off may have run: 502, or a retry where the route allows one.

Conclusion: memory and time of a node no longer depend on how long an engine or a caller keeps sending.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -52,6 +52,7 @@
 /** A node that stays behind its peers for this long fetches the records of one of them. */
 constexpr core::duration catchUpDelay = 100ms;
 constexpr core::duration peerFetchTimeout = 1s;
+constexpr std::size_t maxPeerRecordsBytes = 16'777'216;
 
 /**
  * A node that has just started waits for statuses of peers before it reads the source itself: a
@@ -293,13 +294,16 @@
 
 void gateway_node::onCallerDisconnected(http1::server_connection &connection)
 {
-    const auto found = m_flowOfConnection.find(&connection);
-    if (found == m_flowOfConnection.end())
-        return;
-    if (request_flow *flow = findFlow(found->second))
+    if (request_flow *flow = flowOf(connection))
         flow->onCallerDisconnected();
 }
 
+void gateway_node::onOutputSent(http1::server_connection &connection)
+{
+    if (request_flow *flow = flowOf(connection))
+        flow->onOutputSent();
+}
+
 void gateway_node::onClosed(http1::server_connection &connection)
 {
     m_flowOfConnection.erase(&connection);
@@ -642,6 +646,7 @@
                + "/records?since=";
     for (const std::uint64_t revision : m_catalogue.revisions())
         call.url += std::to_string(revision) + ",";
+    call.maxBodyBytes = maxPeerRecordsBytes;
     call.deadline = monotonicNow() + peerFetchTimeout;
     m_peerClient.start(std::move(call), std::make_shared<peer_fetch>(*this, peer.address));
 }
@@ -669,6 +674,12 @@
     sendEngineUpdatesSoon();
 }
 
+request_flow *gateway_node::flowOf(http1::server_connection &connection)
+{
+    const auto found = m_flowOfConnection.find(&connection);
+    return found == m_flowOfConnection.end() ? nullptr : findFlow(found->second);
+}
+
 request_flow *gateway_node::findFlow(core::request_id id)
 {
     const auto found = m_flows.find(id);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -87,6 +87,7 @@
     void onRequest(http1::server_connection &connection, http1::message_head head,
                    std::string body) override;
     void onCallerDisconnected(http1::server_connection &connection) override;
+    void onOutputSent(http1::server_connection &connection) override;
     void onClosed(http1::server_connection &connection) override;
 
     void onWritten(collection_id collection, dispatch::published_record record) override;
@@ -120,6 +121,7 @@
     void startQueued(const std::string &upstream, dispatch::poll_trigger trigger);
     void startAllQueued();
     request_flow *findFlow(core::request_id id);
+    request_flow *flowOf(http1::server_connection &connection);
     void logPeer(std::string_view event, std::string_view message, std::uint32_t address);
 
     ACE_Reactor &m_reactor;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -32,6 +32,15 @@
 /** Responses up to this size are forwarded once complete, so that a failed one can be retried. */
 constexpr std::size_t maxBufferedBytes = 262'144;
 
+/**
+ * A buffered body that grows by less than this within the stall timeout makes no progress: single
+ * bytes would otherwise hide an engine that has stalled.
+ */
+constexpr std::size_t minProgressBytes = 1'024;
+
+/** Reading from the engine pauses while more output than this waits for the caller. */
+constexpr std::size_t maxWaitingOutputBytes = 262'144;
+
 /** Connecting takes one round trip and a few milliseconds, and longer if a packet is lost. */
 constexpr core::duration connectTimeout = 300ms;
 
@@ -270,6 +279,8 @@
     m_response = {};
     m_mode = relay_mode::Buffer;
     m_bufferedBody.clear();
+    m_bytesSinceProgress = 0;
+    m_engineReadPaused = false;
     m_connection = m_context.engineConnections.acquire(
         *m_engineAddress, m_route->retryable() ? maxIdleRetryable : maxIdleNonRetryable, now);
     m_connection.connection->start(buildRequest(engine), *this);
@@ -301,6 +312,10 @@
         onConnectTimeout();
         return;
     }
+    if (m_engineReadPaused) {
+        m_attemptTimer.startOnce(stallTimeout());
+        return;
+    }
     const core::duration inactivity = m_context.now() - m_lastEventAt;
     // The engine may only be slow, so the attempt is abandoned only if another one has capacity.
     const core::time_point now = m_context.now();
@@ -354,8 +369,6 @@
 
 void request_flow::onBody(std::string_view bytes)
 {
-    const core::time_point now = m_context.now();
-    m_context.registry.onBytes(m_engine->id, now);
     switch (m_mode) {
     case relay_mode::Events:
         if (!m_events.feed(bytes)) {
@@ -366,21 +379,57 @@
         relayEvents();
         return;
     case relay_mode::Bytes:
-        m_caller.write(bytes);
+        m_context.registry.onBytes(m_engine->id, m_context.now());
+        writeToCaller(bytes);
         return;
     case relay_mode::Buffer:
-        break;
+        onBufferedBytes(bytes);
+        return;
     }
-    m_lastEventAt = now;
+}
+
+void request_flow::onBufferedBytes(std::string_view bytes)
+{
+    const core::time_point now = m_context.now();
     m_bufferedBody.append(bytes);
+    m_bytesSinceProgress += bytes.size();
+    if (m_bytesSinceProgress >= minProgressBytes) {
+        m_bytesSinceProgress = 0;
+        m_lastEventAt = now;
+        m_context.registry.onBytes(m_engine->id, now);
+    }
+    if (m_bufferedBody.size() <= maxBufferedBytes)
+        return;
     const bool relayable = m_response.isSigned && !m_response.notRun && !responseStarted();
-    if (m_bufferedBody.size() <= maxBufferedBytes || !relayable)
+    if (!relayable) {
+        m_mayHaveRun = true;
+        handleFailure("body_too_large", dispatch::attempt_result::Failed);
         return;
+    }
     m_mode = relay_mode::Bytes;
     m_responseStarted = true;
     m_record.firstByte = now - m_arrivedAt;
     m_caller.beginStream(m_responseHead.status, http1::forwardedHeaders(m_responseHead.headers));
-    m_caller.write(std::exchange(m_bufferedBody, {}));
+    writeToCaller(std::exchange(m_bufferedBody, {}));
+}
+
+// A caller that reads more slowly than its engine sends slows the engine's response down.
+void request_flow::writeToCaller(std::string_view bytes)
+{
+    m_caller.write(bytes);
+    if (m_caller.unsentBytes() <= maxWaitingOutputBytes || !m_connection.connection)
+        return;
+    m_engineReadPaused = true;
+    m_connection.connection->setReading(false);
+}
+
+void request_flow::onOutputSent()
+{
+    if (!std::exchange(m_engineReadPaused, false) || !m_connection.connection)
+        return;
+    m_lastEventAt = m_context.now();
+    m_context.registry.onBytes(m_engine->id, m_lastEventAt);
+    m_connection.connection->setReading(true);
 }
 
 void request_flow::relayEvents()
@@ -388,6 +437,7 @@
     if (m_events.completeEvents().empty())
         return;
     const core::time_point now = m_context.now();
+    m_context.registry.onBytes(m_engine->id, now);
     if (m_resumeCheckPending && !checkResumedStream()) {
         m_mayHaveRun = true;
         endAttempt(dispatch::attempt_result::Failed, false);
@@ -404,7 +454,7 @@
         m_caller.beginStream(m_responseHead.status,
                              http1::forwardedHeaders(m_responseHead.headers));
     }
-    m_caller.write(m_events.completeEvents());
+    writeToCaller(m_events.completeEvents());
     m_events.consumeEvents();
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -45,6 +45,9 @@
     /** Handles the timeout of a queued request. */
     void onQueueTimeout();
 
+    /** Resumes the engine's response once the caller has taken the output sent so far. */
+    void onOutputSent();
+
     /** Ends the flow because the caller has disconnected. */
     void onCallerDisconnected();
 
@@ -81,6 +84,8 @@
 
     void relayEvents();
     void onFirstEvent(core::duration time);
+    void writeToCaller(std::string_view bytes);
+    void onBufferedBytes(std::string_view bytes);
     bool checkResumedStream();
     void completeStream();
     void completeBuffered(bool reusable);
@@ -132,6 +137,10 @@
     bool m_firstEventSeen = false;
     relay_mode m_mode = relay_mode::Buffer;
     std::string m_bufferedBody;
+    /** Bytes of a buffered body since the last progress; see minProgressBytes. */
+    std::size_t m_bytesSinceProgress = 0;
+    /** The engine's response is paused until the caller has taken the output. */
+    bool m_engineReadPaused = false;
     event_splitter m_events;
     bool m_resumeCheckPending = false;
 
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -8,9 +8,12 @@
 
 namespace {
 
-/** Limit on a response header; larger than common servers send. */
+/** Limit on a response header and on chunk metadata; larger than common servers send. */
 constexpr std::size_t responseHeaderBytes = 65'536;
 
+/** Limit on interim responses and on late responses to earlier requests, per request. */
+constexpr std::size_t maxSkippedBytes = 262'144;
+
 constexpr unsigned firstFinalStatus = 200;
 
 } // namespace
@@ -31,7 +34,9 @@
     m_events = &events;
     m_headReported = false;
     m_skipping = false;
+    m_skippedBytes = 0;
     m_parser.reset();
+    m_stream.setReading(true);
     m_stream.send(request);
 }
 
@@ -79,7 +84,19 @@
         m_stream.consume(consumed.value());
         if (m_parser->hasHead())
             reportHead();
-        if (m_events == nullptr || !m_parser->complete())
+        if (m_events == nullptr)
+            return;
+        if (m_skipping)
+            m_skippedBytes += consumed.value();
+        // The parser leaves only an incomplete header, chunk header or trailer unconsumed.
+        const bool endless = m_skippedBytes > maxSkippedBytes
+                             || (!m_parser->complete()
+                                 && m_stream.input().size() > responseHeaderBytes);
+        if (endless) {
+            fail(exchange_failure::Malformed);
+            return;
+        }
+        if (!m_parser->complete())
             return;
         if (!m_skipping) {
             finish();
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -4,6 +4,7 @@
 #include "http1/byte_stream.h"
 #include "http1/message_parser.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -73,6 +74,9 @@
     /** Closes the connection; no event follows. */
     void cancel() noexcept;
 
+    /** Pauses or resumes reading; while paused, TCP flow control slows the upstream down. */
+    void setReading(bool reading) { m_stream.setReading(reading); }
+
     /**
      * Returns true if no request is running and the connection is open, without unexpected input.
      */
@@ -93,6 +97,7 @@
     std::optional<message_parser> m_parser;
     bool m_headReported = false;
     bool m_skipping = false;
+    std::size_t m_skippedBytes = 0;
     bool m_unusable = false;
     byte_stream m_stream;
 };
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -102,7 +102,9 @@
             closeNow();
         return;
     }
-    if (inactivity > m_limits.readTimeout)
+    const bool headerTooSlow
+        = !m_parser->hasHead() && now - m_requestStartedAt > m_limits.readTimeout;
+    if (headerTooSlow || inactivity > m_limits.readTimeout)
         rejectRequest(requestTimeout, "the request took too long to arrive");
 }
 
@@ -154,8 +156,12 @@
             rejectRequest(bodyTooLarge, "the body is larger than the limit");
             break;
         }
-        if (!m_parser->complete())
+        if (!m_parser->complete()) {
+            // The parser leaves only an incomplete header, chunk header or trailer unconsumed.
+            if (m_stream.input().size() > m_limits.headerBytes)
+                rejectRequest(headerTooLarge, "a header, chunk header or trailer is too long");
             break;
+        }
         message_head head = m_parser->head();
         m_parser.reset();
         m_keepAlive = head.keepAlive;
@@ -170,6 +176,7 @@
     if (m_parser)
         return;
     m_body.clear();
+    m_requestStartedAt = m_clock();
     m_parser.emplace(message_kind::Request, m_limits.headerBytes, [this](std::string_view bytes) {
         if (m_body.size() <= m_limits.bodyBytes)
             m_body.append(bytes);
@@ -214,6 +221,12 @@
     readRequest();
 }
 
+void server_connection::onSent()
+{
+    if (!m_closed)
+        m_events.onOutputSent(*this);
+}
+
 void server_connection::onEnd(stream_end /*end*/)
 {
     if (std::exchange(m_responsePending, false))
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -31,6 +31,9 @@
     /** The caller closed the connection while the response was pending. */
     virtual void onCallerDisconnected(server_connection &connection) = 0;
 
+    /** All output passed to the connection is in the kernel's send buffer. */
+    virtual void onOutputSent(server_connection &connection) = 0;
+
     /** The connection has ended and may be passed to a deferred_deleter. */
     virtual void onClosed(server_connection &connection) = 0;
 };
@@ -68,7 +71,10 @@
     /** Closes the connection after the current or next response, and announces it there. */
     void closeAfterResponse() noexcept { m_closeAfterResponse = true; }
 
-    /** Closes the connection, or responds 408, if it was idle, slow or closing for too long. */
+    /**
+     * Closes the connection, or responds 408, if it was idle, slow or closing for too long. The read
+     * timeout limits the time for a whole header, and each pause within a body.
+     */
     void checkTimeouts(core::time_point now);
 
     /** Closes the connection if it is idle(). */
@@ -85,6 +91,7 @@
 
 private:
     void onInput() override;
+    void onSent() override;
     void onEnd(stream_end end) override;
 
     void readRequest();
@@ -100,6 +107,7 @@
     std::optional<message_parser> m_parser;
     std::string m_body;
     core::time_point m_lastActivity;
+    core::time_point m_requestStartedAt;
     bool m_responsePending = false;
     bool m_keepAlive = true;
     bool m_closeAfterResponse = false;
--- a/src/transport/curl_transfer.cpp
+++ b/src/transport/curl_transfer.cpp
@@ -223,6 +223,11 @@
     if (transfer->m_paused)
         return CURL_WRITEFUNC_PAUSE;
     const std::size_t bytes = size * count;
+    transfer->m_bodyBytes += bytes;
+    if (transfer->m_bodyBytes > transfer->m_call.maxBodyBytes) {
+        transfer->m_errorDetail = "the response body is larger than the limit";
+        return 0;
+    }
     const bool returned = guarded("onData", [&] {
         transfer->m_paused = !transfer->m_events->onData({data, bytes});
     });
--- a/src/transport/curl_transfer.h
+++ b/src/transport/curl_transfer.h
@@ -79,6 +79,7 @@
     std::unique_ptr<curl_slist, list_deleter> m_fields;
     http_headers m_responseHeaders;
     std::size_t m_headerBytes = 0;
+    std::size_t m_bodyBytes = 0;
     bool m_headerComplete = false;
     bool m_cancelled = false;
     bool m_paused = false;
--- a/src/transport/http_call.h
+++ b/src/transport/http_call.h
@@ -4,7 +4,9 @@
 #include "transport/http_headers.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <string>
 
 namespace comfreypass::transport {
@@ -16,6 +18,8 @@
     std::string url;
     http_headers headers;
     std::string body;
+    /** A response with a larger body ends the call with Broken. */
+    std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
     /** Time at which the call ends with Timeout. */
     core::time_point deadline = core::time_point::max();
     core::duration connectTimeout = std::chrono::seconds(1);
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -45,6 +45,8 @@
 
     void onCallerDisconnected(server_connection & /*connection*/) override { ++disconnects; }
 
+    void onOutputSent(server_connection & /*connection*/) override { ++drained; }
+
     void onClosed(server_connection &connection) override
     {
         ++closed;
@@ -59,6 +61,7 @@
     server_connection *current = nullptr;
     bool respondsImmediately = false;
     int disconnects = 0;
+    int drained = 0;
     int closed = 0;
 
 private:
@@ -85,6 +88,9 @@
     CPPUNIT_TEST(badRequestsAreRejectedAndConnectionClosed);
     CPPUNIT_TEST(closeAfterResponseSendsConnectionClose);
     CPPUNIT_TEST(timeoutsFollowConfiguredLimits);
+    CPPUNIT_TEST(slowHeaderIsRejectedAfterTheReadTimeout);
+    CPPUNIT_TEST(endlessChunkMetadataIsRejected);
+    CPPUNIT_TEST(sentOutputIsReported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -207,7 +213,71 @@
         m_loop.waitFor("rejection", [&] { return slow.receive().starts_with("HTTP/1.1 408 "); });
     }
 
+    // Guards against a caller that keeps a connection by sending single bytes of a header.
+    void slowHeaderIsRejectedAfterTheReadTimeout()
+    {
+        recording_server server(m_loop.reactor());
+        server.limits.readTimeout = 200ms;
+        tests::raw_socket slow(server.port());
+        slow.send("GET /slow HTTP/1.1\r\nName: ");
+        m_loop.waitFor("connection", [&] { return server.connections.size() == 1; });
+        m_loop.waitFor("rejection", [&] {
+            slow.send("a");
+            m_loop.runFor(20ms);
+            server.connections.at(0)->checkTimeouts(transport::monotonicNow());
+            return slow.receive().starts_with("HTTP/1.1 408 ");
+        });
+        CPPUNIT_ASSERT(server.heads.empty());
+    }
+
+    // Guards against unbounded memory for chunk metadata that a caller sends without end.
+    void endlessChunkMetadataIsRejected()
+    {
+        const std::vector<std::pair<std::string, std::string>> cases = {
+            {"", "0"},
+            {"1;", "name=value;"},
+            {"1\r\na\r\n0\r\n", "Name: value\r\n"},
+        };
+        for (const auto &[start, repeated] : cases) {
+            recording_server server(m_loop.reactor());
+            tests::raw_socket caller(server.port());
+            caller.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + start);
+            std::string block;
+            while (block.size() < server.limits.headerBytes * 2)
+                block += repeated;
+            std::size_t sent = 0;
+            m_loop.waitFor(repeated, [&] {
+                sent += caller.send(block);
+                return caller.receive().starts_with("HTTP/1.1 4") || sent > maxEndlessBytes;
+            });
+            CPPUNIT_ASSERT_MESSAGE(repeated, caller.receive().starts_with("HTTP/1.1 4"));
+            CPPUNIT_ASSERT(server.heads.empty());
+        }
+    }
+
+    // Guards against a paused engine that is never resumed once the caller has read its output.
+    void sentOutputIsReported()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("request", [&] { return server.current != nullptr; });
+        server.current->beginStream(200, {});
+        const std::string block(65'536, 'a');
+        while (server.current->unsentBytes() == 0)
+            server.current->write(block);
+        CPPUNIT_ASSERT_EQUAL(0, server.drained);
+        m_loop.waitFor("sent output", [&] {
+            caller.receive();
+            return server.drained > 0;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.current->unsentBytes());
+    }
+
 private:
+    /** Bytes after which a caller that was not rejected counts as accepted. */
+    static constexpr std::size_t maxEndlessBytes = 67'108'864;
+
     tests::loopback m_loop;
 };
 
