Hold the ports of integration fleets until the fleet stops

The fixture released a node's ports before the node listened, and an engine's port was free after its kill, so another process could take it.

Change: the fixture keeps a bound socket that does not listen on each port; the node or stand-in listens there with SO_REUSEADDR. Engines and services get such a port too.

--- a/tests/integration/fleet.py
+++ b/tests/integration/fleet.py
@@ -25,7 +25,10 @@
         self.name = name
         self.upstream = upstream
         self.domain = domain
-        self.process, line = processes.start_listening([PROGRAMS.standin, kind])
+        # Held until the fleet stops, so that no other process listens there after a kill.
+        self.port = PortReservation()
+        self.process, line = processes.start_listening(
+            [PROGRAMS.standin, kind, "--listen", self.port.address])
         self.address = line.split()[-1]
         self.published_address = self.address
         if not proxied:
@@ -145,8 +148,6 @@
         path = os.path.join(self.folder.name, node.name)
         with open(path + ".settings.json", "w", encoding="utf-8") as file:
             json.dump(settings, file)
-        for port in node.ports:
-            port.release()
         with open(path + ".log", "w", encoding="utf-8") as log:
             node.process = self.processes.start(
                 [PROGRAMS.node, "serve", "--settings", path + ".settings.json"], log)
@@ -185,6 +186,9 @@
         for node in getattr(self, "nodes", []):
             for port in node.ports:
                 port.release()
+        for upstream in getattr(self, "engines", []) + [getattr(self, "service", None)]:
+            if upstream is not None:
+                upstream.port.release()
         self.folder.cleanup()
 
 
--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -21,7 +21,11 @@
 
 
 class PortReservation:
-    """A free loopback port, bound until release() so that no other process can take it."""
+    """
+    A free loopback port, bound until release(). Another process can listen on it, since this socket
+    does not listen and both set SO_REUSEADDR, but no process gets it as a free port. A connection
+    is refused while no process listens.
+    """
 
     def __init__(self):
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
