Draw the addresses of other domains at random

Cause: a response of the directory holds 64 addresses. Those of other failure domains followed in order of address, so in a fleet of more nodes the callers of all domains shared the same few nodes: computed for 295 nodes in 6 domains, 15 nodes get 4.6 times the average.

Change: the nodes of the caller's domain first, then the others, each in random order (selectCallerAddresses).

Weighed: addresses of the own domain only (fewer bytes between domains, but callers of a lost domain have no address left until they ask again, and shifted callers stay in one domain); not tried.

--- /dev/null
+++ b/src/dispatch/caller_addresses.cpp
@@ -0,0 +1,16 @@
+#include "dispatch/caller_addresses.h"
+
+#include <algorithm>
+
+namespace comfreypass::dispatch {
+
+void selectCallerAddresses(std::vector<caller_address> &addresses, std::size_t maxCount,
+                           std::minstd_rand &random)
+{
+    std::ranges::shuffle(addresses, random);
+    std::ranges::stable_partition(addresses, &caller_address::isNear);
+    if (addresses.size() > maxCount)
+        addresses.resize(maxCount);
+}
+
+} // namespace comfreypass::dispatch
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_node.h"
 
+#include "dispatch/caller_addresses.h"
 #include "gateway/status_codec.h"
 #include "observe/log_setup.h"
 #include "transport/clock.h"
@@ -221,17 +222,20 @@
     return drained || since > m_settings.gracePeriod - killMargin;
 }
 
-std::vector<std::string> gateway_node::callerAddresses(std::string_view domain) const
+std::vector<std::string> gateway_node::callerAddresses(std::string_view domain,
+                                                       std::size_t maxCount)
 {
+    std::vector<dispatch::caller_address> ready;
+    for (const dispatch::node_status *each : m_fleet.readyPeers(domain, monotonicNow()))
+        ready.push_back({each->address, each->callerPort, each->domain == domain});
+    if (this->ready())
+        ready.push_back({m_settings.callers.address, m_settings.callers.port,
+                         m_settings.domain == domain});
+    dispatch::selectCallerAddresses(ready, maxCount, m_random);
     std::vector<std::string> addresses;
-    const core::time_point now = monotonicNow();
-    const bool selfFirst = domain == m_settings.domain;
-    if (ready() && selfFirst)
-        addresses.push_back(m_settings.callers.text());
-    for (const dispatch::node_status *each : m_fleet.readyPeers(domain, now))
-        addresses.push_back(http1::endpoint{each->address, each->callerPort}.text());
-    if (ready() && !selfFirst)
-        addresses.push_back(m_settings.callers.text());
+    addresses.reserve(ready.size());
+    for (const dispatch::caller_address &each : ready)
+        addresses.push_back(http1::endpoint{each.address, each.port}.text());
     return addresses;
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -66,8 +66,8 @@
     /** Returns true while callers may use this node. */
     bool ready() const noexcept { return m_catalogue.routes() != nullptr && !m_leaving; }
 
-    /** Returns the addresses for callers in a failure domain, the nearest first. */
-    std::vector<std::string> callerAddresses(std::string_view domain) const;
+    /** Returns up to `maxCount` addresses for a caller in a failure domain, the nearest first. */
+    std::vector<std::string> callerAddresses(std::string_view domain, std::size_t maxCount);
 
     /** Adds seeds from changed settings. */
     void updateSeeds(const std::vector<std::uint32_t> &seeds);
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -112,8 +112,8 @@
         waitForAllAddresses();
         m_nodes[2]->node->leave();
         waitFor("two addresses",
-                [&] { return m_nodes[0]->node->callerAddresses("d1").size() == 2; });
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_nodes[2]->node->callerAddresses("d1").size());
+                [&] { return m_nodes[0]->node->callerAddresses("d1", 64).size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_nodes[2]->node->callerAddresses("d1", 64).size());
     }
 
 private:
@@ -157,7 +157,7 @@
     {
         waitFor("all addresses", [&] {
             for (const auto &each : m_nodes) {
-                if (each->node->callerAddresses("d1").size() != m_nodes.size())
+                if (each->node->callerAddresses("d1", 64).size() != m_nodes.size())
                     return false;
             }
             return true;
