Scale the unreachable timeout with the status interval

Cause: a status is sent every 4 ms for each peer, 1.18 s at 295 nodes, and a node counted as unreachable after 1.2 s. At 81 nodes the interval is 0.32 s.

Change: the timeout is 1.2 s, or three intervals if that is longer.

Measured: by test on virtual time.

Conclusion: a crash at 295 nodes is noticed after 3.5 s in place of 1.2 s, within the 8 s that the directory may name a node that has gone.

--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -16,6 +16,9 @@
  */
 constexpr std::size_t minReaders = 4;
 
+/** Status intervals without a status before a node is unreachable: two lost ones and a late one. */
+constexpr int toleratedIntervals = 3;
+
 /** Nodes per additional reader, since each reader forwards changes to its share of the nodes. */
 constexpr std::size_t nodesPerAdditionalReader = 64;
 
@@ -242,7 +245,12 @@
 
 bool fleet_view::isReachable(const fleet_member &member, core::time_point now) const
 {
-    return member.hasReported && now - member.lastSeenAt <= m_timeouts.unreachableAfter;
+    return member.hasReported && now - member.lastSeenAt <= unreachableAfter();
+}
+
+core::duration fleet_view::unreachableAfter() const
+{
+    return std::max(m_timeouts.unreachableAfter, m_statusInterval * toleratedIntervals);
 }
 
 } // namespace comfreypass::dispatch
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -19,7 +19,10 @@
 /** Timeouts of the status exchange between nodes. */
 struct fleet_timeouts
 {
-    /** Time without a status after which a node is unreachable; spans several lost messages. */
+    /**
+     * Minimum time without a status after which a node is unreachable. The time spans several lost
+     * messages, so it is longer if statuses are rarer; see fleet_view::setStatusInterval().
+     */
     core::duration unreachableAfter = std::chrono::milliseconds(1'200);
     /**
      * Time for which an unreachable node keeps its share of the fleet's bounds. A partitioned node
@@ -44,6 +47,9 @@
 public:
     fleet_view(std::uint32_t self, std::string domain, const fleet_timeouts &timeouts);
 
+    /** Sets the interval in which the nodes of the fleet send their statuses. */
+    void setStatusInterval(core::duration interval) { m_statusInterval = interval; }
+
     /** Adds a node that the settings or a peer named. */
     void addCandidate(std::uint32_t address, core::time_point now);
 
@@ -110,9 +116,12 @@
     const std::map<std::uint32_t, fleet_member> &members() const noexcept { return m_members; }
 
 private:
+    core::duration unreachableAfter() const;
+
     std::uint32_t m_self;
     std::string m_domain;
     fleet_timeouts m_timeouts;
+    core::duration m_statusInterval{};
     std::map<std::uint32_t, fleet_member> m_members;
     std::map<std::uint32_t, bool> m_unreachable;
 };
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -529,9 +529,11 @@
     for (const std::uint32_t peer : m_fleet.peers())
         m_peerSocket.send({peer, m_settings.peers.port}, bytes);
     m_admission.onPeerLoadsUpdated();
+    const core::duration interval = statusInterval();
+    m_fleet.setStatusInterval(interval);
     // On average, half the interval has passed since a peer's last status.
-    m_admission.setLoadAge(statusInterval() / 2);
-    m_statusTimer.startOnce(statusInterval());
+    m_admission.setLoadAge(interval / 2);
+    m_statusTimer.startOnce(interval);
 }
 
 core::duration gateway_node::statusInterval() const
--- a/tests/dispatch/fleet_view_test.cpp
+++ b/tests/dispatch/fleet_view_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(higherPrioritiesAtPeersAreCounted);
     CPPUNIT_TEST(outdatedUpdatesAreIgnored);
     CPPUNIT_TEST(leavingNodesAreNotActive);
+    CPPUNIT_TEST(lostStatusOfLargeFleetKeepsNodesReachable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +187,22 @@
         CPPUNIT_ASSERT_EQUAL(3U, activeNodes.at(1).address);
     }
 
+    // Guards against nodes that drop out of the fleet, with their share and callers, whenever one
+    // status is lost or late. In a fleet of 295 nodes a status is sent every 1.18 s.
+    void lostStatusOfLargeFleetKeepsNodesReachable()
+    {
+        fleet_view view(1, "d1", {});
+        view.setStatusInterval(1'180ms);
+        view.onStatus(status(2, 1), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.share(m_now + 2'500ms).reachable);
+        CPPUNIT_ASSERT(view.takeUnreachable(m_now + 2'500ms).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.share(m_now + 4s).reachable);
+        // Frequent statuses do not shorten the timeout.
+        view.setStatusInterval(150ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.share(m_now + 1'100ms).reachable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.share(m_now + 1'300ms).reachable);
+    }
+
 private:
     static node_status status(std::uint32_t address, std::uint64_t sequence)
     {
