Keep a large fleet subsetted when engines are lost; let seeds read at once

Change: four to six nodes for each engine, as many as give each node two engines; nodes that hashing leaves below two get further ones, up to eight for an engine. A node that is itself a seed waits 60 ms.

--- a/src/dispatch/engine_affinity.cpp
+++ b/src/dispatch/engine_affinity.cpp
@@ -17,13 +17,13 @@
  * Each additional node costs one message per start and completion at the engine. With fewer nodes,
  * the few engines of a node are too often full while others have free capacity.
  */
-constexpr std::size_t nodesPerEngine = 4;
+constexpr std::size_t minNodesPerEngine = 4;
 
-/**
- * Nodes in the failure domain of the engine, which keep traffic within the domain. The others serve
- * nodes whose domain has no usable engines.
- */
-constexpr std::size_t nodesPerEngineInDomain = 2;
+/** Limits the messages while many engines of a large fleet are out of service. */
+constexpr std::size_t maxNodesPerEngine = 6;
+
+/** Nodes per engine including those that would otherwise have too few engines. */
+constexpr std::size_t maxNodesPerEngineWithExtra = 8;
 
 /** With a single preferred engine, nodes would place most requests by outdated loads. */
 constexpr std::size_t minEnginesPerNode = 2;
@@ -42,6 +42,12 @@
     return (total + divisor - 1) / std::max<std::size_t>(divisor, 1);
 }
 
+/** Returns the number of nodes for each engine that gives every node its minimum of engines. */
+std::size_t nodesPerEngine(std::size_t nodes, std::size_t engines)
+{
+    return std::max(minNodesPerEngine, ceilDivide(nodes * minEnginesPerNode, engines));
+}
+
 /** Assigns nodes to one engine after another, with an upper bound on the engines per node. */
 class engine_assigner
 {
@@ -75,6 +81,20 @@
         assign(count, false, [maxPerNode](const std::string &) { return maxPerNode; });
     }
 
+    /** Adds engines to the nodes that hashing left with fewer than `count`. */
+    void addToNodesBelow(std::size_t count)
+    {
+        std::map<std::uint32_t, std::size_t> assigned;
+        for (const auto &[key, addresses] : m_result) {
+            for (const std::uint32_t address : addresses)
+                ++assigned[address];
+        }
+        for (const node_location &node : m_nodes) {
+            for (std::size_t number = assigned[node.address]; number < count; ++number)
+                addEngine(node);
+        }
+    }
+
     engine_affinity takeResult() { return std::move(m_result); }
 
 private:
@@ -108,6 +128,25 @@
         }
     }
 
+    // Adds the node to the engine with the lowest rank, in its own domain if possible.
+    void addEngine(const node_location &node)
+    {
+        const engine_location *best = nullptr;
+        for (const engine_location &each : m_engines) {
+            const std::vector<std::uint32_t> &addresses = m_result[each.key];
+            if (addresses.size() >= maxNodesPerEngineWithExtra
+                || std::ranges::find(addresses, node.address) != addresses.end())
+                continue;
+            const auto order = [&node](const engine_location &engine) {
+                return std::pair(engine.domain != node.domain, rankOf(engine, node));
+            };
+            if (best == nullptr || order(each) < order(*best))
+                best = &each;
+        }
+        if (best != nullptr)
+            m_result[best->key].push_back(node.address);
+    }
+
     std::span<const node_location> m_nodes;
     std::vector<engine_location> m_engines;
     std::map<std::string, std::size_t> m_nodesOf;
@@ -120,13 +159,17 @@
 engine_affinity assignEngines(std::span<const node_location> nodes,
                               std::span<const engine_location> engines)
 {
-    if (nodes.empty() || engines.size() * nodesPerEngine < nodes.size() * minEnginesPerNode)
+    const std::size_t count = nodesPerEngine(nodes.size(), engines.size());
+    if (nodes.empty() || count > maxNodesPerEngine)
         return {};
     const bool oneDomain = std::ranges::all_of(
         nodes, [&](const node_location &each) { return each.domain == nodes.front().domain; });
     engine_assigner assigner(nodes, engines);
-    assigner.assignInDomains(oneDomain ? nodesPerEngine : nodesPerEngineInDomain);
-    assigner.assignAcrossDomains(nodesPerEngine);
+    // Nodes in the domain of the engine keep traffic there; the others serve nodes whose domain has
+    // no usable engines.
+    assigner.assignInDomains(oneDomain ? count : count / 2);
+    assigner.assignAcrossDomains(count);
+    assigner.addToNodesBelow(minEnginesPerNode);
     return assigner.takeResult();
 }
 
--- a/src/dispatch/engine_affinity.h
+++ b/src/dispatch/engine_affinity.h
@@ -32,7 +32,7 @@
 using engine_affinity = std::unordered_map<engine_key, std::vector<std::uint32_t>>;
 
 /**
- * Assigns a few nodes to each engine of one upstream.
+ * Assigns four to eight nodes to each engine of one upstream.
  *
  * These nodes prefer the engine and receive each start and completion there immediately, so they
  * know its free slots almost exactly. A large fleet cannot send these updates to all nodes. Engines
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -58,7 +58,8 @@
 /**
  * A node that has just started waits for statuses of peers before it reads the source itself: a
  * long time if no peer is reachable, and a few round trips otherwise, since all nodes may have been
- * started together.
+ * started together. A seed does not wait for peers that nobody can reach yet, so after a restart of
+ * the whole fleet the others get the records from it.
  */
 constexpr core::duration startDelayWithoutPeers = 250ms;
 constexpr core::duration startDelayWithPeers = 60ms;
@@ -419,8 +420,11 @@
 {
     // A node that has just started waits for statuses of its peers first.
     const bool peersReachable = m_fleet.share(now).reachable > 1;
+    const bool isSeed
+        = std::ranges::find(m_settings.seeds, m_settings.peers.address) != m_settings.seeds.end();
+    const bool waitsLong = !peersReachable && !isSeed;
     const bool startDelayed
-        = now - m_startedAt < (peersReachable ? startDelayWithPeers : startDelayWithoutPeers);
+        = now - m_startedAt < (waitsLong ? startDelayWithoutPeers : startDelayWithPeers);
     const bool shouldRead = !startDelayed && m_fleet.isSourceReader(now);
     if (shouldRead != m_reading) {
         m_reading = shouldRead;
--- a/tests/dispatch/engine_affinity_test.cpp
+++ b/tests/dispatch/engine_affinity_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(lostNodeChangesFewAssignments);
     CPPUNIT_TEST(nodesOfALostDomainKeepEnginesElsewhere);
     CPPUNIT_TEST(tooFewEnginesAreNotSubsetted);
+    CPPUNIT_TEST(lostEnginesOfALargeFleetKeepItSubsetted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -93,6 +94,23 @@
         CPPUNIT_ASSERT(assignEngines({}, engines(4)).empty());
     }
 
+    // Guards against a large fleet that decides on outdated loads of all engines as soon as some
+    // engines are lost, and against nodes without engines: 163 engines suffice for four nodes each
+    // of 295, 135 do not.
+    void lostEnginesOfALargeFleetKeepItSubsetted()
+    {
+        for (const std::size_t remaining : {163U, 135U, 100U}) {
+            const engine_affinity assigned = assignEngines(nodes(295), engines(remaining));
+            CPPUNIT_ASSERT_EQUAL(remaining, assigned.size());
+            const auto numbers = enginesPerNode(assigned);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{295}, numbers.size());
+            for (const auto &[address, number] : numbers)
+                CPPUNIT_ASSERT(number >= 2);
+            for (const auto &[key, addresses] : assigned)
+                CPPUNIT_ASSERT(addresses.size() >= 4 && addresses.size() <= 8);
+        }
+    }
+
 private:
     static std::vector<node_location> nodes(std::size_t count)
     {
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(smallChangesAreForwarded);
     CPPUNIT_TEST(limitedNumberOfNodesReadTheSource);
     CPPUNIT_TEST(leavingNodeIsNotAdvertised);
+    CPPUNIT_TEST(lonelySeedReadsTheSourceFirst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +117,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_nodes[2]->node->callerAddresses("d1", 64).size());
     }
 
+    // Guards against a fleet that stays without a configuration after a restart of all nodes,
+    // because each of them waits for statuses of the others.
+    void lonelySeedReadsTheSourceFirst()
+    {
+        m_peerSocket = transport::freePort();
+        const std::vector<std::uint32_t> seeds = {address(1), address(9)};
+        for (const std::uint32_t i : {1U, 2U}) {
+            m_nodes.push_back(std::make_unique<test_node>(
+                m_loop.reactor(), address(i), transport::freePort(), m_peerSocket, seeds));
+            // The others never meet: each listens on a port of its own.
+            m_peerSocket = transport::freePort();
+        }
+        test_node &seed = *m_nodes[0];
+        test_node &other = *m_nodes[1];
+        CPPUNIT_ASSERT(seed.node->start() && other.node->start());
+        waitFor("the seed", [&] { return seed.source.starts > 0; });
+        CPPUNIT_ASSERT_EQUAL(0, other.source.starts);
+        waitFor("the other node", [&] { return other.source.starts > 0; });
+    }
+
 private:
     void start()
     {
