Let starting nodes wait for the records of seeds

Pages hold 50 records: each of 295 nodes listed the store by itself, since it waited 0.25 s for a peer, or 60 ms once it knew one, and then took itself for a reader in a fleet that it did not know yet.

Change: seeds read after 60 ms; other nodes after 1 s if a peer reads the source, after 0.5 s if none does. They get the records from peers meanwhile. limitedNumberOfNodesReadTheSource waits for the three readers in place of a fixed time; the number that it asserts is the same.

--- a/src/dispatch/caller_addresses.cpp
+++ b/src/dispatch/caller_addresses.cpp
@@ -8,7 +8,8 @@
                            std::minstd_rand &random)
 {
     std::ranges::shuffle(addresses, random);
-    std::ranges::stable_partition(addresses, &caller_address::isNear);
+    std::stable_partition(addresses.begin(), addresses.end(),
+                          [](const caller_address &each) { return each.isNear; });
     if (addresses.size() > maxCount)
         addresses.resize(maxCount);
 }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -62,13 +62,14 @@
 constexpr std::size_t maxPeerRecordsBytes = 16'777'216;
 
 /**
- * A node that has just started waits for statuses of peers before it reads the source itself: a
- * long time if no peer is reachable, and a few round trips otherwise, since all nodes may have been
- * started together. A seed does not wait for peers that nobody can reach yet, so after a restart of
- * the whole fleet the others get the records from it.
+ * A node that has just started waits before it reads the source itself, since all nodes may have
+ * been started together and each of them would list all records. A seed waits for a few round
+ * trips. The others get the records from it; they wait until they know the fleet if a peer reads
+ * the source, and for a late seed if none does.
  */
-constexpr core::duration startDelayWithoutPeers = 250ms;
-constexpr core::duration startDelayWithPeers = 60ms;
+constexpr core::duration startDelayOfSeed = 60ms;
+constexpr core::duration startDelayWithoutReader = 500ms;
+constexpr core::duration startDelayWithReader = 1s;
 
 /** Engines write their entries again within about 2 s after the source has recovered. */
 constexpr core::duration expiredEntryRetention = 2'400ms;
@@ -236,8 +237,8 @@
     for (const dispatch::node_status *each : m_fleet.readyPeers(domain, monotonicNow()))
         ready.push_back({each->address, each->callerPort, each->domain == domain});
     if (this->ready())
-        ready.push_back({m_settings.callers.address, m_settings.callers.port,
-                         m_settings.domain == domain});
+        ready.push_back(
+            {m_settings.callers.address, m_settings.callers.port, m_settings.domain == domain});
     dispatch::selectCallerAddresses(ready, maxCount, m_random);
     std::vector<std::string> addresses;
     addresses.reserve(ready.size());
@@ -422,16 +423,18 @@
                                    : dispatch::source_state::Working;
 }
 
-void gateway_node::updateSourceReading(core::time_point now)
+core::duration gateway_node::startDelay(core::time_point now) const
 {
-    // A node that has just started waits for statuses of its peers first.
-    const bool peersReachable = m_fleet.share(now).reachable > 1;
+    if (m_fleet.sourceAvailableAtPeer(now))
+        return startDelayWithReader;
     const bool isSeed
         = std::ranges::find(m_settings.seeds, m_settings.peers.address) != m_settings.seeds.end();
-    const bool waitsLong = !peersReachable && !isSeed;
-    const bool startDelayed
-        = now - m_startedAt < (waitsLong ? startDelayWithoutPeers : startDelayWithPeers);
-    const bool shouldRead = !startDelayed && m_fleet.isSourceReader(now);
+    return isSeed ? startDelayOfSeed : startDelayWithoutReader;
+}
+
+void gateway_node::updateSourceReading(core::time_point now)
+{
+    const bool shouldRead = now - m_startedAt >= startDelay(now) && m_fleet.isSourceReader(now);
     if (shouldRead != m_reading) {
         m_reading = shouldRead;
         m_available.fill(false);
@@ -599,8 +602,7 @@
     const bool hasConfiguration = m_catalogue.routes() != nullptr;
     if (hasConfiguration && now < m_nextPeerCheckAt)
         return;
-    m_nextPeerCheckAt
-        = now + peerCheckIntervalPerPeer * static_cast<int>(m_fleet.members().size());
+    m_nextPeerCheckAt = now + peerCheckIntervalPerPeer * static_cast<int>(m_fleet.members().size());
     m_subsetting.update(m_fleet.activeNodes(now));
     updateSourceReading(now);
     catchUpWithPeers(now);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -103,6 +103,7 @@
     void onPeerStatus(const http1::endpoint &from, dispatch::node_status received);
     void forwardUpdate(const record_update &update);
     std::uint64_t revisionOf(collection_id collection) const;
+    core::duration startDelay(core::time_point now) const;
     void updateSourceReading(core::time_point now);
     dispatch::source_state sourceState(core::time_point now) const;
 
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -89,9 +89,9 @@
         if (m_skipping)
             m_skippedBytes += consumed.value();
         // The parser leaves only an incomplete header, chunk header or trailer unconsumed.
-        const bool endless = m_skippedBytes > maxSkippedBytes
-                             || (!m_parser->complete()
-                                 && m_stream.input().size() > responseHeaderBytes);
+        const bool endless
+            = m_skippedBytes > maxSkippedBytes
+              || (!m_parser->complete() && m_stream.input().size() > responseHeaderBytes);
         if (endless) {
             fail(exchange_failure::Malformed);
             return;
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -72,8 +72,8 @@
     void closeAfterResponse() noexcept { m_closeAfterResponse = true; }
 
     /**
-     * Closes the connection, or responds 408, if it was idle, slow or closing for too long. The read
-     * timeout limits the time for a whole header, and each pause within a body.
+     * Closes the connection, or responds 408, if it was idle, slow or closing for too long. The
+     * read timeout limits the time for a whole header, and each pause within a body.
      */
     void checkTimeouts(core::time_point now);
 
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -99,11 +99,15 @@
     {
         start();
         waitForAllAddresses();
+        const auto readers = [this] {
+            int starts = 0;
+            for (const auto &each : m_nodes)
+                starts += each->source.starts;
+            return starts;
+        };
+        waitFor("readers", [&] { return readers() >= 3; });
         m_loop.runFor(500ms);
-        int readers = 0;
-        for (const auto &each : m_nodes)
-            readers += each->source.starts;
-        CPPUNIT_ASSERT_EQUAL(3, readers);
+        CPPUNIT_ASSERT_EQUAL(3, readers());
     }
 
     // Guards against sending callers to a node that is about to stop.
