--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -68,7 +68,7 @@
  * the source, and for a late seed if none does.
  */
 constexpr core::duration startDelayOfSeed = 60ms;
-constexpr core::duration startDelayWithoutReader = 500ms;
+constexpr core::duration startDelayWithoutReader = 250ms;
 constexpr core::duration startDelayWithReader = 1s;
 
 /** Engines write their entries again within about 2 s after the source has recovered. */
