Log from whom a record came and how long after its read it was applied

Cause: the logs could not distinguish the hypotheses on late changes: a node's line said what it applied, not whether it had read the record itself, had it forwarded or had fetched it, nor how old it was then, nor that it held a removal.

Change: configuration_applied, engine_added and engine_changed carry revision, via, peer and age_ms, engine_removed carries via and peer, and engine_removal_held is new. Records that a peer sends carry their age in the message.

Conclusion: no decision changes.

--- a/src/dispatch/published_record.h
+++ b/src/dispatch/published_record.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/time_point.h"
+
 #include <cstdint>
 #include <string>
 
@@ -11,6 +13,8 @@
     std::string key;
     std::uint64_t revision = 0;
     std::string value;
+    /** When a node read the record from its source, on the clock of this node; 0 if unknown. */
+    core::time_point readAt{};
 
     bool operator==(const published_record &) const = default;
 };
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -1,8 +1,10 @@
 #include "gateway/catalogue.h"
 
+#include "http1/endpoint.h"
 #include "observe/log_setup.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 #include <variant>
 
@@ -11,6 +13,21 @@
 using observe::log_level;
 using observe::logEvent;
 
+namespace {
+
+std::string_view toString(record_origin::path path) noexcept
+{
+    static constexpr std::array<std::string_view, 3> names = {"source", "update", "fetch"};
+    return names.at(static_cast<std::size_t>(path));
+}
+
+std::string millisecondsText(core::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
 catalogue::catalogue(const record_decoder &decoder, dispatch::engine_registry &registry,
                      change_function changed)
     : m_decoder(decoder), m_registry(registry), m_changed(std::move(changed))
@@ -19,13 +36,13 @@
 void catalogue::onWritten(collection_id collection, dispatch::published_record record,
                           core::time_point now)
 {
-    apply(m_collections.at(static_cast<std::size_t>(collection)).write(std::move(record)), now);
+    apply(m_collections.at(static_cast<std::size_t>(collection)).write(std::move(record)), {}, now);
 }
 
 void catalogue::onRemoved(collection_id collection, std::string_view key, std::uint64_t revision,
                           core::time_point now)
 {
-    apply(m_collections.at(static_cast<std::size_t>(collection)).remove(key, revision), now);
+    apply(m_collections.at(static_cast<std::size_t>(collection)).remove(key, revision), {}, now);
 }
 
 void catalogue::onSnapshot(collection_id collection,
@@ -34,7 +51,7 @@
 {
     apply(m_collections.at(static_cast<std::size_t>(collection))
               .replaceAll(std::move(records), revision),
-          now);
+          {}, now);
 }
 
 void catalogue::holdRemovalsUntil(core::time_point end)
@@ -42,29 +59,33 @@
     m_removalsHeldUntil = std::max(m_removalsHeldUntil, end);
 }
 
-void catalogue::onPeerUpdate(const record_update &update, core::time_point now)
+void catalogue::onPeerUpdate(const record_update &update, std::uint32_t peer, core::time_point now)
 {
     if (update.collection >= m_collections.size())
         return;
     dispatch::record_collection &target = m_collections.at(update.collection);
-    const dispatch::published_record &record = update.record;
+    dispatch::published_record record = update.record;
+    // Readers forward changes immediately.
+    record.readAt = now;
     apply(update.removed ? target.removeAfter(update.previous, record.key, record.revision)
                          : target.writeAfter(update.previous, record),
-          now);
+          {record_origin::path::Update, peer}, now);
 }
 
-void catalogue::onPeerRecords(std::span<const collection_snapshot> snapshots, core::time_point now)
+void catalogue::onPeerRecords(std::span<const collection_snapshot> snapshots, std::uint32_t peer,
+                              core::time_point now)
 {
+    const record_origin origin{record_origin::path::Fetch, peer};
     for (std::size_t i = 0; i < snapshots.size() && i < m_collections.size(); ++i) {
         const collection_snapshot &snapshot = snapshots[i];
         dispatch::record_collection &target = m_collections.at(i);
         if (snapshot.complete) {
-            apply(target.replaceAll(snapshot.records, snapshot.revision), now);
+            apply(target.replaceAll(snapshot.records, snapshot.revision), origin, now);
         } else {
             for (const dispatch::published_record &record : snapshot.records)
-                apply(target.write(record), now);
+                apply(target.write(record), origin, now);
             for (const auto &[key, revision] : snapshot.removed)
-                apply(target.remove(key, revision), now);
+                apply(target.remove(key, revision), origin, now);
         }
         target.advance(snapshot.revision);
     }
@@ -78,6 +99,7 @@
             ++each;
             continue;
         }
+        m_change = {};
         removeEngine(each->first, "engine entry expired");
         each = m_expired.erase(each);
         removed = true;
@@ -94,12 +116,21 @@
     return result;
 }
 
-void catalogue::apply(const dispatch::record_changes &changes, core::time_point now)
+void catalogue::apply(const dispatch::record_changes &changes, const record_origin &origin,
+                      core::time_point now)
 {
     if (changes.empty())
         return;
-    for (const dispatch::published_record &record : changes.written)
+    m_change = {.via = std::string(toString(origin.via)),
+                .peer = origin.peer == 0 ? "" : http1::addressText(origin.peer),
+                .revision = "",
+                .ageMs = ""};
+    for (const dispatch::published_record &record : changes.written) {
+        m_change.revision = std::to_string(record.revision);
+        m_change.ageMs
+            = record.readAt == core::time_point{} ? "" : millisecondsText(now - record.readAt);
         applyWritten(record, now);
+    }
     for (const std::string &key : changes.removed)
         applyRemoved(key, now);
     m_changed();
@@ -140,10 +171,17 @@
     const std::string_view id = m_decoder.engineOfKey(key);
     if (id.empty())
         return;
-    if (m_removalsHeldUntil > now)
+    if (m_removalsHeldUntil > now) {
         m_expired.try_emplace(std::string(id), m_removalsHeldUntil);
-    else
-        removeEngine(id, "engine entry was removed");
+        logEvent(log_level::Info, "engine_removal_held",
+                 "keeping an engine whose entry may only have expired during an outage",
+                 {{"engine", id},
+                  {"held_ms", millisecondsText(m_removalsHeldUntil - now)},
+                  {"via", m_change.via},
+                  {"peer", m_change.peer}});
+        return;
+    }
+    removeEngine(id, "engine entry was removed");
 }
 
 void catalogue::applyConfiguration(dispatch::configuration settings)
@@ -154,7 +192,11 @@
              {{"version", std::to_string(settings.version)},
               {"before", std::to_string(m_routes ? m_routes->settings().version : 0)},
               {"routes", std::to_string(settings.routes.size())},
-              {"teams", std::to_string(settings.teams.size())}});
+              {"teams", std::to_string(settings.teams.size())},
+              {"revision", m_change.revision},
+              {"via", m_change.via},
+              {"peer", m_change.peer},
+              {"age_ms", m_change.ageMs}});
     m_routes = std::make_shared<const dispatch::routing_index>(std::move(settings));
     for (const dispatch::upstream_settings &each : m_routes->settings().upstreams)
         m_registry.updateSettings(each.name, each);
@@ -173,7 +215,11 @@
                   {"address", entry.address},
                   {"domain", entry.domain},
                   {"draining", entry.draining ? "true" : "false"},
-                  {"cold_ms", std::to_string(entry.coldRemaining.count() / 1'000)}});
+                  {"cold_ms", std::to_string(entry.coldRemaining.count() / 1'000)},
+                  {"revision", m_change.revision},
+                  {"via", m_change.via},
+                  {"peer", m_change.peer},
+                  {"age_ms", m_change.ageMs}});
     m_registry.update(entry, m_routes ? m_routes->upstream(entry.upstream) : nullptr, now);
 }
 
@@ -181,7 +227,8 @@
 {
     if (m_registry.find(id) == nullptr)
         return;
-    logEvent(log_level::Info, "engine_removed", why, {{"engine", id}});
+    logEvent(log_level::Info, "engine_removed", why,
+             {{"engine", id}, {"via", m_change.via}, {"peer", m_change.peer}});
     m_registry.remove(id);
 }
 
--- a/src/gateway/catalogue.h
+++ b/src/gateway/catalogue.h
@@ -9,6 +9,7 @@
 #include "gateway/status_codec.h"
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +20,23 @@
 
 namespace comfreypass::gateway {
 
+/** How a change of a record reached this node. */
+struct record_origin
+{
+    enum class path : std::uint8_t {
+        /** Read from the source by this node. */
+        Source,
+        /** Forwarded by the peer that read it. */
+        Update,
+        /** Fetched from a peer. */
+        Fetch,
+    };
+
+    path via = path::Source;
+    /** The peer that sent the change; 0 if this node read it. */
+    std::uint32_t peer = 0;
+};
+
 /**
  * Merges published records from the source and from peers, and derives the active configuration,
  * the engines and the evacuated failure domains from them.
@@ -51,10 +69,11 @@
     void holdRemovalsUntil(core::time_point end);
 
     /** Applies a change that a peer read from the source. */
-    void onPeerUpdate(const record_update &update, core::time_point now);
+    void onPeerUpdate(const record_update &update, std::uint32_t peer, core::time_point now);
 
     /** Merges the records of a peer. */
-    void onPeerRecords(std::span<const collection_snapshot> snapshots, core::time_point now);
+    void onPeerRecords(std::span<const collection_snapshot> snapshots, std::uint32_t peer,
+                       core::time_point now);
 
     /** Removes the engines whose entries were not written again in time. */
     void removeExpiredEngines(core::time_point now);
@@ -74,7 +93,18 @@
     std::vector<std::uint64_t> revisions() const;
 
 private:
-    void apply(const dispatch::record_changes &changes, core::time_point now);
+    /** Describes the change that is being applied, as fields of log lines. */
+    struct change_fields
+    {
+        std::string via;
+        std::string peer;
+        std::string revision;
+        /** Time since a node read the record from the source; empty if unknown. */
+        std::string ageMs;
+    };
+
+    void apply(const dispatch::record_changes &changes, const record_origin &origin,
+               core::time_point now);
     void applyWritten(const dispatch::published_record &record, core::time_point now);
     void applyRemoved(const std::string &key, core::time_point now);
     void applyConfiguration(dispatch::configuration settings);
@@ -84,6 +114,7 @@
     const record_decoder &m_decoder;
     dispatch::engine_registry &m_registry;
     change_function m_changed;
+    change_fields m_change;
     std::array<dispatch::record_collection, collectionCount> m_collections;
     std::shared_ptr<const dispatch::routing_index> m_routes;
     core::time_point m_removalsHeldUntil{};
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using http1::addressText;
 using observe::log_level;
 using observe::logEvent;
 using transport::monotonicNow;
@@ -100,12 +101,6 @@
     return (std::uint64_t{entropy()} << 32U) | entropy();
 }
 
-std::string addressText(std::uint32_t address)
-{
-    const std::string text = http1::endpoint{address, 1}.text();
-    return text.substr(0, text.find(':'));
-}
-
 } // namespace
 
 /** Fetches the records of a peer. */
@@ -129,14 +124,15 @@
     {
         constexpr unsigned ok = 200;
         m_node.m_fetching = false;
-        const auto records = decodeRecords(m_body);
+        const core::time_point now = monotonicNow();
+        const auto records = decodeRecords(m_body, now);
         const bool complete = m_status == ok && result.complete && records.has_value();
         logEvent(complete ? log_level::Info : log_level::Warning, "records_from_peer",
                  complete ? "fetched the published records from a peer"
                           : "could not fetch the published records from a peer",
                  {{"peer", addressText(m_peer)}, {"detail", result.detail}});
         if (complete)
-            m_node.m_catalogue.onPeerRecords(records.value(), monotonicNow());
+            m_node.m_catalogue.onPeerRecords(records.value(), m_peer, now);
     }
 
 private:
@@ -257,7 +253,7 @@
 
 std::string gateway_node::recordsSince(std::span<const std::uint64_t> revisions) const
 {
-    return encodeRecords(m_catalogue.collections(), revisions);
+    return encodeRecords(m_catalogue.collections(), revisions, monotonicNow());
 }
 
 void gateway_node::refreshMetrics()
@@ -348,11 +344,13 @@
 
 void gateway_node::onWritten(collection_id collection, dispatch::published_record record)
 {
+    const core::time_point now = monotonicNow();
+    record.readAt = now;
     const record_update update{.collection = static_cast<std::size_t>(collection),
                                .previous = revisionOf(collection),
                                .record = record,
                                .removed = false};
-    m_catalogue.onWritten(collection, std::move(record), monotonicNow());
+    m_catalogue.onWritten(collection, std::move(record), now);
     forwardUpdate(update);
 }
 
@@ -392,8 +390,11 @@
                               std::vector<dispatch::published_record> records,
                               std::uint64_t revision)
 {
+    const core::time_point now = monotonicNow();
+    for (dispatch::published_record &record : records)
+        record.readAt = now;
     const std::uint64_t before = revisionOf(collection);
-    m_catalogue.onSnapshot(collection, std::move(records), revision, monotonicNow());
+    m_catalogue.onSnapshot(collection, std::move(records), revision, now);
     // Peers that have just started wait for the new revision.
     if (revisionOf(collection) != before)
         sendStatus();
@@ -478,7 +479,7 @@
     if (auto *status = std::get_if<dispatch::node_status>(&decoded.value()))
         onPeerStatus(from, std::move(*status));
     else if (const auto *update = std::get_if<record_update>(&decoded.value()))
-        m_catalogue.onPeerUpdate(*update, monotonicNow());
+        m_catalogue.onPeerUpdate(*update, from.address, monotonicNow());
     else if (const auto *update = std::get_if<dispatch::engine_update>(&decoded.value()))
         onPeerEngineUpdate(from, *update);
 }
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet.pb.h"
 
+#include <chrono>
 #include <utility>
 
 namespace comfreypass::gateway {
@@ -38,16 +39,24 @@
     return status;
 }
 
-void writeRecord(const dispatch::published_record &record, fleet::Record &target)
+void writeRecord(const dispatch::published_record &record, fleet::Record &target,
+                 core::time_point now = {})
 {
+    using std::chrono::milliseconds;
+    if (record.readAt != core::time_point{} && now > record.readAt)
+        target.set_age_ms(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(now - record.readAt).count()));
     target.set_key(record.key);
     target.set_revision(record.revision);
     target.set_value(record.value);
 }
 
-dispatch::published_record readRecord(const fleet::Record &source)
+dispatch::published_record readRecord(const fleet::Record &source, core::time_point now = {})
 {
-    return {source.key(), source.revision(), source.value()};
+    dispatch::published_record record{source.key(), source.revision(), source.value()};
+    if (now != core::time_point{})
+        record.readAt = now - std::chrono::milliseconds(source.age_ms());
+    return record;
 }
 
 record_update readUpdate(const fleet::RecordUpdate &message)
@@ -165,7 +174,7 @@
 }
 
 std::string encodeRecords(std::span<const dispatch::record_collection> collections,
-                          std::span<const std::uint64_t> since)
+                          std::span<const std::uint64_t> since, core::time_point now)
 {
     fleet::RecordSnapshot message;
     for (std::size_t i = 0; i < collections.size(); ++i) {
@@ -176,11 +185,11 @@
         target.set_whole(!difference);
         if (!difference) {
             for (const auto &[key, record] : collection.records())
-                writeRecord(record, *target.add_records());
+                writeRecord(record, *target.add_records(), now);
             continue;
         }
         for (const dispatch::published_record &record : difference->written)
-            writeRecord(record, *target.add_records());
+            writeRecord(record, *target.add_records(), now);
         for (const auto &[key, revision] : difference->removed) {
             fleet::Removal &removal = *target.add_removals();
             removal.set_key(key);
@@ -190,7 +199,8 @@
     return message.SerializeAsString();
 }
 
-core::result<std::vector<collection_snapshot>> decodeRecords(std::string_view bytes)
+core::result<std::vector<collection_snapshot>> decodeRecords(std::string_view bytes,
+                                                             core::time_point now)
 {
     fleet::RecordSnapshot message;
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
@@ -201,7 +211,7 @@
         target.revision = source.revision();
         target.complete = source.whole();
         for (const fleet::Record &entry : source.records())
-            target.records.push_back(readRecord(entry));
+            target.records.push_back(readRecord(entry, now));
         for (const fleet::Removal &entry : source.removals())
             target.removed[entry.key()] = entry.revision();
     }
--- a/src/gateway/status_codec.h
+++ b/src/gateway/status_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "core/time_point.h"
 #include "dispatch/fleet_member.h"
 #include "dispatch/record_collection.h"
 
@@ -53,9 +54,10 @@
  * records where that revision is 0, missing or too old. Thread-safe.
  */
 std::string encodeRecords(std::span<const dispatch::record_collection> collections,
-                          std::span<const std::uint64_t> since);
+                          std::span<const std::uint64_t> since, core::time_point now);
 
-/** Error: ParseFailed. Thread-safe. */
-core::result<std::vector<collection_snapshot>> decodeRecords(std::string_view bytes);
+/** `now` dates the ages of the records. Error: ParseFailed. Thread-safe. */
+core::result<std::vector<collection_snapshot>> decodeRecords(std::string_view bytes,
+                                                             core::time_point now);
 
 } // namespace comfreypass::gateway
--- a/src/http1/endpoint.cpp
+++ b/src/http1/endpoint.cpp
@@ -28,11 +28,16 @@
 }
 
 std::string endpoint::text() const
+{
+    return addressText(address) + ":" + std::to_string(port);
+}
+
+std::string addressText(std::uint32_t address)
 {
     const in_addr raw{htonl(address)};
     std::array<char, INET_ADDRSTRLEN> buffer{};
     inet_ntop(AF_INET, &raw, buffer.data(), buffer.size());
-    return std::string(buffer.data()) + ":" + std::to_string(port);
+    return buffer.data();
 }
 
 } // namespace comfreypass::http1
--- a/src/http1/endpoint.h
+++ b/src/http1/endpoint.h
@@ -23,4 +23,7 @@
     std::string text() const;
 };
 
+/** Returns the text form of an IPv4 address in host byte order. Thread-safe. */
+std::string addressText(std::uint32_t address);
+
 } // namespace comfreypass::http1
--- a/tests/gateway/catalogue_test.cpp
+++ b/tests/gateway/catalogue_test.cpp
@@ -74,7 +74,7 @@
         m_decoder.contents["new"] = dispatch::engine_entry{.id = "e2", .upstream = "u"};
         const std::vector<collection_snapshot> snapshots
             = {{.revision = 0}, {.revision = 8, .records = {{"engine/e2", 8, "new"}}}};
-        m_catalogue.onPeerRecords(snapshots, m_now);
+        m_catalogue.onPeerRecords(snapshots, m_peer, m_now);
         CPPUNIT_ASSERT(m_registry.find("e1") == nullptr);
         CPPUNIT_ASSERT(m_registry.find("e2") != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, m_catalogue.revisions().at(1));
@@ -86,15 +86,16 @@
         writeEngine("e1", 5);
         m_decoder.contents["new"] = dispatch::engine_entry{.id = "e2", .upstream = "u"};
         m_catalogue.onPeerUpdate(
-            {.collection = 1, .previous = 7, .record = {"engine/e2", 8, "new"}}, m_now);
+            {.collection = 1, .previous = 7, .record = {"engine/e2", 8, "new"}}, m_peer, m_now);
         CPPUNIT_ASSERT(m_registry.find("e2") != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, m_catalogue.revisions().at(1));
         m_catalogue.onPeerUpdate(
             {.collection = 1, .previous = 5, .record = {"engine/e1", 9, ""}, .removed = true},
-            m_now);
+            m_peer, m_now);
         CPPUNIT_ASSERT(m_registry.find("e1") == nullptr);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, m_catalogue.revisions().at(1));
-        m_catalogue.onPeerUpdate({.collection = 9, .previous = 0, .record = {"x", 1, ""}}, m_now);
+        m_catalogue.onPeerUpdate({.collection = 9, .previous = 0, .record = {"x", 1, ""}}, m_peer,
+                                 m_now);
     }
 
 private:
@@ -113,6 +114,7 @@
         m_catalogue.onWritten(collection_id::Engines, {"engine/" + id, revision, id}, m_now);
     }
 
+    static constexpr std::uint32_t m_peer = 0x0a01'0002;
     core::time_point m_now{10h};
     tests::plain_records m_decoder;
     dispatch::engine_registry m_registry{"d1", 1};
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -3,10 +3,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <chrono>
 #include <string>
 
 using namespace comfreypass;
 using namespace comfreypass::gateway;
+using namespace std::chrono_literals;
 
 class status_codec_test : public CppUnit::TestFixture
 {
@@ -79,13 +81,13 @@
         CPPUNIT_ASSERT(update.ejected == received.ejected);
     }
 
-    // Guards against a record that is modified in transmission.
+    // Guards against a record that is modified in transmission, or whose age is lost.
     void recordsRoundTrip()
     {
         std::array<dispatch::record_collection, 2> collections;
-        collections[0].write({"op", 4, std::string("\0\xff{}", 4)});
+        collections[0].write({"op", 4, std::string("\0\xff{}", 4), m_now - 300ms});
         collections[1].write({"e", 9, "x"});
-        const auto decoded = decodeRecords(encodeRecords(collections, {}));
+        const auto decoded = decodeRecords(encodeRecords(collections, {}, m_now), m_now);
         CPPUNIT_ASSERT(decoded);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decoded.value().size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, decoded.value()[1].revision);
@@ -102,7 +104,7 @@
         collections[0].remove("b", 7);
         collections[1].write({"e", 9, "x"});
         const std::array<std::uint64_t, 2> since = {5, 9};
-        const auto decoded = decodeRecords(encodeRecords(collections, since));
+        const auto decoded = decodeRecords(encodeRecords(collections, since, m_now), m_now);
         CPPUNIT_ASSERT(decoded);
         const collection_snapshot &first = decoded.value().at(0);
         CPPUNIT_ASSERT(!first.complete);
@@ -135,8 +137,11 @@
     {
         CPPUNIT_ASSERT(!decodeMessage(""));
         CPPUNIT_ASSERT(!decodeMessage("GET / HTTP/1.1\r\n\r\n"));
-        CPPUNIT_ASSERT(!decodeRecords("\xff\xff\xff"));
+        CPPUNIT_ASSERT(!decodeRecords("\xff\xff\xff", m_now));
     }
+
+private:
+    core::time_point m_now{10h};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(status_codec_test);
