Hold removed engines only when a call to the source has failed

Cause: callers' requests reached an engine 2,026 to 2,272 ms after it had left (DRAIN, bound 2,000 ms). A node that started to read reported the source as lost until its first watch was answered, up to 1.6 s. With all readers new, every node took this for an outage and kept removed engines for 2.4 s; a peer that recovered extended that again. Ruled out: a late or lost update (the node read the removal itself).

Change: source_monitor keeps "not answered yet" apart from "lost"; a removal is held until a fixed time after the last moment of the outage. The first watch of a reader returns at once, so that it is known within milliseconds whether the store answers.

Measured: engineRemovedWhileReadersStartIsDropped and newReaderLearnsAtOnceThatTheStoreAnswers failed before (engine still there; no answer known), pass now.

Conclusion: the class of fault is missing evidence taken for evidence of a failure.

--- a/src/dispatch/fleet_member.h
+++ b/src/dispatch/fleet_member.h
@@ -14,8 +14,8 @@
     NotRead,
     Working,
     Lost,
-    /** Available again after an outage; expired entries may still be written again. */
-    Recovering,
+    /** Started reading and has no answer yet, which is no evidence of an outage. */
+    Starting = 4,
 };
 
 /** Status message that a node sends to its peers several times per second. */
--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -223,12 +223,10 @@
     });
 }
 
-bool fleet_view::sourceDegradedAtPeer(core::time_point now) const
+bool fleet_view::sourceLostAtPeer(core::time_point now) const
 {
     return std::ranges::any_of(m_members, [&](const auto &entry) {
-        const source_state state = entry.second.status.source;
-        return isReachable(entry.second, now)
-               && (state == source_state::Lost || state == source_state::Recovering);
+        return isReachable(entry.second, now) && entry.second.status.source == source_state::Lost;
     });
 }
 
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -102,8 +102,8 @@
     /** Returns true if a reachable peer reads the source without an outage. */
     bool sourceAvailableAtPeer(core::time_point now) const;
 
-    /** Returns true if a reachable peer has lost the source or observes its recovery. */
-    bool sourceDegradedAtPeer(core::time_point now) const;
+    /** Returns true if the source does not answer a reachable peer. */
+    bool sourceLostAtPeer(core::time_point now) const;
 
     /**
      * Returns the number of requests of an upstream queued at reachable peers with at least this
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -74,9 +74,6 @@
 constexpr core::duration startDelayWithoutReader = 250ms;
 constexpr core::duration startDelayWithReader = 1s;
 
-/** Engines write their entries again within about 2 s after the source has recovered. */
-constexpr core::duration expiredEntryRetention = 2'400ms;
-
 /** A larger change is not sent, since its datagram would be fragmented; peers fetch it instead. */
 constexpr std::size_t maxUpdateBytes = 1'200;
 
@@ -408,24 +405,10 @@
                        : "the source of published records is unavailable",
              {{"collection", collection == collection_id::Engines ? "engines" : "operators"},
               {"detail", detail}});
-    const core::time_point now = monotonicNow();
-    bool &wasAvailable = m_available.at(static_cast<std::size_t>(collection));
-    if (available && !wasAvailable && !m_fleet.sourceAvailableAtPeer(now))
-        m_recoveringUntil = now + expiredEntryRetention;
-    wasAvailable = available;
+    m_source.onAvailability(collection, available);
     sendStatus();
 }
 
-dispatch::source_state gateway_node::sourceState(core::time_point now) const
-{
-    if (!m_reading)
-        return dispatch::source_state::NotRead;
-    if (std::ranges::find(m_available, false) != m_available.end())
-        return dispatch::source_state::Lost;
-    return now < m_recoveringUntil ? dispatch::source_state::Recovering
-                                   : dispatch::source_state::Working;
-}
-
 core::duration gateway_node::startDelay(core::time_point now) const
 {
     if (m_fleet.sourceAvailableAtPeer(now))
@@ -438,9 +421,8 @@
 void gateway_node::updateSourceReading(core::time_point now)
 {
     const bool shouldRead = now - m_startedAt >= startDelay(now) && m_fleet.isSourceReader(now);
-    if (shouldRead != m_reading) {
-        m_reading = shouldRead;
-        m_available.fill(false);
+    if (shouldRead != m_source.reading()) {
+        m_source.setReading(shouldRead);
         logEvent(log_level::Info, shouldRead ? "reading_started" : "reading_stopped",
                  shouldRead ? "started reading the published records from the source"
                             : "stopped reading the source; peers provide the published records",
@@ -450,13 +432,8 @@
         else
             m_records.stop();
     }
-    const dispatch::source_state own = sourceState(now);
-    const bool sourceAvailable
-        = own == dispatch::source_state::Working || m_fleet.sourceAvailableAtPeer(now);
-    const bool sourceDegraded
-        = own != dispatch::source_state::NotRead || m_fleet.sourceDegradedAtPeer(now);
-    if (!sourceAvailable && sourceDegraded)
-        m_catalogue.holdRemovalsUntil(now + expiredEntryRetention);
+    m_catalogue.holdRemovalsUntil(m_source.removalsHeldUntil(m_fleet.sourceAvailableAtPeer(now),
+                                                             m_fleet.sourceLostAtPeer(now), now));
 }
 
 void gateway_node::onCatalogueChanged()
@@ -570,7 +547,7 @@
     result.leaving = m_leaving;
     result.sequence = ++m_sequence;
     result.revisions = m_catalogue.revisions();
-    result.source = sourceState(monotonicNow());
+    result.source = m_source.state();
     result.loads = m_registry.ownLoads();
     result.latencies = m_registry.takeNewLatencies(maxLatenciesPerStatus);
     addChangedUsage(result, full);
@@ -660,7 +637,7 @@
     m_behindSince = now;
     // A random one, so that the nodes behind do not all fetch from the same peer.
     fetchFromPeer(*newer[m_random() % newer.size()]);
-    for (std::size_t i = 0; m_reading && i < revisions.size(); ++i) {
+    for (std::size_t i = 0; m_source.reading() && i < revisions.size(); ++i) {
         if (!m_fleet.peersAhead(i, revisions[i], now).empty())
             m_records.restart(static_cast<collection_id>(i));
     }
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -17,6 +17,7 @@
 #include "gateway/record_decoder.h"
 #include "gateway/record_source.h"
 #include "gateway/request_flow.h"
+#include "gateway/source_monitor.h"
 #include "gateway/udp_socket.h"
 #include "http1/deferred_deleter.h"
 #include "http1/listener.h"
@@ -27,7 +28,6 @@
 
 #include <ace/Reactor.h>
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -105,7 +105,6 @@
     std::uint64_t revisionOf(collection_id collection) const;
     core::duration startDelay(core::time_point now) const;
     void updateSourceReading(core::time_point now);
-    dispatch::source_state sourceState(core::time_point now) const;
 
     void onPeerEngineUpdate(const http1::endpoint &from, const dispatch::engine_update &update);
     void sendEngineUpdates();
@@ -167,9 +166,7 @@
     core::time_point m_behindSince{};
     bool m_fetching = false;
     core::time_point m_startedAt{};
-    bool m_reading = false;
-    std::array<bool, collectionCount> m_available{};
-    core::time_point m_recoveringUntil{};
+    source_monitor m_source;
     bool m_startingQueued = false;
 
     bool m_leaving = false;
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -34,7 +34,7 @@
     for (const fleet::Waiting &entry : message.queues())
         status.queues.push_back({entry.upstream(), entry.count(), entry.most_urgent()});
     status.knownNodes.assign(message.known().begin(), message.known().end());
-    if (message.source() >= fleet::NOT_READ && message.source() <= fleet::RECOVERING)
+    if (fleet::SourceState_IsValid(message.source()))
         status.source = static_cast<dispatch::source_state>(message.source());
     return status;
 }
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(limitedNumberOfNodesReadTheSource);
     CPPUNIT_TEST(leavingNodeIsNotAdvertised);
     CPPUNIT_TEST(lonelySeedReadsTheSourceFirst);
+    CPPUNIT_TEST(engineRemovedWhileReadersStartIsDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,6 +142,22 @@
         waitFor("the other node", [&] { return other.source.starts > 0; });
     }
 
+    // Guards against requests to an engine that has left while all readers of the source are new.
+    void engineRemovedWhileReadersStartIsDropped()
+    {
+        start();
+        waitForAllAddresses();
+        test_node &reader = *m_nodes[0];
+        waitFor("reading", [&] { return reader.source.starts > 0; });
+        reader.write(gateway::collection_id::Engines, "engine/e1", 11,
+                     dispatch::engine_entry{.id = "e1", .upstream = "u"});
+        reader.events().onAvailability(gateway::collection_id::Engines, true, "");
+        m_loop.runFor(100ms);
+        CPPUNIT_ASSERT_EQUAL(1.0, enginesOf(reader));
+        reader.events().onRemoved(gateway::collection_id::Engines, "engine/e1", 12);
+        CPPUNIT_ASSERT_EQUAL(0.0, enginesOf(reader));
+    }
+
 private:
     void start()
     {
@@ -178,6 +195,12 @@
         return node.metrics.value(observe::metric::GatewayConfigurationVersion, {});
     }
 
+    static double enginesOf(test_node &node)
+    {
+        node.node->refreshMetrics();
+        return node.metrics.value(observe::metric::GatewayEngines, {});
+    }
+
     void waitForAllAddresses()
     {
         waitFor("all addresses", [&] {
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -39,7 +39,7 @@
         status.latencies = {{9, 0.5, 0.25}};
         status.queues = {{"u", 3, 17}};
         status.knownNodes = {1, 2};
-        status.source = dispatch::source_state::Recovering;
+        status.source = dispatch::source_state::Starting;
         const auto decoded = decodeMessage(encodeStatus(status));
         CPPUNIT_ASSERT(decoded);
         const auto &received = std::get<dispatch::node_status>(decoded.value());
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(restartListsAgain);
     CPPUNIT_TEST(knownRevisionIsWatchedWithoutList);
     CPPUNIT_TEST(stalledWatchIsRetried);
+    CPPUNIT_TEST(newReaderLearnsAtOnceThatTheStoreAnswers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +158,19 @@
             CPPUNIT_ASSERT(milliseconds > 0 && milliseconds <= 1'000);
     }
 
+    // Guards against a new reader that does not know until its first change whether it is
+    // connected.
+    void newReaderLearnsAtOnceThatTheStoreAnswers()
+    {
+        m_holdsLongWatches = true;
+        const std::vector<std::uint64_t> known = {0, 7};
+        m_client->start(m_events, known);
+        m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
+        CPPUNIT_ASSERT(m_events.has("available"));
+        CPPUNIT_ASSERT(!m_events.has("lost"));
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), m_watched.at(1));
+    }
+
 private:
     void respond(transport::http_exchange &exchange)
     {
@@ -195,6 +209,12 @@
     {
         m_watched.push_back(exchange.request().arguments.at("After"));
         m_watchMilliseconds.push_back(std::stoi(exchange.request().arguments.at("WaitMs")));
+        constexpr int longWatch = 100;
+        if (m_holdsLongWatches) {
+            if (m_watchMilliseconds.back() < longWatch)
+                exchange.respond(200, {}, R"({"events":[],"AsOf":7})");
+            return;
+        }
         if (m_watchStatus != 200)
             exchange.respond(m_watchStatus, {}, "");
         else if (m_watched.size() == 1)
@@ -212,6 +232,7 @@
     std::vector<int> m_watchMilliseconds;
     unsigned m_listStatus = 200;
     unsigned m_watchStatus = 200;
+    bool m_holdsLongWatches = false;
     int m_lists = 0;
 };
 
