Spread large records from node to node, paced by the link

A configuration does not fit a datagram, so all nodes fetch it at once from the few that read the store. Even 14 KB took 1.0 s from one node to 74 others.

Change: transfer_pacer accepts a fetch only while those before it end within 100 ms; other peers get 503 and try another node after 60 to 140 ms (record_catch_up). A node that has fetched records tells up to 8 random peers that are behind, so that the sources multiply. The link's capacity comes from the settings.

--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -189,6 +190,19 @@
     return newer;
 }
 
+std::vector<std::uint32_t> fleet_view::peersBehind(std::span<const std::uint64_t> revisions,
+                                                   core::time_point now) const
+{
+    std::vector<std::uint32_t> behind;
+    for (const auto &[address, member] : m_members) {
+        const std::vector<std::uint64_t> &known = member.status.revisions;
+        const bool isBehind = !std::ranges::equal(known, revisions, std::greater_equal{});
+        if (isReachable(member, now) && isBehind)
+            behind.push_back(address);
+    }
+    return behind;
+}
+
 bool fleet_view::isSourceReader(core::time_point now) const
 {
     const std::size_t wanted = minReaders + share(now).reachable / nodesPerAdditionalReader;
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -82,6 +82,10 @@
     std::vector<const node_status *> peersAhead(std::size_t collection, std::uint64_t revision,
                                                 core::time_point now) const;
 
+    /** Returns the reachable peers with an earlier revision of any collection than `revisions`. */
+    std::vector<std::uint32_t> peersBehind(std::span<const std::uint64_t> revisions,
+                                           core::time_point now) const;
+
     /**
      * Returns true if this node should read the source of the published records.
      *
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -59,8 +59,6 @@
 /** Interval of checking the timeouts of connections, pooled connections and peers. */
 constexpr core::duration cleanupInterval = 250ms;
 
-/** A node that stays behind its peers for this long fetches the records of one of them. */
-constexpr core::duration catchUpDelay = 100ms;
 constexpr core::duration peerFetchTimeout = 1s;
 constexpr std::size_t maxPeerRecordsBytes = 16'777'216;
 
@@ -120,16 +118,29 @@
     void onDone(const transport::http_call_result &result) override
     {
         constexpr unsigned ok = 200;
-        m_node.m_fetching = false;
+        constexpr unsigned busy = 503;
         const core::time_point now = monotonicNow();
         const auto records = decodeRecords(m_body, now);
         const bool complete = m_status == ok && result.complete && records.has_value();
+        const bool isBusy = m_status == busy && result.complete;
+        const std::uint32_t busyPeers = m_node.m_catchUp.busyPeers();
+        m_node.m_catchUp.onResult(complete ? fetch_result::Complete
+                                  : isBusy ? fetch_result::Busy
+                                           : fetch_result::Failed,
+                                  m_node.m_random, now);
+        if (isBusy)
+            return;
         logEvent(complete ? log_level::Info : log_level::Warning, "records_from_peer",
                  complete ? "fetched the published records from a peer"
                           : "could not fetch the published records from a peer",
-                 {{"peer", addressText(m_peer)}, {"detail", result.detail}});
-        if (complete)
-            m_node.m_catalogue.onPeerRecords(records.value(), m_peer, now);
+                 {{"peer", addressText(m_peer)},
+                  {"busy_peers", std::to_string(busyPeers)},
+                  {"bytes", std::to_string(m_body.size())},
+                  {"detail", result.detail}});
+        if (!complete)
+            return;
+        m_node.m_catalogue.onPeerRecords(records.value(), m_peer, now);
+        m_node.notifyPeersBehind();
     }
 
 private:
@@ -179,7 +190,8 @@
       m_listener(reactor, [this](http1::socket_handle socket) { onAccepted(std::move(socket)); }),
       m_peerSocket(reactor, [this](const http1::endpoint &from,
                                    std::string_view bytes) { onDatagram(from, bytes); }),
-      m_peerClient(reactor), m_statusTimer(reactor, [this] { sendStatus(); }),
+      m_peerClient(reactor), m_recordTransfers(m_settings.linkBytesPerSecond),
+      m_statusTimer(reactor, [this] { sendStatus(); }),
       m_engineUpdateTimer(reactor, [this] { sendEngineUpdates(); }),
       m_tickTimer(reactor, [this] { tick(); }), m_cleanupTimer(reactor, [this] { cleanup(); })
 { }
@@ -253,6 +265,16 @@
     return encodeRecords(m_catalogue.collections(), revisions, monotonicNow());
 }
 
+std::optional<std::string> gateway_node::serveRecords(std::span<const std::uint64_t> revisions)
+{
+    const core::time_point now = monotonicNow();
+    if (!m_recordTransfers.mayStart(now))
+        return std::nullopt;
+    std::string records = recordsSince(revisions);
+    m_recordTransfers.onStart(records.size(), now);
+    return records;
+}
+
 void gateway_node::refreshMetrics()
 {
     using observe::metric;
@@ -625,35 +647,42 @@
     std::vector<const dispatch::node_status *> newer;
     for (std::size_t i = 0; i < revisions.size() && newer.empty(); ++i)
         newer = m_fleet.peersAhead(i, revisions[i], now);
-    if (newer.empty()) {
-        m_behindSince = {};
-        return;
-    }
-    if (m_behindSince == core::time_point{})
-        m_behindSince = now;
+    std::vector<std::uint32_t> ahead;
+    ahead.reserve(newer.size());
+    for (const dispatch::node_status *each : newer)
+        ahead.push_back(each->address);
     const bool hasNoConfiguration = m_catalogue.routes() == nullptr;
-    if (m_fetching || (!hasNoConfiguration && now - m_behindSince < catchUpDelay))
+    const auto peer = m_catchUp.next(ahead, hasNoConfiguration, m_random, now);
+    if (!peer)
         return;
-    m_behindSince = now;
-    // A random one, so that the nodes behind do not all fetch from the same peer.
-    fetchFromPeer(*newer[m_random() % newer.size()]);
+    fetchFromPeer(*peer);
     for (std::size_t i = 0; m_source.reading() && i < revisions.size(); ++i) {
         if (!m_fleet.peersAhead(i, revisions[i], now).empty())
             m_records.restart(static_cast<collection_id>(i));
     }
 }
 
-void gateway_node::fetchFromPeer(const dispatch::node_status &peer)
+// Without this, peers would learn only from the next status that this node has the records, too.
+void gateway_node::notifyPeersBehind()
+{
+    const std::vector<std::uint64_t> revisions = m_catalogue.revisions();
+    std::vector<std::uint32_t> behind = m_fleet.peersBehind(revisions, monotonicNow());
+    std::ranges::shuffle(behind, m_random);
+    behind.resize(std::min(behind.size(), record_catch_up::notifiedPeers));
+    const std::string bytes = encodeStatus(buildStatus(false));
+    for (const std::uint32_t peer : behind)
+        m_peerSocket.send({peer, m_settings.peers.port}, bytes);
+}
+
+void gateway_node::fetchFromPeer(std::uint32_t peer)
 {
-    m_fetching = true;
     transport::http_call call;
-    call.url = "http://" + http1::endpoint{peer.address, m_settings.peers.port}.text()
-               + "/records?since=";
+    call.url = "http://" + http1::endpoint{peer, m_settings.peers.port}.text() + "/records?since=";
     for (const std::uint64_t revision : m_catalogue.revisions())
         call.url += std::to_string(revision) + ",";
     call.maxBodyBytes = maxPeerRecordsBytes;
     call.deadline = monotonicNow() + peerFetchTimeout;
-    m_peerClient.start(std::move(call), std::make_shared<peer_fetch>(*this, peer.address));
+    m_peerClient.start(std::move(call), std::make_shared<peer_fetch>(*this, peer));
 }
 
 void gateway_node::startAllQueued()
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -14,10 +14,12 @@
 #include "gateway/flow_log.h"
 #include "gateway/node_settings.h"
 #include "gateway/protocol.h"
+#include "gateway/record_catch_up.h"
 #include "gateway/record_decoder.h"
 #include "gateway/record_source.h"
 #include "gateway/request_flow.h"
 #include "gateway/source_monitor.h"
+#include "gateway/transfer_pacer.h"
 #include "gateway/udp_socket.h"
 #include "http1/deferred_deleter.h"
 #include "http1/listener.h"
@@ -31,6 +33,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -75,6 +78,12 @@
     /** Returns the encoded records that a peer with these revisions is missing. */
     std::string recordsSince(std::span<const std::uint64_t> revisions) const;
 
+    /**
+     * Returns the encoded records for a peer, or nothing if this node is sending as many records as
+     * its link carries and the peer should try another node.
+     */
+    std::optional<std::string> serveRecords(std::span<const std::uint64_t> revisions);
+
     /** Updates the gauges in the metric registry. */
     void refreshMetrics();
 
@@ -117,7 +126,8 @@
     void tick();
     void cleanup();
     void catchUpWithPeers(core::time_point now);
-    void fetchFromPeer(const dispatch::node_status &peer);
+    void fetchFromPeer(std::uint32_t peer);
+    void notifyPeersBehind();
     void startQueued(const std::string &upstream, dispatch::poll_trigger trigger);
     void startAllQueued();
     request_flow *findFlow(core::request_id id);
@@ -163,8 +173,8 @@
     /** Last reported totals, with the status count at which each changed. */
     std::map<std::string, reported_usage> m_reportedUsage;
     core::time_point m_nextPeerCheckAt{};
-    core::time_point m_behindSince{};
-    bool m_fetching = false;
+    record_catch_up m_catchUp;
+    transfer_pacer m_recordTransfers;
     core::time_point m_startedAt{};
     source_monitor m_source;
     bool m_startingQueued = false;
--- a/src/gateway/node_settings.cpp
+++ b/src/gateway/node_settings.cpp
@@ -18,6 +18,9 @@
 constexpr double maxRetryRatio = 10;
 constexpr double maxExtraRetries = 1'000'000;
 constexpr double maxSeconds = 3'600;
+constexpr double minLinkMegabits = 0.1;
+constexpr double maxLinkMegabits = 1'000'000;
+constexpr double bytesPerMegabit = 125'000;
 
 const char *validateNonEmpty(std::string_view text)
 {
@@ -86,6 +89,10 @@
     readRetries(reader.object("retries", presence::Required), settings);
     readSeconds(reader, "graceSeconds", settings.gracePeriod);
     readSeconds(reader, "longestAddressTtlSeconds", settings.maxAddressTtl);
+    double linkMegabits = settings.linkBytesPerSecond / bytesPerMegabit;
+    reader.real("linkMegabitsPerSecond", presence::Optional, {minLinkMegabits, maxLinkMegabits},
+                linkMegabits);
+    settings.linkBytesPerSecond = linkMegabits * bytesPerMegabit;
     reader.integer("descriptors", presence::Optional, {minDescriptors, maxDescriptors},
                    settings.descriptors);
     reader.reportUnknownKeys();
--- a/src/gateway/node_settings.h
+++ b/src/gateway/node_settings.h
@@ -45,6 +45,8 @@
     core::duration gracePeriod = std::chrono::seconds(8);
     /** Maximum time for which callers may cache addresses. */
     core::duration maxAddressTtl = std::chrono::seconds(5);
+    /** Capacity of the network link. */
+    double linkBytesPerSecond = 125'000'000;
     /** Maximum number of open file descriptors. */
     std::size_t descriptors = 1'024;
 };
--- a/tests/gateway/node_settings_test.cpp
+++ b/tests/gateway/node_settings_test.cpp
@@ -19,6 +19,7 @@
     "records": "10.200.1.7:8225",
     "retries": {"ratio": 0.2, "extra": 56, "windowSeconds": 10},
     "graceSeconds": 8, "longestAddressTtlSeconds": 5, "descriptors": 4100,
+    "linkMegabitsPerSecond": 10,
 })";
 
 std::string with(const std::string &from, const std::string &to)
@@ -60,6 +61,7 @@
         CPPUNIT_ASSERT_EQUAL(0x0a020011U, settings.seeds.at(1));
         CPPUNIT_ASSERT_EQUAL(0.2, settings.retryRatio);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4'100}, settings.descriptors);
+        CPPUNIT_ASSERT_EQUAL(1'250'000.0, settings.linkBytesPerSecond);
         CPPUNIT_ASSERT(settings.gracePeriod == std::chrono::seconds(8));
     }
 
