Send large records compressed between nodes

Change: the node that reads a record compresses a value of 1,200 bytes or more once (zlib); peers keep and pass on the compressed bytes.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -9,7 +9,7 @@
     libboost1.81-dev libboost-json1.81-dev libboost-log1.81-dev
     libcli11-dev libmicrohttpd-dev libcurl4-openssl-dev
     libbenchmark-dev libcppunit-dev librapidcheck-dev libclang-rt-14-dev
-    libxxhash-dev libsodium-dev python3
+    libxxhash-dev libsodium-dev zlib1g-dev python3
 )
 
 missing=()
--- a/src/dispatch/published_record.h
+++ b/src/dispatch/published_record.h
@@ -13,6 +13,8 @@
     std::string key;
     std::uint64_t revision = 0;
     std::string value;
+    /** The value as sent to peers, if it is compressed; empty otherwise. */
+    std::string compressedValue = {};
     /** When a node read the record from its source, on the clock of this node; 0 if unknown. */
     core::time_point readAt{};
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/caller_addresses.h"
 #include "gateway/status_codec.h"
+#include "gateway/value_compression.h"
 #include "observe/log_setup.h"
 #include "transport/clock.h"
 
@@ -365,6 +366,7 @@
 {
     const core::time_point now = monotonicNow();
     record.readAt = now;
+    record.compressedValue = compressValue(record.value);
     const record_update update{.collection = static_cast<std::size_t>(collection),
                                .previous = revisionOf(collection),
                                .record = record,
@@ -410,8 +412,10 @@
                               std::uint64_t revision)
 {
     const core::time_point now = monotonicNow();
-    for (dispatch::published_record &record : records)
+    for (dispatch::published_record &record : records) {
         record.readAt = now;
+        record.compressedValue = compressValue(record.value);
+    }
     const std::uint64_t before = revisionOf(collection);
     m_catalogue.onSnapshot(collection, std::move(records), revision, now);
     // Peers that have just started wait for the new revision.
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/status_codec.h"
 
 #include "fleet.pb.h"
+#include "gateway/value_compression.h"
 
 #include <chrono>
 #include <utility>
@@ -48,27 +49,49 @@
             std::chrono::duration_cast<milliseconds>(now - record.readAt).count()));
     target.set_key(record.key);
     target.set_revision(record.revision);
-    target.set_value(record.value);
+    if (record.compressedValue.empty()) {
+        target.set_value(record.value);
+        return;
+    }
+    target.set_compressed_value(record.compressedValue);
+    target.set_value_size(record.value.size());
 }
 
-dispatch::published_record readRecord(const fleet::Record &source, core::time_point now = {})
+core::result<dispatch::published_record> readRecord(const fleet::Record &source,
+                                                    core::time_point now = {})
 {
-    dispatch::published_record record{source.key(), source.revision(), source.value()};
+    dispatch::published_record record;
+    record.key = source.key();
+    record.revision = source.revision();
+    record.value = source.value();
+    record.compressedValue = source.compressed_value();
+    if (!record.compressedValue.empty()) {
+        core::result<std::string> value
+            = decompressValue(record.compressedValue, source.value_size());
+        if (!value)
+            return value.error();
+        record.value = std::move(value).value();
+    }
     if (now != core::time_point{})
         record.readAt = now - std::chrono::milliseconds(source.age_ms());
     return record;
 }
 
-record_update readUpdate(const fleet::RecordUpdate &message)
+core::result<record_update> readUpdate(const fleet::RecordUpdate &message)
 {
     record_update update;
     update.collection = message.collection();
     update.previous = message.previous();
     update.removed = message.has_removal();
-    if (update.removed)
-        update.record = {message.removal().key(), message.removal().revision(), ""};
-    else
-        update.record = readRecord(message.record());
+    if (update.removed) {
+        update.record.key = message.removal().key();
+        update.record.revision = message.removal().revision();
+        return update;
+    }
+    core::result<dispatch::published_record> record = readRecord(message.record());
+    if (!record)
+        return record.error();
+    update.record = std::move(record).value();
     return update;
 }
 
@@ -166,8 +189,12 @@
         return parseError("datagram of a peer");
     if (message.has_status() && message.status().address() != 0)
         return peer_message(readStatus(message.status()));
-    if (message.has_update())
-        return peer_message(readUpdate(message.update()));
+    if (message.has_update()) {
+        core::result<record_update> update = readUpdate(message.update());
+        if (!update)
+            return update.error();
+        return peer_message(std::move(update).value());
+    }
     if (message.has_news() && message.news().address() != 0)
         return peer_message(readEngineUpdate(message.news()));
     return parseError("datagram of a peer");
@@ -210,8 +237,12 @@
         collection_snapshot &target = collections.emplace_back();
         target.revision = source.revision();
         target.complete = source.whole();
-        for (const fleet::Record &entry : source.records())
-            target.records.push_back(readRecord(entry, now));
+        for (const fleet::Record &entry : source.records()) {
+            core::result<dispatch::published_record> record = readRecord(entry, now);
+            if (!record)
+                return record.error();
+            target.records.push_back(std::move(record).value());
+        }
         for (const fleet::Removal &entry : source.removals())
             target.removed[entry.key()] = entry.revision();
     }
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <random>
 #include <string>
 
 using namespace comfreypass;
@@ -69,8 +70,11 @@
         CPPUNIT_ASSERT(server.listen());
         dispatch::configuration newer;
         newer.version = 2;
-        // Too large for a datagram, so peers have to fetch it.
-        const std::string value(5'000, 'v');
+        // Too large for a datagram, also when compressed, so peers have to fetch it.
+        std::string value;
+        std::minstd_rand random(1);
+        while (value.size() < 5'000)
+            value += static_cast<char>(random());
         for (const auto &each : m_nodes)
             each->decoder.contents[value] = newer;
         m_nodes[1]->events().onWritten(gateway::collection_id::Operators,
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/status_codec.h"
+#include "gateway/value_compression.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -15,6 +16,7 @@
     CPPUNIT_TEST_SUITE(status_codec_test);
     CPPUNIT_TEST(statusRoundTrips);
     CPPUNIT_TEST(recordsRoundTrip);
+    CPPUNIT_TEST(largeValueIsSentCompressed);
     CPPUNIT_TEST(onlyMissingChangesAreEncoded);
     CPPUNIT_TEST(updateRoundTrips);
     CPPUNIT_TEST(engineUpdateRoundTrips);
@@ -85,7 +87,7 @@
     void recordsRoundTrip()
     {
         std::array<dispatch::record_collection, 2> collections;
-        collections[0].write({"op", 4, std::string("\0\xff{}", 4), m_now - 300ms});
+        collections[0].write({"op", 4, std::string("\0\xff{}", 4), "", m_now - 300ms});
         collections[1].write({"e", 9, "x"});
         const auto decoded = decodeRecords(encodeRecords(collections, {}, m_now), m_now);
         CPPUNIT_ASSERT(decoded);
@@ -94,6 +96,26 @@
         CPPUNIT_ASSERT(collections[0].records().at("op") == decoded.value()[0].records.at(0));
     }
 
+    // Guards against a configuration of many routes that takes longer on a slow link than it may.
+    void largeValueIsSentCompressed()
+    {
+        std::string value;
+        for (int i = 0; i < 1'400; ++i)
+            value
+                += R"({"Name":"r)" + std::to_string(i) + R"(","PathPrefix":"/p/","Kind":"once"},)";
+        std::array<dispatch::record_collection, 1> collections;
+        collections[0].write({"op", 4, value, compressValue(value), m_now});
+        const std::string encoded = encodeRecords(collections, {}, m_now);
+        CPPUNIT_ASSERT(encoded.size() < value.size() / 4);
+        const auto decoded = decodeRecords(encoded, m_now);
+        CPPUNIT_ASSERT(decoded);
+        CPPUNIT_ASSERT(collections[0].records().at("op") == decoded.value()[0].records.at(0));
+        CPPUNIT_ASSERT(!decompressValue("garbage", value.size()));
+        const std::string compressed = compressValue(value);
+        CPPUNIT_ASSERT(!decompressValue(compressed, value.size() - 1));
+        CPPUNIT_ASSERT(!decompressValue(compressed, maxDecompressedValueBytes + 1));
+    }
+
     // Guards against sending a peer all records again, or missing a removal.
     void onlyMissingChangesAreEncoded()
     {
