Stagger the watches of the nodes that read the store

Cause: when the store silently turns all readers away, the fleet learns of a change only once a reader notices.

Change: after a change the watches of the readers get staggered times; later ones the full time, so one ends every 400 ms. A reader without an answer yet does not keep the next node from reading.

Measured: readersStaggerTheirWatches fails with equal times (1,600 instead of 800 ms).

--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -208,8 +208,10 @@
     const std::size_t wanted = minReaders + share(now).reachable / nodesPerAdditionalReader;
     std::size_t before = 0;
     for (const auto &[address, member] : m_members) {
-        const bool counts = isReachable(member, now) && !member.status.leaving
-                            && member.status.source != source_state::Lost;
+        // A reader without an answer may be turned away like those that it replaces.
+        const bool answered = member.status.source != source_state::Lost
+                              && member.status.source != source_state::Starting;
+        const bool counts = isReachable(member, now) && !member.status.leaving && answered;
         if (counts && member.readerOrder < m_readerOrder)
             ++before;
     }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -624,7 +624,8 @@
         m_registry.setPeerLoads(unreachable, {});
     }
     m_fleet.removeExpired(now);
-    m_records.setReaders(m_fleet.readerRank(now).count);
+    const dispatch::fleet_view::reader_rank rank = m_fleet.readerRank(now);
+    m_records.setReaderRank(rank.index, rank.count);
     m_catalogue.removeExpiredEngines(now);
     m_engineConnections.closeExpired(now);
     std::vector<std::shared_ptr<http1::server_connection>> connections;
--- a/src/gateway/record_source.h
+++ b/src/gateway/record_source.h
@@ -66,10 +66,11 @@
     virtual void restart(collection_id collection) = 0;
 
     /**
-     * Sets the number of nodes that read the source. Together they detect a stalled watch as soon
-     * as the first of them does, so each may use longer watches in a larger fleet.
+     * Sets the position of this node among the `count` nodes that read the source. They stagger
+     * their watches, so that together they soon detect that the source no longer answers, with
+     * longer watches in a larger fleet.
      */
-    virtual void setReaders(std::size_t nodes) = 0;
+    virtual void setReaderRank(std::size_t index, std::size_t count) = 0;
 
     /** Returns the number of calls made since the start. */
     virtual std::uint64_t calls() const noexcept = 0;
--- a/tests/gateway/plain_protocol.h
+++ b/tests/gateway/plain_protocol.h
@@ -45,7 +45,7 @@
     }
     void stop() override { }
     void restart(gateway::collection_id) override { ++restarts; }
-    void setReaders(std::size_t) override { }
+    void setReaderRank(std::size_t, std::size_t) override { }
     std::uint64_t calls() const noexcept override { return 0; }
 
     int starts = 0;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(restartListsAgain);
     CPPUNIT_TEST(knownRevisionIsWatchedWithoutList);
     CPPUNIT_TEST(stalledWatchIsRetried);
+    CPPUNIT_TEST(readersStaggerTheirWatches);
     CPPUNIT_TEST(newReaderLearnsAtOnceThatTheStoreAnswers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -158,6 +159,19 @@
             CPPUNIT_ASSERT(milliseconds > 0 && milliseconds <= 1'000);
     }
 
+    // Guards against readers that all notice late that the store no longer answers, because a
+    // change has ended and restarted all their watches at the same time.
+    void readersStaggerTheirWatches()
+    {
+        m_respondedWatches = 3;
+        m_client->setReaderRank(1, 4);
+        m_client->start(m_events, {});
+        m_loop.waitFor("watch", [&] { return m_watched.size() >= 4; });
+        CPPUNIT_ASSERT_EQUAL(800, m_watchMilliseconds.at(1));
+        CPPUNIT_ASSERT_EQUAL(1'600, m_watchMilliseconds.at(2));
+        CPPUNIT_ASSERT_EQUAL(1'600, m_watchMilliseconds.at(3));
+    }
+
     // Guards against a new reader that does not know until its first change whether it is
     // connected.
     void newReaderLearnsAtOnceThatTheStoreAnswers()
@@ -221,6 +235,8 @@
             exchange.respond(200, {},
                              R"({"events":[{"Key":"servers/d","Value":"eA==","Rev":8},)"
                              R"({"Key":"servers/a","Rev":9,"Deleted":true}],"AsOf":9})");
+        else if (m_watched.size() <= m_respondedWatches)
+            exchange.respond(200, {}, R"({"events":[],"AsOf":9})");
     }
 
     tests::loopback m_loop;
@@ -233,6 +249,8 @@
     unsigned m_listStatus = 200;
     unsigned m_watchStatus = 200;
     bool m_holdsLongWatches = false;
+    /** Watches that are answered, the first one with changes. */
+    std::size_t m_respondedWatches = 1;
     int m_lists = 0;
 };
 
