Do not raise a collection's revision over a peer's gap

Ruled out: an older record replacing a newer one, a held removal (no such line).

Change: record_collection::merge() and replaceAll() apply records without raising the revision beyond that of the sender or of the list; only changes that continue without a gap raise it further.

Measured: gapOfPeerIsNotHidden (revision 7 instead of 5) and laterPageDoesNotHideARemoval failed before, pass now.

--- a/src/dispatch/record_collection.cpp
+++ b/src/dispatch/record_collection.cpp
@@ -15,8 +15,19 @@
 
 record_changes record_collection::write(published_record record)
 {
-    record_changes changes;
     advance(record.revision);
+    return applyWrite(std::move(record));
+}
+
+record_changes record_collection::remove(std::string_view key, std::uint64_t revision)
+{
+    advance(revision);
+    return applyRemoval(key, revision);
+}
+
+record_changes record_collection::applyWrite(published_record record)
+{
+    record_changes changes;
     const auto known = m_records.find(record.key);
     if (known != m_records.end() && known->second.revision >= record.revision)
         return changes;
@@ -32,10 +43,9 @@
     return changes;
 }
 
-record_changes record_collection::remove(std::string_view key, std::uint64_t revision)
+record_changes record_collection::applyRemoval(std::string_view key, std::uint64_t revision)
 {
     record_changes changes;
-    advance(revision);
     const auto known = m_records.find(key);
     if (known != m_records.end() && known->second.revision > revision)
         return changes;
@@ -61,7 +71,9 @@
     std::map<std::string, std::uint64_t, std::less<>> present;
     for (published_record &record : records) {
         present.emplace(record.key, record.revision);
-        record_changes written = write(std::move(record));
+        // A later record does not show the changes between the snapshot and itself.
+        advance(std::min(record.revision, revision));
+        record_changes written = applyWrite(std::move(record));
         std::ranges::move(written.written, std::back_inserter(changes.written));
     }
     std::vector<std::string> missing;
@@ -76,23 +88,34 @@
     return changes;
 }
 
-record_changes record_collection::writeAfter(std::uint64_t previous, published_record record)
+record_changes record_collection::merge(difference received, std::uint64_t revision)
 {
-    const std::uint64_t before = m_revision;
-    record_changes changes = write(std::move(record));
-    if (before < previous)
-        m_revision = before;
+    record_changes changes;
+    for (published_record &record : received.written) {
+        record_changes written = applyWrite(std::move(record));
+        std::ranges::move(written.written, std::back_inserter(changes.written));
+    }
+    for (const auto &[key, removedAt] : received.removed) {
+        record_changes removed = applyRemoval(key, removedAt);
+        std::ranges::move(removed.removed, std::back_inserter(changes.removed));
+    }
+    advance(revision);
     return changes;
 }
 
+record_changes record_collection::writeAfter(std::uint64_t previous, published_record record)
+{
+    if (m_revision >= previous)
+        return write(std::move(record));
+    return applyWrite(std::move(record));
+}
+
 record_changes record_collection::removeAfter(std::uint64_t previous, std::string_view key,
                                               std::uint64_t revision)
 {
-    const std::uint64_t before = m_revision;
-    record_changes changes = remove(key, revision);
-    if (before < previous)
-        m_revision = before;
-    return changes;
+    if (m_revision >= previous)
+        return remove(key, revision);
+    return applyRemoval(key, revision);
 }
 
 std::optional<record_collection::difference>
--- a/src/dispatch/record_collection.h
+++ b/src/dispatch/record_collection.h
@@ -40,6 +40,19 @@
      */
     record_changes replaceAll(std::vector<published_record> records, std::uint64_t revision);
 
+    /** Changes between two revisions. */
+    struct difference
+    {
+        std::vector<published_record> written;
+        std::map<std::string, std::uint64_t, std::less<>> removed;
+    };
+
+    /**
+     * Applies what a peer with the revision `revision` knows beyond this collection. The peer may
+     * also know later changes, with gaps between them, so the revision increases to its own only.
+     */
+    record_changes merge(difference received, std::uint64_t revision);
+
     /**
      * Applies a change that a peer read when its collection had the revision `previous`. The
      * revision only increases if no change is missing in between, so that a lost change is
@@ -50,11 +63,6 @@
                                std::uint64_t revision);
 
     /** Returns the changes after a revision, or nothing if removals since then were dropped. */
-    struct difference
-    {
-        std::vector<published_record> written;
-        std::map<std::string, std::uint64_t, std::less<>> removed;
-    };
     std::optional<difference> changesSince(std::uint64_t revision) const;
 
     /** Raises the revision after a snapshot of a peer was applied. */
@@ -69,6 +77,10 @@
     }
 
 private:
+    /** Apply a change without raising the revision. */
+    record_changes applyWrite(published_record record);
+    record_changes applyRemoval(std::string_view key, std::uint64_t revision);
+
     std::map<std::string, published_record, std::less<>> m_records;
     /** Revisions of recent removals, so that a peer cannot restore an older record. */
     std::map<std::string, std::uint64_t, std::less<>> m_removed;
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -79,14 +79,11 @@
     for (std::size_t i = 0; i < snapshots.size() && i < m_collections.size(); ++i) {
         const collection_snapshot &snapshot = snapshots[i];
         dispatch::record_collection &target = m_collections.at(i);
-        if (snapshot.complete) {
+        if (snapshot.complete)
             apply(target.replaceAll(snapshot.records, snapshot.revision), origin, now);
-        } else {
-            for (const dispatch::published_record &record : snapshot.records)
-                apply(target.write(record), origin, now);
-            for (const auto &[key, revision] : snapshot.removed)
-                apply(target.remove(key, revision), origin, now);
-        }
+        else
+            apply(target.merge({snapshot.records, snapshot.removed}, snapshot.revision), origin,
+                  now);
         target.advance(snapshot.revision);
     }
 }
--- a/tests/dispatch/record_collection_test.cpp
+++ b/tests/dispatch/record_collection_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(removedRecordIsNotRestored);
     CPPUNIT_TEST(snapshotRemovesMissingRecords);
     CPPUNIT_TEST(oldSnapshotKeepsNewerRecords);
+    CPPUNIT_TEST(laterPageDoesNotHideARemoval);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -58,6 +59,16 @@
         CPPUNIT_ASSERT(records.replaceAll({}, 8).empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.records().size());
     }
+
+    // Guards against passing on a revision whose changes are not all known, because a record was
+    // written while the pages of a list were read.
+    void laterPageDoesNotHideARemoval()
+    {
+        record_collection records;
+        records.replaceAll({{"a", 2, "x"}, {"z", 9, "x"}}, 7);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, records.revision());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, records.records().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(record_collection_test);
--- a/tests/gateway/catalogue_test.cpp
+++ b/tests/gateway/catalogue_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <chrono>
 #include <string>
 
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(invalidEntryRemovesEngine);
     CPPUNIT_TEST(recordsOfPeersAreApplied);
     CPPUNIT_TEST(lostUpdateIsDetected);
+    CPPUNIT_TEST(gapOfPeerIsNotHidden);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -98,6 +100,25 @@
                                  m_now);
     }
 
+    // Guards against a change that is missing forever: a peer passes on later changes than the one
+    // that it has missed itself.
+    void gapOfPeerIsNotHidden()
+    {
+        for (const bool complete : {false, true}) {
+            writeEngine("e1", 5);
+            std::array<dispatch::record_collection, 2> peer;
+            peer[1].write({"engine/e1", 5, "e1"});
+            // The peer has not received the removal at revision 6.
+            m_decoder.contents["new"] = dispatch::engine_entry{.id = "e2", .upstream = "u"};
+            peer[1].writeAfter(6, {"engine/e2", 7, "new"});
+            const std::array<std::uint64_t, 2> since = {0, complete ? 0U : 5U};
+            const auto records = decodeRecords(encodeRecords(peer, since, m_now), m_now);
+            m_catalogue.onPeerRecords(records.value(), m_peer, m_now);
+            CPPUNIT_ASSERT(m_registry.find("e1") != nullptr && m_registry.find("e2") != nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, m_catalogue.revisions().at(1));
+        }
+    }
+
 private:
     void writeVersion(std::uint64_t version, std::uint64_t revision)
     {
