Quarantine prompt segments that crash engines

A node knew which requests an engine was running when it ended, but nothing connected the crashes, and a request that had ended one engine was repeated at the next.

Change: segment_quarantine collects the segments of requests whose response broke off before its second event at an engine that then refused connections. Four crashes at different moments, at two engines or more, that make up half of the crashes since the first, with no answer to the segment in between, put it into quarantine for 2 minutes: requests are refused before each attempt (503, they have not run; 502 if they have). Nodes report crashes, quarantines and answers to each other at once, again with the next statuses, and to nodes that (re)start.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <sstream>
 #include <utility>
 
 namespace comfreypass::gateway {
@@ -43,6 +44,9 @@
  * the next full status. */
 constexpr std::uint64_t changedUsageRepeats = 4;
 
+/** A report on segments follows this many statuses, so that a lost datagram delays it little. */
+constexpr std::uint64_t segmentReportRepeats = 4;
+
 /** Engines whose latency one status reports; a node measures a few between two statuses. */
 constexpr std::size_t maxLatenciesPerStatus = 4;
 
@@ -170,6 +174,7 @@
                 .admission = m_admission,
                 .quotas = m_quotas,
                 .retries = m_retries,
+                .quarantine = m_quarantine,
                 .engineConnections = m_engineConnections,
                 .random = m_random,
                 .now = [] { return monotonicNow(); },
@@ -485,6 +490,8 @@
         m_catalogue.onPeerUpdate(*update, from.address, monotonicNow());
     else if (const auto *update = std::get_if<dispatch::engine_update>(&decoded.value()))
         onPeerEngineUpdate(from, *update);
+    else if (const auto *report = std::get_if<peer_segment_report>(&decoded.value()))
+        onPeerSegments(from, *report);
 }
 
 void gateway_node::onPeerEngineUpdate(const http1::endpoint &from,
@@ -495,13 +502,86 @@
     for (const dispatch::engine_load &load : update.loads)
         m_registry.setPeerLoad(update.address, load);
     const core::time_point now = monotonicNow();
-    for (const dispatch::engine_key key : update.ejected)
+    for (const dispatch::engine_key key : update.ejected) {
         m_registry.onPeerEjected(key, now);
+        m_quarantine.onEngineDown(key, now);
+    }
+    sendEngineUpdatesSoon();
+}
+
+void gateway_node::onPeerSegments(const http1::endpoint &from, const peer_segment_report &received)
+{
+    if (received.address != from.address)
+        return;
+    const core::time_point now = monotonicNow();
+    dispatch::segment_report changes;
+    for (const dispatch::quarantined_segment &each : received.report.quarantined) {
+        if (!m_quarantine.find({&each.segment, 1}, now))
+            changes.quarantined.push_back(each);
+    }
+    for (const dispatch::segment_key &each : received.report.answered) {
+        if (m_quarantine.find({&each, 1}, now))
+            changes.answered.push_back(each);
+    }
+    m_quarantine.onPeerReport(received.report, now);
+    logSegments(changes, addressText(from.address));
+    sendEngineUpdatesSoon();
+}
+
+void gateway_node::sendSegmentNews()
+{
+    if (!m_quarantine.hasNews())
+        return;
+    const dispatch::segment_report news = m_quarantine.takeNews();
+    logSegments(news, "");
+    m_segmentRepeats = segmentReportRepeats;
+    const std::string bytes = encodeSegmentReport({m_settings.peers.address, news});
+    for (const std::uint32_t peer : m_fleet.peers())
+        m_peerSocket.send({peer, m_settings.peers.port}, bytes);
+}
+
+void gateway_node::repeatSegmentReport(bool full)
+{
+    if (!full && m_segmentRepeats == 0)
+        return;
+    if (m_segmentRepeats > 0)
+        --m_segmentRepeats;
+    const dispatch::segment_report summary = m_quarantine.summary(monotonicNow());
+    if (summary.empty())
+        return;
+    const std::string bytes = encodeSegmentReport({m_settings.peers.address, summary});
+    for (const std::uint32_t peer : m_fleet.peers())
+        m_peerSocket.send({peer, m_settings.peers.port}, bytes);
+}
+
+void gateway_node::logSegments(const dispatch::segment_report &report, std::string_view origin)
+{
+    const auto hexadecimal = [](dispatch::segment_key key) {
+        std::ostringstream text;
+        text << std::hex << key;
+        return text.str();
+    };
+    for (const dispatch::crash_report &each : report.crashes) {
+        std::string segments;
+        for (const dispatch::segment_key segment : each.segments)
+            segments += (segments.empty() ? "" : ",") + hexadecimal(segment);
+        logEvent(log_level::Warning, "engine_crash_suspected",
+                 "an engine ended while it ran a request that had no answer yet",
+                 {{"engine_key", std::to_string(each.engine)}, {"segments", segments}});
+    }
+    for (const dispatch::quarantined_segment &each : report.quarantined)
+        logEvent(log_level::Warning, "segment_quarantined",
+                 "requests with this segment crash engines and are refused",
+                 {{"segment", hexadecimal(each.segment)}, {"peer", origin}});
+    for (const dispatch::segment_key segment : report.answered)
+        logEvent(log_level::Info, "segment_cleared", "an engine has answered a suspected segment",
+                 {{"segment", hexadecimal(segment)}, {"peer", origin}});
 }
 
 void gateway_node::sendEngineUpdatesSoon()
 {
-    if (m_registry.hasPendingUpdates() && !std::exchange(m_engineUpdatesPending, true))
+    const bool pending = m_registry.hasPendingUpdates() || m_quarantine.hasNews();
+    if (pending && !std::exchange(m_engineUpdatesPending, true))
         m_engineUpdateTimer.startOnce(engineUpdateDelay);
 }
 
@@ -515,6 +595,7 @@
         update.sequence = ++m_sequence;
         m_peerSocket.send({peer, m_settings.peers.port}, encodeEngineUpdate(update));
     }
+    sendSegmentNews();
 }
 
 void gateway_node::onPeerStatus(const http1::endpoint &from, dispatch::node_status received)
@@ -537,16 +618,22 @@
         m_quotas.addPeerUsage(use.team, use.total);
     m_registry.setPeerLoads(address, loads);
     // A new node learns about the fleet immediately.
+    if (!change.isNew && !change.restarted)
+        return;
     if (change.isNew)
         m_peerSocket.send(from, encodeStatus(buildStatus(true)));
+    const dispatch::segment_report summary = m_quarantine.summary(now);
+    if (!summary.empty())
+        m_peerSocket.send(from, encodeSegmentReport({m_settings.peers.address, summary}));
 }
 
 void gateway_node::sendStatus()
 {
-    const std::string bytes
-        = encodeStatus(buildStatus(m_statusCount++ % statusesPerFullStatus == 0));
+    const bool full = m_statusCount++ % statusesPerFullStatus == 0;
+    const std::string bytes = encodeStatus(buildStatus(full));
     for (const std::uint32_t peer : m_fleet.peers())
         m_peerSocket.send({peer, m_settings.peers.port}, bytes);
+    repeatSegmentReport(full);
     m_admission.onPeerLoadsUpdated();
     const core::duration interval = statusInterval();
     m_fleet.setStatusInterval(interval);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -8,6 +8,7 @@
 #include "dispatch/fleet_view.h"
 #include "dispatch/quota_pool.h"
 #include "dispatch/retry_budget.h"
+#include "dispatch/segment_quarantine.h"
 #include "gateway/catalogue.h"
 #include "gateway/engine_connection_pool.h"
 #include "gateway/flow_context.h"
@@ -118,6 +119,10 @@
     void onPeerEngineUpdate(const http1::endpoint &from, const dispatch::engine_update &update);
     void sendEngineUpdates();
     void sendEngineUpdatesSoon();
+    void onPeerSegments(const http1::endpoint &from, const peer_segment_report &received);
+    void sendSegmentNews();
+    void repeatSegmentReport(bool full);
+    void logSegments(const dispatch::segment_report &report, std::string_view origin);
 
     void sendStatus();
     dispatch::node_status buildStatus(bool full);
@@ -149,6 +154,7 @@
     dispatch::admission m_admission;
     dispatch::quota_pool m_quotas;
     dispatch::retry_budget m_retries;
+    dispatch::segment_quarantine m_quarantine;
     engine_connection_pool m_engineConnections;
     catalogue m_catalogue;
     flow_log m_log;
@@ -165,6 +171,8 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_statusCount = 0;
     bool m_engineUpdatesPending = false;
+    /** Statuses that are still followed by a report on segments. */
+    std::uint64_t m_segmentRepeats = 0;
     struct reported_usage
     {
         double total = 0;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -196,6 +196,8 @@
 
 void request_flow::submit()
 {
+    if (refuseQuarantined())
+        return;
     const core::time_point now = m_context.now();
     const dispatch::admission_decision decision = m_context.admission.submit(
         {.id = m_id,
@@ -229,6 +231,35 @@
         respondRefused(unavailable, toString(decision.cause), decision.retryAfter);
 }
 
+// Checked before each attempt, since a request that has crashed an engine would crash the next one.
+bool request_flow::refuseQuarantined()
+{
+    const auto found = m_context.quarantine.find(m_metadata.sharedSegments, m_context.now());
+    if (!found)
+        return false;
+    constexpr std::string_view reason = "quarantined_prompt";
+    if (responseStarted())
+        abortResponse(reason);
+    else if (m_mayHaveRun)
+        respondLocally(badGateway, flow_outcome::Failed, reason);
+    else
+        respondRefused(unavailable, reason, found->remaining);
+    return true;
+}
+
+// The connection has ended before the engine could prove that the request is harmless.
+void request_flow::onBrokenOff()
+{
+    if (m_attemptEvents < dispatch::segment_quarantine::harmlessEvents)
+        m_context.quarantine.onBroken(dispatch::engine_registry::keyOf(m_engine->id),
+                                      m_metadata.sharedSegments, m_context.now());
+}
+
+void request_flow::onAnswered()
+{
+    m_context.quarantine.onAnswered(m_metadata.sharedSegments, m_context.now());
+}
+
 core::duration request_flow::maxQueueTime() const
 {
     const core::duration share = m_route->timeout * queueTimePercent / 100;
@@ -238,6 +269,11 @@
 void request_flow::onGrant(const dispatch::admission_grant &grant)
 {
     m_queued = false;
+    if (refuseQuarantined()) {
+        m_context.admission.onEnd(m_upstream, grant.engine.id, dispatch::attempt_result::Neutral,
+                                  core::duration::zero(), m_context.now());
+        return;
+    }
     startAttempt(grant.engine, grant.basis);
 }
 
@@ -276,6 +312,8 @@
     m_attemptStartedAt = now;
     m_lastEventAt = now;
     m_firstEventSeen = false;
+    m_eventsBefore = m_events.eventCount();
+    m_attemptEvents = 0;
     m_response = {};
     m_mode = relay_mode::Buffer;
     m_bufferedBody.clear();
@@ -436,6 +474,11 @@
 {
     if (m_events.completeEvents().empty())
         return;
+    const std::uint64_t attemptEvents = m_events.eventCount() - m_eventsBefore;
+    if (m_attemptEvents < dispatch::segment_quarantine::harmlessEvents
+        && attemptEvents >= dispatch::segment_quarantine::harmlessEvents)
+        onAnswered();
+    m_attemptEvents = attemptEvents;
     const core::time_point now = m_context.now();
     m_context.registry.onBytes(m_engine->id, now);
     if (m_resumeCheckPending && !checkResumedStream()) {
@@ -479,6 +522,7 @@
 void request_flow::onComplete(bool reusable)
 {
     if (m_mode == relay_mode::Events) {
+        onAnswered();
         m_record.status = m_responseHead.status;
         endAttempt(dispatch::attempt_result::Served, reusable);
         completeStream();
@@ -538,9 +582,11 @@
         submit();
         return;
     }
-    if (success)
+    if (success) {
+        onAnswered();
         m_context.admission.onFirstEvent(m_upstream, m_record.priority,
                                          m_context.now() - m_attemptStartedAt);
+    }
     endAttempt(status >= firstServerErrorStatus ? dispatch::attempt_result::Failed
                                                 : dispatch::attempt_result::Served,
                reusable);
@@ -560,12 +606,15 @@
 void request_flow::onFailed(http1::exchange_failure failure)
 {
     if (failure == http1::exchange_failure::ConnectFailed) {
+        m_context.quarantine.onEngineDown(dispatch::engine_registry::keyOf(m_engine->id),
+                                          m_context.now());
         m_context.attemptFailed(m_record, toString(failure));
         endAttempt(dispatch::attempt_result::Unreachable, false);
         handleNotRun();
         return;
     }
     m_mayHaveRun = true;
+    onBrokenOff();
     handleFailure(toString(failure), dispatch::attempt_result::Failed);
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -74,6 +74,9 @@
     bool chargeQuota();
     const std::string &chooseTarget();
     void submit();
+    bool refuseQuarantined();
+    void onBrokenOff();
+    void onAnswered();
     void startAttempt(const dispatch::engine_entry &engine,
                       const dispatch::engine_selection &basis);
     std::string buildRequest(const dispatch::engine_entry &engine) const;
@@ -135,6 +138,9 @@
     response_metadata m_response;
     http1::message_head m_responseHead;
     bool m_firstEventSeen = false;
+    /** Events of the response before and in this attempt. */
+    std::uint64_t m_eventsBefore = 0;
+    std::uint64_t m_attemptEvents = 0;
     relay_mode m_mode = relay_mode::Buffer;
     std::string m_bufferedBody;
     /** Bytes of a buffered body since the last progress; see minProgressBytes. */
--- a/src/gateway/request_metadata.h
+++ b/src/gateway/request_metadata.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace comfreypass::gateway {
 
@@ -26,6 +27,8 @@
     std::optional<double> expectedOutputTokens;
     /** Id of the event after which the stream resumes. */
     std::optional<std::string> resumeAfter;
+    /** Segments of the prompt that other requests may share, from its start. */
+    std::vector<std::uint64_t> sharedSegments;
 };
 
 } // namespace comfreypass::gateway
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -107,6 +107,26 @@
     return update;
 }
 
+std::uint32_t toMilliseconds(core::duration time)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+peer_segment_report readSegmentReport(const fleet::SegmentReport &message)
+{
+    using std::chrono::milliseconds;
+    peer_segment_report result{.address = message.address()};
+    for (const fleet::CrashReport &entry : message.crashes())
+        result.report.crashes.push_back({entry.engine(),
+                                         {entry.segments().begin(), entry.segments().end()},
+                                         milliseconds(entry.age_ms())});
+    for (const fleet::QuarantinedSegment &entry : message.quarantined())
+        result.report.quarantined.push_back({entry.segment(), milliseconds(entry.remaining_ms())});
+    result.report.answered.assign(message.answered().begin(), message.answered().end());
+    return result;
+}
+
 } // namespace
 
 std::string encodeStatus(const dispatch::node_status &status)
@@ -182,6 +202,28 @@
     return wrapper.SerializeAsString();
 }
 
+std::string encodeSegmentReport(const peer_segment_report &report)
+{
+    fleet::PeerMessage wrapper;
+    fleet::SegmentReport &message = *wrapper.mutable_segments();
+    message.set_address(report.address);
+    for (const dispatch::crash_report &each : report.report.crashes) {
+        fleet::CrashReport &entry = *message.add_crashes();
+        entry.set_engine(each.engine);
+        for (const dispatch::segment_key segment : each.segments)
+            entry.add_segments(segment);
+        entry.set_age_ms(toMilliseconds(each.age));
+    }
+    for (const dispatch::quarantined_segment &each : report.report.quarantined) {
+        fleet::QuarantinedSegment &entry = *message.add_quarantined();
+        entry.set_segment(each.segment);
+        entry.set_remaining_ms(toMilliseconds(each.remaining));
+    }
+    for (const dispatch::segment_key segment : report.report.answered)
+        message.add_answered(segment);
+    return wrapper.SerializeAsString();
+}
+
 core::result<peer_message> decodeMessage(std::string_view bytes)
 {
     fleet::PeerMessage message;
@@ -197,6 +239,8 @@
     }
     if (message.has_news() && message.news().address() != 0)
         return peer_message(readEngineUpdate(message.news()));
+    if (message.has_segments() && message.segments().address() != 0)
+        return peer_message(readSegmentReport(message.segments()));
     return parseError("datagram of a peer");
 }
 
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -86,6 +86,11 @@
     return *m_engines.back();
 }
 
+void gateway_fixture::stopEngine(const tests::listening_socket &engine)
+{
+    std::erase_if(m_engines, [&engine](const auto &each) { return each.get() == &engine; });
+}
+
 void gateway_fixture::configure(std::uint64_t version, std::vector<dispatch::team> teams)
 {
     using dispatch::request_kind;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -41,6 +41,9 @@
     /** Adds an engine whose responses the test writes, and publishes its entry to the node. */
     tests::listening_socket &addEngine(const std::string &id, std::uint32_t slots = 4);
 
+    /** Ends an engine: its port refuses connections, and its entry stays. */
+    void stopEngine(const tests::listening_socket &engine);
+
     /** Publishes the routes /plain/, /once/, /stream/ (resumable) and /fragile/ (not resumable). */
     void configure(std::uint64_t version, std::vector<dispatch::team> teams = {});
 
--- a/tests/gateway/plain_protocol.cpp
+++ b/tests/gateway/plain_protocol.cpp
@@ -3,6 +3,7 @@
 #include "http1/forwarded_headers.h"
 
 #include <chrono>
+#include <sstream>
 
 namespace comfreypass::tests {
 
@@ -21,6 +22,11 @@
         metadata.tokens = std::stod(std::string(*tokens));
     if (const auto resume = head.headers.find("Resume"))
         metadata.resumeAfter = std::string(*resume);
+    if (const auto segments = head.headers.find("Segments")) {
+        std::istringstream text{std::string(*segments)};
+        for (std::uint64_t key = 0; text >> key;)
+            metadata.sharedSegments.push_back(key);
+    }
     return metadata;
 }
 
--- a/tests/gateway/plain_protocol.h
+++ b/tests/gateway/plain_protocol.h
@@ -11,7 +11,7 @@
 namespace comfreypass::tests {
 
 /** Test protocol with the header names Id, Key, Wait-Ms, Tokens, Resume, Engine, Team, Signed and
- * Not-Run. */
+ * Not-Run, and Segments for the keys of shared segments. */
 class plain_protocol final : public gateway::protocol
 {
 public:
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(evacuatedDomainReceivesNoRequests);
     CPPUNIT_TEST(leavingNodeDrainsRequests);
     CPPUNIT_TEST(lateRequestAtLeavingNodeIsRefused);
+    CPPUNIT_TEST(requestsThatCrashEnginesAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -558,6 +559,40 @@
         CPPUNIT_ASSERT(!listener.pending());
     }
 
+    // Guards against requests with the same segment that crash one engine after the other, and
+    // against refusing requests that only share another segment with them.
+    void requestsThatCrashEnginesAreRefused()
+    {
+        m_gateway.configure(1);
+        for (int i = 1; i <= 4; ++i) {
+            const std::string id = "e" + std::to_string(i);
+            listening_socket &listener = m_gateway.addEngine(id);
+            const auto caller = m_gateway.call("/fragile/x", "1", "Segments: 7 9\r\n");
+            raw_socket engine = m_gateway.acceptAt(listener);
+            m_gateway.requestAt(engine);
+            m_gateway.stopEngine(listener);
+            engine.close();
+            CPPUNIT_ASSERT(m_gateway.responseOf(*caller).starts_with("HTTP/1.1 502 "));
+            const auto next = m_gateway.call("/fragile/x", "2");
+            CPPUNIT_ASSERT(m_gateway.responseOf(*next).starts_with("HTTP/1.1 503 "));
+            m_gateway.node.events().onRemoved(gateway::collection_id::Engines, "engine/" + id,
+                                              ++m_gateway.revision);
+            m_gateway.loop.runFor(250ms);
+        }
+        listening_socket &listener = m_gateway.addEngine("e5");
+        const auto refused = m_gateway.call("/fragile/x", "3", "Segments: 7 9\r\n");
+        const std::string refusal = m_gateway.responseOf(*refused);
+        CPPUNIT_ASSERT(refusal.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(contains(refusal, "quarantined_prompt"));
+        CPPUNIT_ASSERT(contains(refusal, "Retry-After: 1"));
+        CPPUNIT_ASSERT(!listener.pending());
+        const auto served = m_gateway.call("/fragile/x", "4", "Segments: 7 8\r\n");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(response("200 OK", "Id: 4\r\nSigned: s\r\n", "served"));
+        CPPUNIT_ASSERT(m_gateway.responseOf(*served).ends_with("served"));
+    }
+
 private:
     static dispatch::team limitedTeam()
     {
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(onlyMissingChangesAreEncoded);
     CPPUNIT_TEST(updateRoundTrips);
     CPPUNIT_TEST(engineUpdateRoundTrips);
+    CPPUNIT_TEST(segmentReportRoundTrips);
     CPPUNIT_TEST(invalidMessageIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -154,6 +155,25 @@
         }
     }
 
+    // Guards against a quarantine that peers do not learn.
+    void segmentReportRoundTrips()
+    {
+        peer_segment_report sent{.address = 0x0a010019};
+        sent.report.crashes = {{3, {7, 0xffff'ffff'ffff'ffff}, 20ms}};
+        sent.report.quarantined = {{9, 100s}};
+        sent.report.answered = {8};
+        const auto decoded = decodeMessage(encodeSegmentReport(sent));
+        CPPUNIT_ASSERT(decoded);
+        const auto &received = std::get<peer_segment_report>(decoded.value());
+        CPPUNIT_ASSERT_EQUAL(sent.address, received.address);
+        CPPUNIT_ASSERT_EQUAL(3U, received.report.crashes.at(0).engine);
+        CPPUNIT_ASSERT(sent.report.crashes[0].segments == received.report.crashes[0].segments);
+        CPPUNIT_ASSERT(received.report.crashes[0].age == 20ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, received.report.quarantined.at(0).segment);
+        CPPUNIT_ASSERT(received.report.quarantined[0].remaining == 100s);
+        CPPUNIT_ASSERT(sent.report.answered == received.report.answered);
+    }
+
     // Guards against accepting an unrelated datagram as a message of a node.
     void invalidMessageIsRejected()
     {
--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 using namespace comfreypass;
 using namespace comfreypass::platform;
@@ -41,6 +42,7 @@
 {
     CPPUNIT_TEST_SUITE(platform_protocol_test);
     CPPUNIT_TEST(requestFieldsAreParsed);
+    CPPUNIT_TEST(sharedPromptPartsAreParsed);
     CPPUNIT_TEST(invalidFieldsAreIgnored);
     CPPUNIT_TEST(reservedFieldsAreReplacedForTheEngine);
     CPPUNIT_TEST(responsesAreClassified);
@@ -60,6 +62,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("12"), *metadata.resumeAfter);
     }
 
+    // Guards against blaming the part of a prompt that belongs to one request alone, or none at
+    // all.
+    void sharedPromptPartsAreParsed()
+    {
+        const auto segmentsOf = [this](const std::string &list) {
+            http1::message_head head;
+            head.headers = {{"Comfreypass-Prompt-Prefix", list}};
+            return m_protocol.readRequest(head).sharedSegments;
+        };
+        const std::vector<std::uint64_t> two = {0x5c1e07a2, 0x91bd3f06};
+        CPPUNIT_ASSERT(two == segmentsOf("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"));
+        CPPUNIT_ASSERT(segmentsOf("5c1e07a2:800").empty());
+        CPPUNIT_ASSERT(segmentsOf("").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, segmentsOf("not hexadecimal:1,5:2").size());
+        std::string many;
+        for (int i = 0; i < 1'000; ++i)
+            many += "5:1,";
+        CPPUNIT_ASSERT(segmentsOf(many).size() <= 16);
+    }
+
     // Guards against values derived from invalid text.
     void invalidFieldsAreIgnored()
     {
