Treat a stream that ends inside an event as broken off

A stream whose engine ended in the middle of an event, or before the first one, was passed on as complete.

Change: a stream that ends with an incomplete event, or without any event and without framing, counts as a failed attempt: it is resumed where that is allowed, and broken off otherwise.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -521,6 +521,12 @@
 
 void request_flow::onComplete(bool reusable)
 {
+    if (m_mode == relay_mode::Events && endsInsideStream()) {
+        m_mayHaveRun = true;
+        onBrokenOff();
+        handleFailure("ended_inside_stream", dispatch::attempt_result::Failed);
+        return;
+    }
     if (m_mode == relay_mode::Events) {
         onAnswered();
         m_record.status = m_responseHead.status;
@@ -546,6 +552,16 @@
     completeBuffered(reusable);
 }
 
+// Without a length or chunks, the end of the connection does not show whether the stream is
+// complete.
+bool request_flow::endsInsideStream() const
+{
+    const bool endedByClose = !m_responseHead.contentLength && !m_responseHead.chunked;
+    const bool hasIncompleteEvent
+        = m_events.incompleteEvent().find_first_not_of("\r\n") != std::string_view::npos;
+    return hasIncompleteEvent || (endedByClose && m_attemptEvents == 0);
+}
+
 void request_flow::completeStream()
 {
     const std::string_view rest = m_events.incompleteEvent();
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -90,6 +90,7 @@
     void writeToCaller(std::string_view bytes);
     void onBufferedBytes(std::string_view bytes);
     bool checkResumedStream();
+    bool endsInsideStream() const;
     void completeStream();
     void completeBuffered(bool reusable);
     void handleNotRun();
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -24,6 +24,13 @@
              "chunked\r\n\r\n";
 }
 
+/** The header of a stream that ends with its connection. */
+std::string unframedStreamHead(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id
+           + "\r\nSigned: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+}
+
 std::string chunk(const std::string &bytes)
 {
     std::ostringstream text;
@@ -70,6 +77,8 @@
     CPPUNIT_TEST(leavingNodeDrainsRequests);
     CPPUNIT_TEST(lateRequestAtLeavingNodeIsRefused);
     CPPUNIT_TEST(requestsThatCrashEnginesAreRefused);
+    CPPUNIT_TEST(streamThatEndsInsideAnEventIsBrokenOff);
+    CPPUNIT_TEST(streamThatEndsWithItsConnectionIsComplete);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -593,6 +602,39 @@
         CPPUNIT_ASSERT(m_gateway.responseOf(*served).ends_with("served"));
     }
 
+    // Guards against passing on a stream as complete whose engine ended in the middle of an event,
+    // or before the first one, and whose length is not known.
+    void streamThatEndsInsideAnEventIsBrokenOff()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        for (const std::string sent : {"id: 1\ndata: a\n\nid: 2\nda", ""}) {
+            const auto caller = m_gateway.call("/fragile/", "1");
+            raw_socket engine = m_gateway.acceptAt(listener);
+            m_gateway.requestAt(engine);
+            engine.send(unframedStreamHead("1") + sent);
+            engine.close();
+            m_gateway.waitFor(
+                "end", [&] { return contains(caller->receive(), "502") || caller->ended(); });
+            CPPUNIT_ASSERT(!contains(caller->receive(), "id: 2"));
+            CPPUNIT_ASSERT(!caller->receive().ends_with("0\r\n\r\n"));
+        }
+    }
+
+    // Guards against breaking off a complete stream that has neither a length nor chunks.
+    void streamThatEndsWithItsConnectionIsComplete()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/fragile/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(unframedStreamHead("1") + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        engine.close();
+        m_gateway.waitFor("end", [&] { return caller->receive().ends_with("0\r\n\r\n"); });
+        CPPUNIT_ASSERT(contains(caller->receive(), "id: 2\ndata: b\n\n"));
+    }
+
 private:
     static dispatch::team limitedTeam()
     {
