Blame the most specific segment, and correct suspicions at their source only

Crashes counted as one moment within 250 ms, and sound requests at the same engines counted against the shared part.

Change: a crash counts once however many requests report it; crashes 100 ms apart are separate; a crash that a quarantined segment explains counts against no other; of a segment and a more specific one with the same evidence the latter is taken. What a node has seen answered goes to the reporting peer alone. Evidence is evaluated for the segments of a new crash only.

--- a/src/dispatch/segment_quarantine.cpp
+++ b/src/dispatch/segment_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/segment_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -18,21 +19,6 @@
 constexpr std::size_t maxReportedCrashes = 16;
 constexpr std::size_t maxReportedSegments = 64;
 
-/** Sorts the times and counts those that are not close to the one before. */
-std::size_t countMoments(std::vector<core::time_point> &times)
-{
-    std::ranges::sort(times);
-    std::size_t moments = 0;
-    std::optional<core::time_point> last;
-    for (const core::time_point at : times) {
-        if (last && at - *last < segment_quarantine::sameMoment)
-            continue;
-        ++moments;
-        last = at;
-    }
-    return moments;
-}
-
 } // namespace
 
 void segment_quarantine::onBroken(engine_key engine, std::span<const segment_key> segments,
@@ -44,7 +30,6 @@
     const auto down = m_downAt.find(engine);
     if (down != m_downAt.end() && now - down->second <= confirmationWindow) {
         recordCrash({engine, copy, now}, now);
-        quarantineSuspects(now);
         return;
     }
     if (m_broken.size() >= maxEngines)
@@ -64,12 +49,11 @@
     const auto found = m_broken.find(engine);
     if (found == m_broken.end())
         return;
-    for (broken_request &each : found->second) {
+    for (broken_request &each : std::exchange(found->second, {})) {
         if (now - each.at <= confirmationWindow)
             recordCrash({engine, std::move(each.segments), each.at}, now);
     }
-    m_broken.erase(found);
-    quarantineSuspects(now);
+    m_broken.erase(engine);
 }
 
 void segment_quarantine::onAnswered(std::span<const segment_key> segments, core::time_point now)
@@ -81,28 +65,29 @@
     }
 }
 
-void segment_quarantine::onPeerReport(const segment_report &report, core::time_point now)
+segment_report segment_quarantine::onPeerReport(const segment_report &report, core::time_point now)
 {
+    segment_report corrections;
     for (const segment_key segment : report.answered) {
         recordAnswer(segment, now);
         clear(segment);
     }
     for (const crash_report &each : report.crashes) {
-        // Peers that missed the answer of a segment drop the crash, too.
         for (const segment_key segment : each.segments) {
             if (answeredSince(segment, now - each.age))
-                m_news.answered.push_back(segment);
+                corrections.answered.push_back(segment);
         }
-        addCrash({each.engine, each.segments, now - each.age}, now);
+        if (addCrash({each.engine, each.segments, now - each.age}, now))
+            judge(each.segments, now);
     }
     for (const quarantined_segment &each : report.quarantined) {
         const core::time_point start = now - (quarantineTime - each.remaining);
         if (answeredSince(each.segment, start))
-            m_news.answered.push_back(each.segment);
+            corrections.answered.push_back(each.segment);
         else if (!m_quarantined.contains(each.segment))
             quarantine(each.segment, now + each.remaining);
     }
-    quarantineSuspects(now);
+    return corrections;
 }
 
 std::optional<quarantined_segment> segment_quarantine::find(std::span<const segment_key> segments,
@@ -135,19 +120,30 @@
 void segment_quarantine::recordCrash(crash seen, core::time_point now)
 {
     crash_report report{seen.engine, seen.segments, now - seen.at};
-    if (addCrash(std::move(seen), now))
-        m_news.crashes.push_back(std::move(report));
+    if (!addCrash(std::move(seen), now))
+        return;
+    m_news.crashes.push_back(std::move(report));
+    judge(m_news.crashes.back().segments, now);
+}
+
+bool segment_quarantine::isSameCrash(const crash &left, const crash &right)
+{
+    return left.engine == right.engine
+           && std::max(left.at, right.at) - std::min(left.at, right.at) <= confirmationWindow;
 }
 
 bool segment_quarantine::addCrash(crash added, core::time_point now)
 {
+    dropExpired(now);
     std::erase_if(added.segments, [&](segment_key each) { return answeredSince(each, added.at); });
-    // A quarantined segment explains the crash.
-    if (find(added.segments, now))
+    if (isExplained(added))
         return false;
+    if (find(added.segments, now)) {
+        explain(added);
+        return true;
+    }
     const bool known = std::ranges::any_of(m_crashes, [&](const crash &each) {
-        return each.engine == added.engine && each.segments == added.segments
-               && std::max(each.at, added.at) - std::min(each.at, added.at) <= confirmationWindow;
+        return isSameCrash(each, added) && each.segments == added.segments;
     });
     if (known)
         return false;
@@ -160,74 +156,122 @@
 void segment_quarantine::dropExpired(core::time_point now)
 {
     std::erase_if(m_crashes, [now](const crash &each) { return now - each.at > memory; });
+    std::erase_if(m_explained, [now](const crash &each) { return now - each.at > memory; });
     std::erase_if(m_quarantined, [now](const auto &entry) { return entry.second <= now; });
     std::erase_if(m_broken, [now](const auto &entry) {
         return entry.second.empty() || now - entry.second.back().at > confirmationWindow;
     });
 }
 
-void segment_quarantine::quarantineSuspects(core::time_point now)
+void segment_quarantine::judge(std::span<const segment_key> segments, core::time_point now)
 {
-    dropExpired(now);
-    for (;;) {
-        std::optional<segment_key> suspect;
-        std::size_t mostCrashes = 0;
-        for (const crash &each : m_crashes) {
-            for (const segment_key segment : each.segments) {
-                const evidence against = evidenceAgainst(segment);
-                // Later segments of a prompt are more specific.
-                const bool convincing = against.moments >= requiredMoments
-                                        && against.engines >= requiredEngines
-                                        && against.moments * explainedCrashes >= against.allMoments;
-                if (convincing && against.crashes >= mostCrashes) {
-                    suspect = segment;
-                    mostCrashes = against.crashes;
-                }
-            }
-        }
+    for (const segment_key segment : segments) {
+        const std::optional<segment_key> suspect = suspectFor(segment);
         if (!suspect)
-            return;
+            continue;
         quarantine(*suspect, now + quarantineTime);
         m_news.quarantined.push_back({*suspect, quarantineTime});
+        return;
+    }
+}
+
+// Where a segment always occurs with a more specific one, fewer sound requests share the latter.
+std::optional<segment_key> segment_quarantine::suspectFor(segment_key segment) const
+{
+    const evidence against = evidenceAgainst(segment);
+    if (!against.isConvincing())
+        return std::nullopt;
+    std::set<segment_key> specific;
+    for (const crash &each : m_crashes) {
+        const auto found = std::ranges::find(each.segments, segment);
+        if (found != each.segments.end())
+            specific.insert(found + 1, each.segments.end());
     }
+    for (const segment_key candidate : specific) {
+        const evidence other = evidenceAgainst(candidate);
+        if (other.isConvincing())
+            return candidate;
+        // Other reports of the last crash may still arrive.
+        if (other.moments + 1 >= against.moments)
+            return std::nullopt;
+    }
+    return segment;
 }
 
 segment_quarantine::evidence segment_quarantine::evidenceAgainst(segment_key segment) const
 {
-    evidence result;
-    std::vector<core::time_point> times;
-    std::set<engine_key> engines;
+    std::vector<const crash *> all;
+    std::vector<const crash *> own;
     for (const crash &each : m_crashes) {
-        if (std::ranges::find(each.segments, segment) == each.segments.end())
-            continue;
-        times.push_back(each.at);
-        engines.insert(each.engine);
+        all.push_back(&each);
+        if (std::ranges::find(each.segments, segment) != each.segments.end())
+            own.push_back(&each);
     }
-    if (times.empty())
+    evidence result;
+    if (own.empty())
         return result;
-    result.engines = engines.size();
-    result.crashes = times.size();
-    result.moments = countMoments(times);
-    const core::time_point first = times.front();
-    times.clear();
-    for (const crash &each : m_crashes) {
-        if (each.at >= first)
-            times.push_back(each.at);
+    std::set<engine_key> engines;
+    core::time_point first = own.front()->at;
+    for (const crash *each : own) {
+        engines.insert(each->engine);
+        first = std::min(first, each->at);
     }
-    result.allMoments = countMoments(times);
+    std::erase_if(all, [first](const crash *each) { return each->at < first; });
+    result.engines = engines.size();
+    result.moments = countMoments(std::move(own));
+    result.allMoments = countMoments(std::move(all));
     return result;
 }
 
-// The crashes with the segment are explained and count no longer against its companions.
+// Several requests report one crash, and one cause may end several engines at about the same time.
+std::size_t segment_quarantine::countMoments(std::vector<const crash *> crashes)
+{
+    std::ranges::sort(crashes, {}, &crash::at);
+    std::map<engine_key, core::time_point> lastOfEngine;
+    std::optional<core::time_point> last;
+    std::size_t moments = 0;
+    for (const crash *each : crashes) {
+        const auto known = lastOfEngine.find(each->engine);
+        if (known != lastOfEngine.end() && each->at - known->second <= confirmationWindow)
+            continue;
+        lastOfEngine[each->engine] = each->at;
+        if (last && each->at - *last < sameMoment)
+            continue;
+        last = each->at;
+        ++moments;
+    }
+    return moments;
+}
+
+// The crashes with the segment count no longer against its companions, nor against the other
+// requests that ran at these engines.
 void segment_quarantine::quarantine(segment_key segment, core::time_point until)
 {
     if (m_quarantined.size() >= maxQuarantined)
         m_quarantined.erase(std::ranges::min_element(
             m_quarantined, {}, [](const auto &entry) { return entry.second; }));
     m_quarantined[segment] = until;
-    std::erase_if(m_crashes, [segment](const crash &each) {
+    std::vector<crash> explained;
+    std::ranges::copy_if(m_crashes, std::back_inserter(explained), [segment](const crash &each) {
         return std::ranges::find(each.segments, segment) != each.segments.end();
     });
+    for (const crash &each : explained)
+        explain(each);
+}
+
+void segment_quarantine::explain(const crash &explained)
+{
+    if (m_explained.size() >= maxCrashes)
+        m_explained.erase(m_explained.begin());
+    m_explained.push_back({explained.engine, {}, explained.at});
+    std::erase_if(m_crashes,
+                  [&explained](const crash &each) { return isSameCrash(each, explained); });
+}
+
+bool segment_quarantine::isExplained(const crash &candidate) const
+{
+    return std::ranges::any_of(m_explained,
+                               [&](const crash &each) { return isSameCrash(each, candidate); });
 }
 
 bool segment_quarantine::answeredSince(segment_key segment, core::time_point since) const
--- a/src/dispatch/segment_quarantine.h
+++ b/src/dispatch/segment_quarantine.h
@@ -38,7 +38,7 @@
     static constexpr core::duration confirmationWindow = std::chrono::seconds(1);
 
     /** Crashes within this time have the same cause. */
-    static constexpr core::duration sameMoment = std::chrono::milliseconds(250);
+    static constexpr core::duration sameMoment = std::chrono::milliseconds(100);
     static constexpr std::size_t requiredMoments = 4;
     static constexpr std::size_t requiredEngines = 2;
 
@@ -60,8 +60,12 @@
     /** An engine answered a request with these segments. */
     void onAnswered(std::span<const segment_key> segments, core::time_point now);
 
-    /** Applies what a peer reported. */
-    void onPeerReport(const segment_report &report, core::time_point now);
+    /**
+     * Applies what a peer reported. Returns the segments in it that this node has seen answered
+     * since, for the peer alone: if all nodes told all others, messages would grow with the square
+     * of the fleet.
+     */
+    segment_report onPeerReport(const segment_report &report, core::time_point now);
 
     /** Returns the quarantined segment among these, if any. */
     std::optional<quarantined_segment> find(std::span<const segment_key> segments,
@@ -94,19 +98,31 @@
     {
         std::size_t moments = 0;
         std::size_t engines = 0;
-        std::size_t crashes = 0;
         /** Moments of all crashes since the first one of the segment. */
         std::size_t allMoments = 0;
+
+        bool isConvincing() const
+        {
+            return moments >= requiredMoments && engines >= requiredEngines
+                   && moments * explainedCrashes >= allMoments;
+        }
     };
 
     /** Adds a crash that this node has seen, and reports it. */
     void recordCrash(crash seen, core::time_point now);
-    /** Returns false if the crash is known or explained. */
+    /** Returns false if the crash is known. */
     bool addCrash(crash added, core::time_point now);
+    bool isExplained(const crash &candidate) const;
+    static bool isSameCrash(const crash &left, const crash &right);
     void dropExpired(core::time_point now);
-    void quarantineSuspects(core::time_point now);
+    /** Quarantines a segment if a crash of these segments has completed the evidence. */
+    void judge(std::span<const segment_key> segments, core::time_point now);
+    /** Returns the segment to be quarantined if there is enough evidence against this one. */
+    std::optional<segment_key> suspectFor(segment_key segment) const;
     evidence evidenceAgainst(segment_key segment) const;
+    static std::size_t countMoments(std::vector<const crash *> crashes);
     void quarantine(segment_key segment, core::time_point until);
+    void explain(const crash &explained);
     bool answeredSince(segment_key segment, core::time_point since) const;
     void recordAnswer(segment_key segment, core::time_point now);
     /** Returns true if the segment was suspected. */
@@ -116,6 +132,8 @@
     std::unordered_map<engine_key, core::time_point> m_downAt;
     /** In the order of their arrival; without segments if all of them have been answered. */
     std::vector<crash> m_crashes;
+    /** Crashes that a quarantined segment explains, without segments. */
+    std::vector<crash> m_explained;
     /** End of each quarantine. */
     std::map<segment_key, core::time_point> m_quarantined;
     /** Last answer of each segment, in two generations, of which the older one is dropped. */
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -523,7 +523,9 @@
         if (m_quarantine.find({&each, 1}, now))
             changes.answered.push_back(each);
     }
-    m_quarantine.onPeerReport(received.report, now);
+    const dispatch::segment_report corrections = m_quarantine.onPeerReport(received.report, now);
+    if (!corrections.empty())
+        m_peerSocket.send(from, encodeSegmentReport({m_settings.peers.address, corrections}));
     logSegments(changes, addressText(from.address));
     sendEngineUpdatesSoon();
 }
