--- a/src/dispatch/segment_quarantine.cpp
+++ b/src/dispatch/segment_quarantine.cpp
@@ -67,7 +67,7 @@
 
 segment_report segment_quarantine::onPeerReport(const segment_report &report, core::time_point now)
 {
-    segment_report corrections;
+    segment_report result;
     for (const segment_key segment : report.answered) {
         recordAnswer(segment, now);
         clear(segment);
@@ -75,19 +75,23 @@
     for (const crash_report &each : report.crashes) {
         for (const segment_key segment : each.segments) {
             if (answeredSince(segment, now - each.age))
-                corrections.answered.push_back(segment);
+                result.answered.push_back(segment);
         }
-        if (addCrash({each.engine, each.segments, now - each.age}, now))
-            judge(each.segments, now);
+        if (!addCrash({each.engine, each.segments, now - each.age}, now))
+            continue;
+        if (const auto quarantined = judge(each.segments, now))
+            result.quarantined.push_back(*quarantined);
     }
     for (const quarantined_segment &each : report.quarantined) {
         const core::time_point start = now - (quarantineTime - each.remaining);
-        if (answeredSince(each.segment, start))
-            corrections.answered.push_back(each.segment);
-        else if (!m_quarantined.contains(each.segment))
+        if (answeredSince(each.segment, start)) {
+            result.answered.push_back(each.segment);
+        } else if (!m_quarantined.contains(each.segment)) {
             quarantine(each.segment, now + each.remaining);
+            result.quarantined.push_back(each);
+        }
     }
-    return corrections;
+    return result;
 }
 
 std::optional<quarantined_segment> segment_quarantine::find(std::span<const segment_key> segments,
@@ -123,7 +127,8 @@
     if (!addCrash(std::move(seen), now))
         return;
     m_news.crashes.push_back(std::move(report));
-    judge(m_news.crashes.back().segments, now);
+    if (const auto quarantined = judge(m_news.crashes.back().segments, now))
+        m_news.quarantined.push_back(*quarantined);
 }
 
 bool segment_quarantine::isSameCrash(const crash &left, const crash &right)
@@ -163,16 +168,17 @@
     });
 }
 
-void segment_quarantine::judge(std::span<const segment_key> segments, core::time_point now)
+std::optional<quarantined_segment> segment_quarantine::judge(std::span<const segment_key> segments,
+                                                             core::time_point now)
 {
     for (const segment_key segment : segments) {
         const std::optional<segment_key> suspect = suspectFor(segment);
         if (!suspect)
             continue;
         quarantine(*suspect, now + quarantineTime);
-        m_news.quarantined.push_back({*suspect, quarantineTime});
-        return;
+        return quarantined_segment{*suspect, quarantineTime};
     }
+    return std::nullopt;
 }
 
 // Where a segment always occurs with a more specific one, fewer sound requests share the latter.
--- a/src/dispatch/segment_quarantine.h
+++ b/src/dispatch/segment_quarantine.h
@@ -62,8 +62,8 @@
 
     /**
      * Applies what a peer reported. Returns the segments in it that this node has seen answered
-     * since, for the peer alone: if all nodes told all others, messages would grow with the square
-     * of the fleet.
+     * since, for the peer alone, and those that this node has quarantined by it, for the log: if
+     * all nodes told all others, messages would grow with the square of the fleet.
      */
     segment_report onPeerReport(const segment_report &report, core::time_point now);
 
@@ -116,7 +116,8 @@
     static bool isSameCrash(const crash &left, const crash &right);
     void dropExpired(core::time_point now);
     /** Quarantines a segment if a crash of these segments has completed the evidence. */
-    void judge(std::span<const segment_key> segments, core::time_point now);
+    std::optional<quarantined_segment> judge(std::span<const segment_key> segments,
+                                             core::time_point now);
     /** Returns the segment to be quarantined if there is enough evidence against this one. */
     std::optional<segment_key> suspectFor(segment_key segment) const;
     evidence evidenceAgainst(segment_key segment) const;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -515,17 +515,14 @@
         return;
     const core::time_point now = monotonicNow();
     dispatch::segment_report changes;
-    for (const dispatch::quarantined_segment &each : received.report.quarantined) {
-        if (!m_quarantine.find({&each.segment, 1}, now))
-            changes.quarantined.push_back(each);
-    }
     for (const dispatch::segment_key &each : received.report.answered) {
         if (m_quarantine.find({&each, 1}, now))
             changes.answered.push_back(each);
     }
-    const dispatch::segment_report corrections = m_quarantine.onPeerReport(received.report, now);
-    if (!corrections.empty())
-        m_peerSocket.send(from, encodeSegmentReport({m_settings.peers.address, corrections}));
+    dispatch::segment_report result = m_quarantine.onPeerReport(received.report, now);
+    changes.quarantined = std::exchange(result.quarantined, {});
+    if (!result.empty())
+        m_peerSocket.send(from, encodeSegmentReport({m_settings.peers.address, result}));
     logSegments(changes, addressText(from.address));
     sendEngineUpdatesSoon();
 }
@@ -537,9 +534,7 @@
     const dispatch::segment_report news = m_quarantine.takeNews();
     logSegments(news, "");
     m_segmentRepeats = segmentReportRepeats;
-    const std::string bytes = encodeSegmentReport({m_settings.peers.address, news});
-    for (const std::uint32_t peer : m_fleet.peers())
-        m_peerSocket.send({peer, m_settings.peers.port}, bytes);
+    sendToPeers(encodeSegmentReport({m_settings.peers.address, news}));
 }
 
 void gateway_node::repeatSegmentReport(bool full)
@@ -551,9 +546,7 @@
     const dispatch::segment_report summary = m_quarantine.summary(monotonicNow());
     if (summary.empty())
         return;
-    const std::string bytes = encodeSegmentReport({m_settings.peers.address, summary});
-    for (const std::uint32_t peer : m_fleet.peers())
-        m_peerSocket.send({peer, m_settings.peers.port}, bytes);
+    sendToPeers(encodeSegmentReport({m_settings.peers.address, summary}));
 }
 
 void gateway_node::logSegments(const dispatch::segment_report &report, std::string_view origin)
@@ -629,12 +622,18 @@
         m_peerSocket.send(from, encodeSegmentReport({m_settings.peers.address, summary}));
 }
 
-void gateway_node::sendStatus()
+void gateway_node::sendToPeers(std::string_view bytes)
 {
-    const bool full = m_statusCount++ % statusesPerFullStatus == 0;
-    const std::string bytes = encodeStatus(buildStatus(full));
     for (const std::uint32_t peer : m_fleet.peers())
         m_peerSocket.send({peer, m_settings.peers.port}, bytes);
+}
+
+void gateway_node::sendStatus()
+{
+    const bool full = m_statusCount++ % statusesPerFullStatus == 0;
+    dispatch::node_status status = buildStatus(full);
+    status.latencies = m_registry.takeNewLatencies(maxLatenciesPerStatus);
+    sendToPeers(encodeStatus(status));
     repeatSegmentReport(full);
     m_admission.onPeerLoadsUpdated();
     const core::duration interval = statusInterval();
@@ -664,7 +663,6 @@
     result.revisions = m_catalogue.revisions();
     result.source = m_source.state();
     result.loads = m_registry.ownLoads();
-    result.latencies = m_registry.takeNewLatencies(maxLatenciesPerStatus);
     addChangedUsage(result, full);
     result.queues = m_admission.queues();
     for (const auto &[address, member] : m_fleet.members()) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -124,6 +124,7 @@
     void repeatSegmentReport(bool full);
     void logSegments(const dispatch::segment_report &report, std::string_view origin);
 
+    void sendToPeers(std::string_view bytes);
     void sendStatus();
     dispatch::node_status buildStatus(bool full);
     void addChangedUsage(dispatch::node_status &target, bool full);
--- a/tests/dispatch/segment_quarantine_test.cpp
+++ b/tests/dispatch/segment_quarantine_test.cpp
@@ -175,8 +175,11 @@
                     each.onPeerReport(news, m_now);
             }
         }
-        for (const segment_quarantine &each : nodes)
+        for (const segment_quarantine &each : nodes) {
             CPPUNIT_ASSERT(each.find(std::vector{poison}, m_now));
+            // Only the witness of the last crash reports the quarantine.
+            CPPUNIT_ASSERT(!each.hasNews());
+        }
         CPPUNIT_ASSERT(!nodes[0].find(std::vector{shared}, m_now));
     }
 
