--- a/src/dispatch/record_collection.cpp
+++ b/src/dispatch/record_collection.cpp
@@ -54,7 +54,7 @@
     if (m_removed.size() > maxRemovals) {
         const auto oldest = std::ranges::min_element(
             m_removed, {}, [](const auto &entry) { return entry.second; });
-        m_droppedRemovalRevision = std::max(m_droppedRemovalRevision, oldest->second);
+        m_historyStart = std::max(m_historyStart, oldest->second);
         m_removed.erase(oldest);
     }
     if (known == m_records.end())
@@ -68,6 +68,9 @@
                                              std::uint64_t revision)
 {
     record_changes changes;
+    // A snapshot does not show the removals of records that were unknown here.
+    if (revision > m_revision)
+        m_historyStart = std::max(m_historyStart, revision);
     std::map<std::string, std::uint64_t, std::less<>> present;
     for (published_record &record : records) {
         present.emplace(record.key, record.revision);
@@ -121,7 +124,7 @@
 std::optional<record_collection::difference>
 record_collection::changesSince(std::uint64_t revision) const
 {
-    if (revision == 0 || revision < m_droppedRemovalRevision)
+    if (revision == 0 || revision < m_historyStart)
         return std::nullopt;
     difference result;
     for (const auto &[key, record] : m_records) {
--- a/src/dispatch/record_collection.h
+++ b/src/dispatch/record_collection.h
@@ -62,7 +62,7 @@
     record_changes removeAfter(std::uint64_t previous, std::string_view key,
                                std::uint64_t revision);
 
-    /** Returns the changes after a revision, or nothing if removals since then were dropped. */
+    /** Returns the changes after a revision, or nothing if removals since then may be unknown. */
     std::optional<difference> changesSince(std::uint64_t revision) const;
 
     /** Raises the revision after a snapshot of a peer was applied. */
@@ -85,8 +85,8 @@
     /** Revisions of recent removals, so that a peer cannot restore an older record. */
     std::map<std::string, std::uint64_t, std::less<>> m_removed;
     std::uint64_t m_revision = 0;
-    /** Removals up to this revision may have been dropped. */
-    std::uint64_t m_droppedRemovalRevision = 0;
+    /** Removals up to this revision may be unknown: dropped, or made before a snapshot. */
+    std::uint64_t m_historyStart = 0;
 };
 
 } // namespace comfreypass::dispatch
