--- /dev/null
+++ b/tests/dispatch/quarantine_load/quarantine_load_test.cpp
@@ -0,0 +1,48 @@
+#include "dispatch/segment_quarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace comfreypass;
+using namespace comfreypass::dispatch;
+using namespace std::chrono_literals;
+
+class quarantine_load_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(quarantine_load_test);
+    CPPUNIT_TEST(constantEngineFailuresQuarantineNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against refusing sound requests while engines fail at random: 20 engines with a crash
+    // every 300 ms, six requests each, 100 segments, 200 requests per second.
+    void constantEngineFailuresQuarantineNothing()
+    {
+        constexpr segment_key shared = 7;
+        core::time_point now{10h};
+        for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+            std::minstd_rand random(seed);
+            segment_quarantine node;
+            for (int i = 0; i < 6'000; ++i) {
+                now += 5ms;
+                const std::vector<segment_key> segments = {shared, 100 + random() % 100};
+                const auto engine = static_cast<engine_key>(random() % 20);
+                const auto failed = static_cast<engine_key>(i / 60 % 20);
+                if (i % 60 < 6) {
+                    node.onBroken(failed, segments, now);
+                    node.onEngineDown(failed, now);
+                } else if (engine != failed) {
+                    node.onAnswered(segments, now);
+                }
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), !node.find(segments, now));
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(quarantine_load_test);
