Offer slots past a queued retry that excludes their engine

Cause: the queue offered a freed slot only to its first request. A retry excludes the engines that it has tried, so while one was first, slots that became free at such an engine stayed empty for up to 500 ms although other requests waited.

Change: a request with excluded engines that gets no slot is passed over, and the next one in order is tried. A request without excluded engines still ends the search, since the others could not start either.

Measured: admission_test::slotsThatTheNextRequestExcludesAreNotLeftFree failed on the code before (0 grants instead of 1); test_dispatch passes after (102 tests). wait_queue_test covers the order of those that follow.

Conclusion: a retry delays nobody for slots that it cannot use.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -151,13 +151,20 @@
                              std::vector<admission_grant> &grants, core::time_point now)
 {
     std::size_t granted = 0;
+    std::vector<core::request_id> passedOver;
     while (granted < maxGrants) {
-        const auto next = state.queue.next(now);
+        const auto next = state.queue.next(now, passedOver);
         if (!next)
             break;
-        const engine_selection basis = choose(state, m_requests.at(next->id), engines, now);
-        if (basis.outcome != selection_outcome::Selected)
-            break;
+        const admission_request &request = m_requests.at(next->id);
+        const engine_selection basis = choose(state, request, engines, now);
+        if (basis.outcome != selection_outcome::Selected) {
+            // The free slots may all be at engines that only this request excludes.
+            if (!request.restrictsEngines())
+                break;
+            passedOver.push_back(next->id);
+            continue;
+        }
         ++granted;
         grants.push_back({next->id, *basis.engine, basis});
         m_registry.onStart(basis.engine->id, now);
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -32,6 +32,9 @@
     /** Expected output tokens, 0 if unknown, and the deadline of the response. */
     double outputTokens = 0;
     core::time_point deadline{};
+
+    /** Returns true if another request may start at an engine that this one does not accept. */
+    bool restrictsEngines() const noexcept { return !excluded.empty(); }
 };
 
 enum class admission_outcome : std::uint8_t { Start, Wait, Refuse };
--- a/src/dispatch/wait_queue.h
+++ b/src/dispatch/wait_queue.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace comfreypass::dispatch {
@@ -35,8 +36,9 @@
 public:
     void push(const waiting_request &request);
 
-    /** Returns the next request; nothing if the queue is empty. */
-    std::optional<waiting_request> next(core::time_point now) const;
+    /** Returns the next request that is not in `passedOver`; nothing if there is none. */
+    std::optional<waiting_request> next(core::time_point now,
+                                        std::span<const core::request_id> passedOver = {}) const;
 
     /** Removes a request; returns false if it is not queued. */
     bool remove(core::request_id id);
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(shortRequestsDoNotWaitForLoadReports);
     CPPUNIT_TEST(retryAfterHasJitter);
     CPPUNIT_TEST(excludedEngineIsNotSelected);
+    CPPUNIT_TEST(slotsThatTheNextRequestExcludesAreNotLeftFree);
     CPPUNIT_TEST(preferredSlotsAreAcquiredWithinAFewPolls);
     CPPUNIT_TEST(idleEngineOfOtherNodesIsUsedInShares);
     CPPUNIT_TEST(shortRequestsAreNotRefusedByOutdatedLoads);
@@ -164,6 +165,27 @@
         CPPUNIT_ASSERT(decision.cause == refusal_cause::NoEngine);
     }
 
+    // Guards against free slots that nobody gets because the first queued request excludes them.
+    void slotsThatTheNextRequestExcludesAreNotLeftFree()
+    {
+        submit(1, 0);
+        submit(2, 0);
+        admission_request retry = request(3, 0);
+        retry.excluded = {"e1"};
+        CPPUNIT_ASSERT(m_admission.submit(retry, m_now).outcome == admission_outcome::Wait);
+        CPPUNIT_ASSERT(submit(4, 1).outcome == admission_outcome::Wait);
+        m_admission.onEnd("u", "e1", attempt_result::Served, {}, m_now);
+        const auto grants = m_admission.poll("u", poll_trigger::OwnCompletion, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
+        CPPUNIT_ASSERT_EQUAL(core::request_id{4}, grants.at(0).id);
+        m_registry.update(
+            {.id = "e2", .upstream = "u", .address = "127.0.0.1:2", .domain = "d1", .slots = 1},
+            nullptr, m_now);
+        const auto later = m_admission.poll("u", poll_trigger::OwnCompletion, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, later.size());
+        CPPUNIT_ASSERT_EQUAL(core::request_id{3}, later.at(0).id);
+    }
+
     // Guards against slots of a preferred engine that stay free until the next load report while
     // requests are queued, and against nodes that all acquire them in one poll.
     void preferredSlotsAreAcquiredWithinAFewPolls()
--- a/tests/dispatch/wait_queue_test.cpp
+++ b/tests/dispatch/wait_queue_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <vector>
 
 using namespace comfreypass;
 using namespace comfreypass::dispatch;
@@ -14,6 +15,7 @@
     CPPUNIT_TEST(higherPriorityIsFirst);
     CPPUNIT_TEST(requestThatCanMeetItsObjectivePrecedesALateOne);
     CPPUNIT_TEST(lateRequestsAreNotStarved);
+    CPPUNIT_TEST(requestsAfterAPassedOverOneKeepTheirOrder);
     CPPUNIT_TEST(expiredRequestsAreRemoved);
     CPPUNIT_TEST_SUITE_END();
 
@@ -53,6 +55,21 @@
         CPPUNIT_ASSERT(!queue.next(m_now));
     }
 
+    // Guards against a lower priority or a late request that takes a slot first when one is passed
+    // over.
+    void requestsAfterAPassedOverOneKeepTheirOrder()
+    {
+        wait_queue queue;
+        queue.push({1, 0, m_now + 1s, m_now + 2s});
+        queue.push({2, 0, m_now - 1s, m_now + 2s});
+        queue.push({3, 0, m_now + 1s, m_now + 2s});
+        queue.push({4, 1, m_now + 1s, m_now + 2s});
+        std::vector<core::request_id> order;
+        while (const auto next = queue.next(m_now, order))
+            order.push_back(next->id);
+        CPPUNIT_ASSERT(order == std::vector<core::request_id>({1, 3, 2, 4}));
+    }
+
     // Guards against requests that stay queued after their deadline.
     void expiredRequestsAreRemoved()
     {
