Keep a silent engine's attempt until another engine has a slot

Cause: when an engine sent nothing for 1.2 s (stream) or 0.4 s (plain), the attempt ended as soon as some other engine seemed to have a free slot, and only then was a slot asked for. The admission could still queue the request (others wait, a cold engine has had its requests, a peer's allowance) and after 0.5 s the node cut the begun stream (no_slot_to_resume, no_engine_to_resume) or answered 502 (no_slot_to_repeat, no_engine_to_repeat), although the engine would have gone on. Ruled out: that only hanging engines are left; a second of silence is enough.

Change: the attempt runs on while the request asks for another engine, at once or in the queue, every 100 ms. When a slot is granted, the retry budget is spent, the old connection closed and the successor started. An engine that goes on, a failure, the deadline and a caller that leaves take the request out of the queue; a slot that comes too late is returned. Such a request holds up no new one and is not moved to an engine that is silent, too.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -102,8 +102,8 @@
         return decision;
     }
     decision.outcome = admission_outcome::Wait;
-    state.queue.push(
-        {request.id, request.priority, latestStart(request, state), request.queueDeadline});
+    state.queue.push({request.id, request.priority, latestStart(request, state),
+                      request.queueDeadline, request.isRunning});
     m_requests.insert_or_assign(request.id, request);
     return decision;
 }
@@ -365,6 +365,7 @@
          .outputTokens = request.outputTokens,
          .objective = request.objective,
          .timeLeft = request.deadline - now,
+         .responsiveOnly = request.isRunning,
          .freshLoadOnly = engines == engine_choice::FreshLoad,
          .peerRequestsPerSlot = peerRequestsPerSlot(state, request.upstream, now)},
         share, now);
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -32,9 +32,14 @@
     /** Expected output tokens, 0 if unknown, and the deadline of the response. */
     double outputTokens = 0;
     core::time_point deadline{};
+    /**
+     * The request runs at an engine that it wants to leave. It gets no engine that is silent, too,
+     * and new requests may overtake it.
+     */
+    bool isRunning = false;
 
     /** Returns true if another request may start at an engine that this one does not accept. */
-    bool restrictsEngines() const noexcept { return !excluded.empty(); }
+    bool restrictsEngines() const noexcept { return isRunning || !excluded.empty(); }
 };
 
 enum class admission_outcome : std::uint8_t { Start, Wait, Refuse };
--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -313,7 +313,7 @@
     const auto stalled = [now](const engine *each) {
         return isStalled(*each, now);
     };
-    if (!std::ranges::all_of(candidates, stalled))
+    if (request.responsiveOnly || !std::ranges::all_of(candidates, stalled))
         std::erase_if(candidates, stalled);
     eraseDegraded(candidates, now);
     const double unreported = request.unreportedStarts / static_cast<double>(candidates.size());
@@ -496,15 +496,6 @@
               : target->prefillSecondsPerToken;
 }
 
-bool engine_registry::hasCapacityElsewhere(std::string_view upstream, std::string_view id,
-                                           core::time_point now) const
-{
-    return std::ranges::any_of(enginesOf(upstream), [&](const engine *each) {
-        return each->entry.id != id && isUsable(*each, now) && !isStalled(*each, now)
-               && each->running + each->peersRunning < each->entry.slots;
-    });
-}
-
 std::vector<engine_load> engine_registry::ownLoads() const
 {
     std::vector<engine_load> loads;
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -56,6 +56,8 @@
     core::duration objective{};
     /** Time until the deadline of the response; 0 if there is none. */
     core::duration timeLeft{};
+    /** Excludes stalled engines, even if all are; else they are then selected. */
+    bool responsiveOnly = false;
     /** Excludes engines that other nodes prefer, because their load is known only with a delay. */
     bool freshLoadOnly = false;
     /**
@@ -195,10 +197,6 @@
     /** Returns true if requests may be sent to the engine. */
     bool isUsable(std::string_view id, core::time_point now) const;
 
-    /** Returns true if an engine of the upstream other than `id` has free capacity. */
-    bool hasCapacityElsewhere(std::string_view upstream, std::string_view id,
-                              core::time_point now) const;
-
     /** Returns the non-zero loads of this node. */
     std::vector<engine_load> ownLoads() const;
 
--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -21,7 +21,7 @@
     past.requests.push_back(now);
 }
 
-bool retry_budget::tryRetry(std::string_view upstream, const fleet_share &share,
+bool retry_budget::mayRetry(std::string_view upstream, const fleet_share &share,
                             core::time_point now)
 {
     history &past = m_upstreams[std::string(upstream)];
@@ -29,9 +29,15 @@
     dropExpired(past.retries, now);
     const double earned = m_limits.ratio * static_cast<double>(past.requests.size());
     const double extra = m_limits.extra / static_cast<double>(share.known);
-    if (static_cast<double>(past.retries.size()) + 1 > spentFraction * (earned + extra))
+    return static_cast<double>(past.retries.size()) + 1 <= spentFraction * (earned + extra);
+}
+
+bool retry_budget::tryRetry(std::string_view upstream, const fleet_share &share,
+                            core::time_point now)
+{
+    if (!mayRetry(upstream, share, now))
         return false;
-    past.retries.push_back(now);
+    m_upstreams[std::string(upstream)].retries.push_back(now);
     return true;
 }
 
--- a/src/dispatch/retry_budget.h
+++ b/src/dispatch/retry_budget.h
@@ -35,6 +35,9 @@
     /** Counts a request of a caller for an upstream. */
     void onRequest(std::string_view upstream, core::time_point now);
 
+    /** Returns true if the budget allows a retry now. */
+    bool mayRetry(std::string_view upstream, const fleet_share &share, core::time_point now);
+
     /** Spends one retry and returns true, or returns false if the budget is used up. */
     bool tryRetry(std::string_view upstream, const fleet_share &share, core::time_point now);
 
--- a/src/dispatch/wait_queue.cpp
+++ b/src/dispatch/wait_queue.cpp
@@ -68,7 +68,8 @@
     for (const auto &[level, queued] : m_byPriority) {
         if (level > priority)
             break;
-        count += queued.size();
+        count += static_cast<std::size_t>(
+            std::ranges::count(queued, false, &waiting_request::isRunning));
     }
     return count;
 }
--- a/src/dispatch/wait_queue.h
+++ b/src/dispatch/wait_queue.h
@@ -22,6 +22,8 @@
     core::time_point objectiveAt{};
     /** Time at which the request is refused. */
     core::time_point queueDeadline{};
+    /** The request runs at an engine that it wants to leave. */
+    bool isRunning = false;
 };
 
 /**
@@ -49,7 +51,7 @@
     std::size_t size() const noexcept { return m_size; }
     bool empty() const noexcept { return m_size == 0; }
 
-    /** Returns the number of requests that precede a new one of this priority. */
+    /** Returns the number of requests that a new one of this priority may not overtake. */
     std::size_t ahead(std::uint32_t priority) const noexcept;
 
     /** Returns the highest priority of the queued requests; nothing if the queue is empty. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -76,6 +76,9 @@
 constexpr core::duration streamStallTimeout = 1'200ms;
 constexpr core::duration plainStallTimeout = 400ms;
 
+/** Interval at which a stalled attempt is offered to other engines. */
+constexpr core::duration successorInterval = 100ms;
+
 /** The engine stops at the deadline by itself; allows time for its response to arrive. */
 constexpr core::duration deadlineSlack = 40ms;
 
@@ -199,20 +202,9 @@
     if (refuseQuarantined())
         return;
     const core::time_point now = m_context.now();
-    const dispatch::admission_decision decision = m_context.admission.submit(
-        {.id = m_id,
-         .upstream = m_upstream,
-         .priority = m_record.priority,
-         .objectiveAt = m_arrivedAt + m_route->objective,
-         .queueDeadline
-         = std::min(m_record.attempts == 0 ? m_arrivedAt + maxQueueTime() : now + maxRetryQueueTime,
-                    m_deadline),
-         .excluded = m_triedEngines,
-         .promptTokens = isStreamRoute() ? m_metadata.promptTokens.value_or(0) : 0,
-         .objective = m_route->objective,
-         .outputTokens = m_metadata.expectedOutputTokens.value_or(0),
-         .deadline = m_deadline},
-        now);
+    const dispatch::admission_decision decision
+        = requestEngine(m_triedEngines, m_record.attempts == 0 ? m_arrivedAt + maxQueueTime()
+                                                               : now + maxRetryQueueTime);
     switch (decision.outcome) {
     case dispatch::admission_outcome::Start:
         startAttempt(decision.engine, decision.basis);
@@ -231,6 +223,24 @@
         respondRefused(unavailable, toString(decision.cause), decision.retryAfter);
 }
 
+dispatch::admission_decision request_flow::requestEngine(std::span<const std::string> excluded,
+                                                         core::time_point queueDeadline)
+{
+    return m_context.admission.submit(
+        {.id = m_id,
+         .upstream = m_upstream,
+         .priority = m_record.priority,
+         .objectiveAt = m_arrivedAt + m_route->objective,
+         .queueDeadline = std::min(queueDeadline, m_deadline),
+         .excluded = {excluded.begin(), excluded.end()},
+         .promptTokens = isStreamRoute() ? m_metadata.promptTokens.value_or(0) : 0,
+         .objective = m_route->objective,
+         .outputTokens = m_metadata.expectedOutputTokens.value_or(0),
+         .deadline = m_deadline,
+         .isRunning = m_engine.has_value()},
+        m_context.now());
+}
+
 // Checked before each attempt, since a request that has crashed an engine would crash the next one.
 bool request_flow::refuseQuarantined()
 {
@@ -247,6 +257,11 @@
     return true;
 }
 
+bool request_flow::isQuarantined() const
+{
+    return m_context.quarantine.find(m_metadata.sharedSegments, m_context.now()).has_value();
+}
+
 // The connection has ended before the engine could prove that the request is harmless.
 void request_flow::onBrokenOff()
 {
@@ -269,17 +284,35 @@
 void request_flow::onGrant(const dispatch::admission_grant &grant)
 {
     m_queued = false;
+    if (m_engine) {
+        if (!isStalled() || !canMove() || !moveTo(grant.engine, grant.basis))
+            returnSlot(grant.engine);
+        return;
+    }
     if (refuseQuarantined()) {
-        m_context.admission.onEnd(m_upstream, grant.engine.id, dispatch::attempt_result::Neutral,
-                                  core::duration::zero(), m_context.now());
+        returnSlot(grant.engine);
         return;
     }
     startAttempt(grant.engine, grant.basis);
 }
 
+void request_flow::returnSlot(const dispatch::engine_entry &engine)
+{
+    m_context.admission.onEnd(m_upstream, engine.id, dispatch::attempt_result::Neutral,
+                              core::duration::zero(), m_context.now());
+}
+
+void request_flow::leaveQueue()
+{
+    if (std::exchange(m_queued, false))
+        m_context.admission.cancel(m_id);
+}
+
 void request_flow::onQueueTimeout()
 {
     m_queued = false;
+    if (m_engine)
+        return;
     if (responseStarted())
         abortResponse("no_slot_to_resume");
     else if (m_mayHaveRun)
@@ -354,17 +387,70 @@
         m_attemptTimer.startOnce(stallTimeout());
         return;
     }
-    const core::duration inactivity = m_context.now() - m_lastEventAt;
-    // The engine may only be slow, so the attempt is abandoned only if another one has capacity.
-    const core::time_point now = m_context.now();
-    if (inactivity >= stallTimeout() && canRetry()
-        && m_context.registry.hasCapacityElsewhere(m_upstream, m_engine->id, now)
-        && consumeRetryBudget()) {
-        onStall();
+    if (!isStalled()) {
+        const core::duration rest = stallTimeout() - (m_context.now() - m_lastEventAt);
+        m_attemptTimer.startOnce(std::max<core::duration>(rest, 1ms));
         return;
     }
-    const core::duration rest = stallTimeout() - inactivity;
-    m_attemptTimer.startOnce(rest > 1ms ? rest : stallTimeout());
+    if (!canMove()) {
+        m_attemptTimer.startOnce(stallTimeout());
+        return;
+    }
+    if (!seekSuccessor())
+        m_attemptTimer.startOnce(successorInterval);
+}
+
+bool request_flow::isStalled() const
+{
+    return !m_engineReadPaused && m_connection.connection->connected()
+           && m_context.now() - m_lastEventAt >= stallTimeout();
+}
+
+bool request_flow::canMove() const
+{
+    return canRetry() && !isQuarantined();
+}
+
+// The engine may only be slow, so the attempt goes on until another engine has a slot for the
+// request. Returns true if the request was moved.
+bool request_flow::seekSuccessor()
+{
+    const core::time_point now = m_context.now();
+    if (m_queued || !m_context.retries.mayRetry(m_upstream, m_context.fleet.share(now), now))
+        return false;
+    std::vector<std::string> excluded = m_triedEngines;
+    excluded.push_back(m_engine->id);
+    const dispatch::admission_decision decision = requestEngine(excluded, now + maxRetryQueueTime);
+    m_queued = decision.outcome == dispatch::admission_outcome::Wait;
+    if (decision.outcome != dispatch::admission_outcome::Start)
+        return false;
+    if (moveTo(decision.engine, decision.basis))
+        return true;
+    returnSlot(decision.engine);
+    return false;
+}
+
+// Precondition: the admission counts the request at the engine. Returns false if the retry budget
+// is used up.
+bool request_flow::moveTo(const dispatch::engine_entry &engine,
+                          const dispatch::engine_selection &basis)
+{
+    if (!consumeRetryBudget())
+        return false;
+    m_mayHaveRun = true;
+    m_context.attemptFailed(m_record, "stalled");
+    endAttempt(dispatch::attempt_result::Failed, false);
+    m_events.discardIncompleteEvent();
+    m_triedEngines.push_back(m_record.engine);
+    startAttempt(engine, basis);
+    return true;
+}
+
+void request_flow::onProgress(core::time_point now)
+{
+    m_lastEventAt = now;
+    leaveQueue();
+    m_context.registry.onBytes(m_engine->id, now);
 }
 
 core::duration request_flow::stallTimeout() const
@@ -379,13 +465,6 @@
     handleNotRun();
 }
 
-void request_flow::onStall()
-{
-    m_mayHaveRun = true;
-    m_context.attemptFailed(m_record, "stalled");
-    retryElsewhere(dispatch::attempt_result::Failed);
-}
-
 http1::head_decision request_flow::onHead(const http1::message_head &head)
 {
     response_metadata metadata = m_context.callerProtocol.readResponse(head);
@@ -433,8 +512,7 @@
     m_bytesSinceProgress += bytes.size();
     if (m_bytesSinceProgress >= minProgressBytes) {
         m_bytesSinceProgress = 0;
-        m_lastEventAt = now;
-        m_context.registry.onBytes(m_engine->id, now);
+        onProgress(now);
     }
     if (m_bufferedBody.size() <= maxBufferedBytes)
         return;
@@ -480,7 +558,6 @@
         onAnswered();
     m_attemptEvents = attemptEvents;
     const core::time_point now = m_context.now();
-    m_context.registry.onBytes(m_engine->id, now);
     if (m_resumeCheckPending && !checkResumedStream()) {
         m_mayHaveRun = true;
         endAttempt(dispatch::attempt_result::Failed, false);
@@ -491,7 +568,7 @@
         m_context.registry.onEventInterval(m_engine->id, now - m_lastEventAt);
     else
         onFirstEvent(now - m_attemptStartedAt);
-    m_lastEventAt = now;
+    onProgress(now);
     if (!std::exchange(m_responseStarted, true)) {
         m_record.firstByte = now - m_arrivedAt;
         m_caller.beginStream(m_responseHead.status,
@@ -701,6 +778,7 @@
 {
     if (!m_engine)
         return;
+    leaveQueue();
     const core::time_point now = m_context.now();
     m_attemptTimer.stop();
     const std::string engineId = m_engine->id;
@@ -722,7 +800,7 @@
 {
     if (m_ended)
         return;
-    if (m_queued) {
+    if (m_queued && !m_engine) {
         m_context.admission.cancel(m_id);
         onQueueTimeout();
         return;
@@ -776,8 +854,7 @@
 {
     if (std::exchange(m_ended, true))
         return;
-    if (std::exchange(m_queued, false))
-        m_context.admission.cancel(m_id);
+    leaveQueue();
     m_deadlineTimer.stop();
     m_attemptTimer.stop();
     m_record.outcome = outcome;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,7 +40,10 @@
     /** Refuses the request because the node is about to stop; called instead of begin(). */
     void refuseWhileLeaving();
 
-    /** Starts a queued request at an engine; the admission already counts it there. */
+    /**
+     * Starts a queued request at an engine; the admission already counts it there. A request that
+     * no longer needs the engine returns its slot.
+     */
     void onGrant(const dispatch::admission_grant &grant);
 
     /** Handles the timeout of a queued request. */
@@ -74,6 +78,9 @@
     bool chargeQuota();
     const std::string &chooseTarget();
     void submit();
+    dispatch::admission_decision requestEngine(std::span<const std::string> excluded,
+                                               core::time_point queueDeadline);
+    bool isQuarantined() const;
     bool refuseQuarantined();
     void onBrokenOff();
     void onAnswered();
@@ -82,7 +89,13 @@
     std::string buildRequest(const dispatch::engine_entry &engine) const;
     void checkAttempt();
     void onConnectTimeout();
-    void onStall();
+    bool isStalled() const;
+    bool canMove() const;
+    bool seekSuccessor();
+    bool moveTo(const dispatch::engine_entry &engine, const dispatch::engine_selection &basis);
+    void returnSlot(const dispatch::engine_entry &engine);
+    void leaveQueue();
+    void onProgress(core::time_point now);
     void onDeadline();
 
     void relayEvents();
@@ -158,6 +171,7 @@
     std::uint32_t m_rejections = 0;
     std::uint32_t m_unreachableEngines = 0;
     bool m_mayHaveRun = false;
+    /** Waits for an engine; while an attempt runs, for one that may take it over. */
     bool m_queued = false;
     bool m_responseStarted = false;
     bool m_ended = false;
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(retryAfterHasJitter);
     CPPUNIT_TEST(excludedEngineIsNotSelected);
     CPPUNIT_TEST(slotsThatTheNextRequestExcludesAreNotLeftFree);
+    CPPUNIT_TEST(requestThatRunsElsewhereDoesNotHoldUpNewOnes);
     CPPUNIT_TEST(preferredSlotsAreAcquiredWithinAFewPolls);
     CPPUNIT_TEST(idleEngineOfOtherNodesIsUsedInShares);
     CPPUNIT_TEST(shortRequestsAreNotRefusedByOutdatedLoads);
@@ -186,6 +187,21 @@
         CPPUNIT_ASSERT_EQUAL(core::request_id{3}, later.at(0).id);
     }
 
+    // Guards against requests that are refused or queued because of one that already has an engine.
+    void requestThatRunsElsewhereDoesNotHoldUpNewOnes()
+    {
+        submit(1, 0);
+        submit(2, 0);
+        admission_request running = request(2, 0);
+        running.excluded = {"e1"};
+        running.isRunning = true;
+        CPPUNIT_ASSERT(m_admission.submit(running, m_now).outcome == admission_outcome::Wait);
+        m_admission.onEnd("u", "e1", attempt_result::Served, {}, m_now);
+        const admission_decision decision = submit(3, 0);
+        CPPUNIT_ASSERT(decision.outcome == admission_outcome::Start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, submit(4, 0).ahead);
+    }
+
     // Guards against slots of a preferred engine that stay free until the next load report while
     // requests are queued, and against nodes that all acquire them in one poll.
     void preferredSlotsAreAcquiredWithinAFewPolls()
--- a/tests/dispatch/engine_registry_test.cpp
+++ b/tests/dispatch/engine_registry_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(unreachableEngineReturnsAsCold);
     CPPUNIT_TEST(stalledEngineIsNotSelected);
     CPPUNIT_TEST(stallCheckIsSkippedIfAllEnginesLookStalled);
+    CPPUNIT_TEST(requestOfAStalledEngineIsNotMovedToAnotherStalledOne);
     CPPUNIT_TEST(failingEngineReceivesFewerRequests);
     CPPUNIT_TEST(reusedIdIsTreatedAsANewEngine);
     CPPUNIT_TEST(movedEngineServesItsNewUpstreamOnly);
@@ -242,6 +243,22 @@
                        == selection_outcome::Selected);
     }
 
+    // Guards against requests that leave one silent engine for another after a pause of this
+    // process.
+    void requestOfAStalledEngineIsNotMovedToAnotherStalledOne()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 10);
+        registry.onStart("e1", m_now);
+        CPPUNIT_ASSERT(
+            registry.choose({.upstream = "u", .responsiveOnly = true}, {}, m_now + 1s).outcome
+            == selection_outcome::NoCapacity);
+        registry.onBytes("e1", m_now + 1s);
+        CPPUNIT_ASSERT(
+            registry.choose({.upstream = "u", .responsiveOnly = true}, {}, m_now + 1s).outcome
+            == selection_outcome::Selected);
+    }
+
     // Guards against an engine that passes health checks but fails half of its requests.
     void failingEngineReceivesFewerRequests()
     {
--- a/tests/dispatch/retry_budget_test.cpp
+++ b/tests/dispatch/retry_budget_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(fleetKeepsTheLimit);
     CPPUNIT_TEST(restartedNodesKeepTheLimit);
     CPPUNIT_TEST(budgetIsRestoredAfterTheWindow);
+    CPPUNIT_TEST(checkingTheBudgetSpendsNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,6 +63,18 @@
         CPPUNIT_ASSERT(node.tryRetry("u", alone, m_start + 11s));
     }
 
+    // Guards against a request that spends the budget each time it asks for another engine.
+    void checkingTheBudgetSpendsNothing()
+    {
+        retry_budget node(m_limits);
+        const fleet_share alone;
+        for (int i = 0; i < 100; ++i)
+            CPPUNIT_ASSERT(node.mayRetry("u", alone, m_start));
+        while (node.tryRetry("u", alone, m_start)) {
+        }
+        CPPUNIT_ASSERT(!node.mayRetry("u", alone, m_start));
+    }
+
 private:
     retry_limits m_limits{.ratio = 0.2, .extra = 56, .window = 10s};
     core::time_point m_start{1h};
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -76,13 +76,18 @@
     throw std::runtime_error("cannot start the node");
 }
 
-listening_socket &gateway_fixture::addEngine(const std::string &id, std::uint32_t slots)
+listening_socket &gateway_fixture::addEngine(const std::string &id, std::uint32_t slots,
+                                             core::duration coldRemaining)
 {
     m_engines.push_back(std::make_unique<listening_socket>());
     const std::string address = "127.0.0.1:" + std::to_string(m_engines.back()->port());
     node.write(gateway::collection_id::Engines, "engine/" + id, ++revision,
-               dispatch::engine_entry{
-                   .id = id, .upstream = "u", .address = address, .domain = "d1", .slots = slots});
+               dispatch::engine_entry{.id = id,
+                                      .upstream = "u",
+                                      .address = address,
+                                      .domain = "d1",
+                                      .slots = slots,
+                                      .coldRemaining = coldRemaining});
     return *m_engines.back();
 }
 
@@ -91,7 +96,8 @@
     std::erase_if(m_engines, [&engine](const auto &each) { return each.get() == &engine; });
 }
 
-void gateway_fixture::configure(std::uint64_t version, std::vector<dispatch::team> teams)
+void gateway_fixture::configure(std::uint64_t version, std::vector<dispatch::team> teams,
+                                std::vector<dispatch::upstream_settings> upstreams)
 {
     using dispatch::request_kind;
     dispatch::configuration settings;
@@ -100,6 +106,7 @@
                        makeRoute("once", request_kind::NonIdempotent, false),
                        makeRoute("stream", request_kind::Streaming, true),
                        makeRoute("fragile", request_kind::Streaming, false)};
+    settings.upstreams = std::move(upstreams);
     settings.teams = std::move(teams);
     node.write(gateway::collection_id::Operators, "configuration", ++revision, std::move(settings));
 }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -39,13 +39,15 @@
 {
 public:
     /** Adds an engine whose responses the test writes, and publishes its entry to the node. */
-    tests::listening_socket &addEngine(const std::string &id, std::uint32_t slots = 4);
+    tests::listening_socket &addEngine(const std::string &id, std::uint32_t slots = 4,
+                                       core::duration coldRemaining = {});
 
     /** Ends an engine: its port refuses connections, and its entry stays. */
     void stopEngine(const tests::listening_socket &engine);
 
     /** Publishes the routes /plain/, /once/, /stream/ (resumable) and /fragile/ (not resumable). */
-    void configure(std::uint64_t version, std::vector<dispatch::team> teams = {});
+    void configure(std::uint64_t version, std::vector<dispatch::team> teams = {},
+                   std::vector<dispatch::upstream_settings> upstreams = {});
 
     /** Sends a request of a new caller. */
     std::unique_ptr<raw_socket> call(const std::string &path, const std::string &id,
