Handle the input that has arrived before timers expire

Cause: the reactor expires all due timers before it reads a single socket. After a node was busy, paused or throttled, its timers judged what lay unread in its sockets: an engine was abandoned as stalled although its response had arrived, a request got 504 although its response had arrived in time, an established connection to an engine timed out, an idle connection was reset with the caller's next request in it (neither an answer nor a refusal), and a request got 408 although its rest had arrived.

Change: the timer queue of epoll_reactor expires a timer only once a look at the sockets at or after its time has found nothing ready, at most 20 ms ago. At most 500 events delay a due timer, so endless input cannot starve it; counted rather than timed, since a pause in that span must not use the bound up. Ruled out: checks at each timer (many places, and each new one would have to know), and a bound in wall or processor time (the same tests failed when the pause fell into a delay that had begun).

Conclusion: the class of fault is a decision on state that is older than the decision. A whole second late wake-up is now no reason to close, cut or repeat anything whose bytes are there.

--- a/src/transport/epoll_reactor.cpp
+++ b/src/transport/epoll_reactor.cpp
@@ -12,6 +12,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cstddef>
 
 namespace comfreypass::transport {
 
@@ -21,18 +22,67 @@
     = ACE_Timer_Heap_T<ACE_Event_Handler *, ACE_Event_Handler_Handle_Timeout_Upcall,
                        ACE_SYNCH_RECURSIVE_MUTEX, ACE_Monotonic_Time_Policy>;
 
+constexpr suseconds_t microsecondsPerMillisecond = 1'000;
+
+/** Maximum time between two checks whether the loop of runUntil() is done. */
+constexpr suseconds_t maxWaitMicroseconds = 20'000;
+
+/**
+ * Events that may delay a due timer, so that endless input cannot starve it. Counted rather than
+ * timed, since a process that is paused or blocked meanwhile has more input to handle.
+ */
+constexpr std::size_t maxEventsBeforeTimer = 500;
+
+/** Input is looked for again once the last look was this long ago: the process may have paused. */
+const ACE_Time_Value maxInputAge(0, 20 * microsecondsPerMillisecond);
+
+/** Returns the maximum number of descriptors that the process may open. */
+std::size_t descriptorLimit()
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return epoll_reactor::defaultDescriptors;
+    return static_cast<std::size_t>(limit.rlim_cur);
+}
+
+} // namespace
+
 /**
- * Rounds timeouts up to whole milliseconds. The reactor truncates them for epoll_wait and would
- * otherwise busy-wait during the last millisecond before each timer.
+ * A timer expires only once the input that had arrived by its time has been handled. The reactor
+ * itself expires timers first, so a process that was blocked or paused would take peers whose bytes
+ * have arrived for silent.
  */
-class monotonic_timers : public monotonic_heap
+class epoll_reactor::timer_queue final : public monotonic_heap
 {
 public:
+    /** All input that had arrived by then has been handled. */
+    void onInputHandled(const ACE_Time_Value &time) { m_inputHandledUntil = time; }
+
+    /** Must be called before each event. */
+    void limitDelay(const ACE_Time_Value &now)
+    {
+        const bool delayed = !is_empty() && earliest_time() <= now && !mayExpire(now);
+        m_eventsSinceDue = delayed ? m_eventsSinceDue + 1 : 0;
+        if (m_eventsSinceDue > maxEventsBeforeTimer)
+            onInputHandled(now);
+    }
+
+    int expire_single(ACE_Command_Base &beforeDispatch) override
+    {
+        if (is_empty() || !mayExpire(gettimeofday()))
+            return 0;
+        return monotonic_heap::expire_single(beforeDispatch);
+    }
+
     ACE_Time_Value *calculate_timeout(ACE_Time_Value *maxWait) override
     {
         return calculate_timeout(maxWait, &m_timeout);
     }
 
+    /**
+     * Rounds timeouts up to whole milliseconds. The reactor truncates them for epoll_wait and would
+     * otherwise busy-wait during the last millisecond before each timer.
+     */
     ACE_Time_Value *calculate_timeout(ACE_Time_Value *maxWait, ACE_Time_Value *result) override
     {
         const ACE_Time_Value *timeout = monotonic_heap::calculate_timeout(maxWait, result);
@@ -46,26 +96,18 @@
     }
 
 private:
-    static constexpr suseconds_t microsecondsPerMillisecond = 1'000;
+    /** Precondition: there is a timer. */
+    bool mayExpire(const ACE_Time_Value &now) const
+    {
+        return earliest_time() <= m_inputHandledUntil && now - m_inputHandledUntil < maxInputAge;
+    }
+
     ACE_Time_Value m_timeout;
+    ACE_Time_Value m_inputHandledUntil;
+    std::size_t m_eventsSinceDue = 0;
 };
 
-/** Returns the maximum number of descriptors that the process may open. */
-std::size_t descriptorLimit()
-{
-    rlimit limit{};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
-        return epoll_reactor::defaultDescriptors;
-    return static_cast<std::size_t>(limit.rlim_cur);
-}
-
-/** Maximum time between two checks whether the loop of runUntil() is done. */
-constexpr suseconds_t maxWaitMicroseconds = 20'000;
-
-} // namespace
-
-epoll_reactor::epoll_reactor(std::size_t descriptors)
-    : m_timers(std::make_unique<monotonic_timers>())
+epoll_reactor::epoll_reactor(std::size_t descriptors) : m_timers(std::make_unique<timer_queue>())
 {
     // ACE fails to create a reactor for more descriptors than the process may open.
     const std::size_t size = std::min(descriptors, descriptorLimit());
@@ -80,8 +122,11 @@
 void epoll_reactor::runUntil(const std::function<bool()> &done)
 {
     while (!done()) {
+        const ACE_Time_Value now = m_timers->gettimeofday();
+        m_timers->limitDelay(now);
         ACE_Time_Value maxWait(0, maxWaitMicroseconds);
-        m_reactor->handle_events(maxWait);
+        if (m_reactor->handle_events(maxWait) == 0)
+            m_timers->onInputHandled(now);
     }
 }
 
--- a/src/transport/epoll_reactor.h
+++ b/src/transport/epoll_reactor.h
@@ -10,7 +10,8 @@
 
 /**
  * An ACE reactor on epoll whose timers use the monotonic clock, so that changes of the wall clock
- * neither trigger nor delay them. Not thread-safe.
+ * neither trigger nor delay them. A timer expires after the input that had arrived by its time, so
+ * that a process that was busy or paused does not take its peers for silent. Not thread-safe.
  */
 class epoll_reactor
 {
@@ -26,14 +27,16 @@
     epoll_reactor(const epoll_reactor &) = delete;
     epoll_reactor &operator=(const epoll_reactor &) = delete;
 
-    /** Returns the reactor; valid as long as this object. */
+    /** Returns the reactor; valid as long as this object. Its timers expire only in runUntil(). */
     ACE_Reactor &get() noexcept { return *m_reactor; }
 
     /** Handles events until `done` returns true, checked after each batch and every 20 ms. */
     void runUntil(const std::function<bool()> &done);
 
 private:
-    std::unique_ptr<ACE_Timer_Queue> m_timers;
+    class timer_queue;
+
+    std::unique_ptr<timer_queue> m_timers;
     std::unique_ptr<ACE_Reactor> m_reactor;
 };
 
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -102,6 +102,7 @@
     using dispatch::request_kind;
     dispatch::configuration settings;
     settings.version = version;
+    settings.limits = limits;
     settings.routes = {makeRoute("plain", request_kind::Idempotent, false),
                        makeRoute("once", request_kind::NonIdempotent, false),
                        makeRoute("stream", request_kind::Streaming, true),
@@ -111,12 +112,18 @@
     node.write(gateway::collection_id::Operators, "configuration", ++revision, std::move(settings));
 }
 
+void gateway_fixture::send(raw_socket &caller, const std::string &path, const std::string &id,
+                           const std::string &fields)
+{
+    caller.send("POST " + path + " HTTP/1.1\r\nHost: a.example\r\nId: " + id + "\r\n" + fields
+                + "Content-Length: 4\r\n\r\nbody");
+}
+
 std::unique_ptr<raw_socket> gateway_fixture::call(const std::string &path, const std::string &id,
                                                   const std::string &fields)
 {
     auto caller = std::make_unique<raw_socket>(callerPort);
-    caller->send("POST " + path + " HTTP/1.1\r\nHost: a.example\r\nId: " + id + "\r\n" + fields
-                 + "Content-Length: 4\r\n\r\nbody");
+    send(*caller, path, id, fields);
     return caller;
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -49,6 +49,10 @@
     void configure(std::uint64_t version, std::vector<dispatch::team> teams = {},
                    std::vector<dispatch::upstream_settings> upstreams = {});
 
+    /** Sends a request on a caller's connection. */
+    static void send(raw_socket &caller, const std::string &path, const std::string &id,
+                     const std::string &fields = "");
+
     /** Sends a request of a new caller. */
     std::unique_ptr<raw_socket> call(const std::string &path, const std::string &id,
                                      const std::string &fields = "");
@@ -68,6 +72,8 @@
     std::unique_ptr<test_node> owner = startedNode();
     test_node &node = *owner;
     std::uint64_t revision = 0;
+    /** Limits of the next configuration. */
+    dispatch::caller_limits limits;
 
 private:
     std::unique_ptr<test_node> startedNode();
