Finish sending a response before its connection or node ends

Cause: a response counted as sent once it was handed to the connection, though the kernel had not accepted all of it. For a caller that reads slowly, or behind a narrow link, the idle timeout (which a configuration may lower), the 2 s after an announced close, the close of idle connections 4 s after SIGTERM and the end of the process itself then cut a complete answer of an engine.

Change: a connection with unsent output is neither idle nor closing, its timeouts start once the output has been sent, and a leaving node waits for such output within its grace period. A caller that stops reading altogether is still ended by TCP_USER_TIMEOUT and by the limit on unsent output.

Conclusion: ownership of an answer ends at the kernel, not at the connection object.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -239,8 +239,11 @@
     if (!m_leaving)
         return false;
     const core::duration since = monotonicNow() - m_leavingSince;
-    const bool drained = m_flows.empty() && since > staleAddressPeriod;
-    return drained || since > m_settings.gracePeriod - killMargin;
+    if (since > m_settings.gracePeriod - killMargin)
+        return true;
+    return m_flows.empty() && since > staleAddressPeriod
+           && std::ranges::all_of(
+               m_connections, [](const auto &entry) { return entry.second->unsentBytes() == 0; });
 }
 
 std::vector<std::string> gateway_node::callerAddresses(std::string_view domain,
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -89,7 +89,7 @@
 
 void server_connection::checkTimeouts(core::time_point now)
 {
-    if (m_responsePending || m_closed)
+    if (m_responsePending || m_closed || unsentBytes() > 0)
         return;
     const core::duration inactivity = now - m_lastActivity;
     if (m_closing) {
@@ -116,7 +116,7 @@
 
 bool server_connection::idle() const noexcept
 {
-    return !m_responsePending && !m_parser && m_stream.input().empty();
+    return !m_responsePending && !m_parser && m_stream.input().empty() && unsentBytes() == 0;
 }
 
 void server_connection::onInput()
@@ -225,8 +225,11 @@
 
 void server_connection::onSent()
 {
-    if (!m_closed)
-        m_events.onOutputSent(*this);
+    if (m_closed)
+        return;
+    if (!m_responsePending)
+        m_lastActivity = m_clock();
+    m_events.onOutputSent(*this);
 }
 
 void server_connection::onEnd(stream_end /*end*/)
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -76,7 +76,8 @@
 
     /**
      * Closes the connection, or responds 408, if it was idle, slow or closing for too long. The
-     * read timeout limits the time for a whole header, and each pause within a body.
+     * read timeout limits the time for a whole header, and each pause within a body. A response
+     * that is still being sent has no timeout here; the kernel ends it if the caller stops reading.
      */
     void checkTimeouts(core::time_point now);
 
@@ -86,7 +87,7 @@
     /** Returns true between onRequest and the end of the response. */
     bool responsePending() const noexcept { return m_responsePending; }
 
-    /** Returns true if no request is partly read and no response is pending. */
+    /** Returns true if no request is partly read, and no response is pending or partly sent. */
     bool idle() const noexcept;
 
     /** Returns the number of response bytes that the kernel has not accepted yet. */
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -24,7 +24,7 @@
     settings.seeds = std::move(seeds);
     settings.retryRatio = 0.2;
     settings.retryExtra = 50;
-    settings.gracePeriod = 3s;
+    settings.gracePeriod = 8s;
     return settings;
 }
 
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(badRequestsAreRejectedAndConnectionClosed);
     CPPUNIT_TEST(closeAfterResponseSendsConnectionClose);
     CPPUNIT_TEST(requestAfterAnUnannouncedCloseIsAnswered);
+    CPPUNIT_TEST(timeoutsDoNotCutAResponseThatIsBeingSent);
     CPPUNIT_TEST(timeoutsFollowConfiguredLimits);
     CPPUNIT_TEST(slowHeaderIsRejectedAfterTheReadTimeout);
     CPPUNIT_TEST(endlessChunkMetadataIsRejected);
@@ -215,6 +216,36 @@
         CPPUNIT_ASSERT(second.ends_with("/2"));
     }
 
+    // Guards against truncated responses to callers that read slowly, on idle and closing
+    // connections.
+    void timeoutsDoNotCutAResponseThatIsBeingSent()
+    {
+        // Larger than the socket buffers of both sides.
+        std::string body;
+        body.resize(16'777'216, 'a');
+        for (const bool closes : {false, true}) {
+            recording_server server(m_loop.reactor());
+            tests::raw_socket caller(server.port());
+            caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+            m_loop.waitFor("request", [&] { return server.current != nullptr; });
+            if (closes)
+                server.current->closeAfterResponse();
+            server.current->respond(200, {}, body);
+            CPPUNIT_ASSERT(server.current->unsentBytes() > 0);
+            server.current->checkTimeouts(transport::monotonicNow() + server.limits.idleTimeout
+                                          + 1s);
+            server.connections.at(0)->closeIfIdle();
+            m_loop.waitFor("response", [&] {
+                const std::string &received = caller.receive();
+                return caller.ended() || received.size() > body.size();
+            });
+            CPPUNIT_ASSERT(caller.receive().ends_with("\r\n\r\n" + body));
+            server.connections.at(0)->checkTimeouts(transport::monotonicNow()
+                                                    + server.limits.idleTimeout + 1s);
+            CPPUNIT_ASSERT_EQUAL(1, server.closed);
+        }
+    }
+
     // Guards against connections that stay open forever, and against closing reusable ones early.
     void timeoutsFollowConfiguredLimits()
     {
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -48,10 +48,11 @@
     return sent < 0 ? 0 : static_cast<std::size_t>(sent);
 }
 
-const std::string &raw_socket::receive()
+const std::string &raw_socket::receive(std::size_t maxBytes)
 {
     std::array<char, 65'536> buffer{};
-    while (!m_ended) {
+    const std::size_t before = m_received.size();
+    while (!m_ended && m_received.size() - before < maxBytes) {
         const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
         if (count > 0)
             m_received.append(buffer.data(), static_cast<std::size_t>(count));
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -22,8 +23,11 @@
     /** Sends as many bytes as the socket buffer accepts and returns their number. */
     std::size_t send(std::string_view bytes);
 
-    /** Reads the available bytes and returns everything received so far. */
-    const std::string &receive();
+    /**
+     * Reads the available bytes, but none after at least `maxBytes`, and returns everything
+     * received so far.
+     */
+    const std::string &receive(std::size_t maxBytes = std::string::npos);
 
     /** Returns whether `receive` has seen the end of the stream or an error such as a reset. */
     bool ended() const { return m_ended; }
