Apply lowered caller limits to requests and idle periods that follow

Cause: a new configuration replaced the limits of all open connections at once. A request that was still arriving was rejected by limits lowered meanwhile (408, 413). Found by reading and shown in tests; whether this is what the users saw beside a change is not known.

Change: a connection keeps the limits of the moment at which its request or idle period began. A longer idle timeout still applies at once.

Conclusion: limits that were promised to a caller are not withdrawn under it.

--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <chrono>
@@ -39,7 +40,7 @@
                                      const server_limits &limits, clock_function clock,
                                      server_events &events)
     : m_limits(limits), m_clock(std::move(clock)), m_events(events), m_lastActivity(m_clock()),
-      m_stream(reactor, std::move(connection), *this)
+      m_idleTimeout(limits.idleTimeout), m_stream(reactor, std::move(connection), *this)
 { }
 
 void server_connection::respond(unsigned status, const transport::http_headers &headers,
@@ -98,13 +99,13 @@
         return;
     }
     if (idle()) {
-        if (inactivity > m_limits.idleTimeout)
+        if (inactivity > std::max(m_idleTimeout, m_limits.idleTimeout))
             closeNow();
         return;
     }
     const bool headerTooSlow
-        = !m_parser->hasHead() && now - m_requestStartedAt > m_limits.readTimeout;
-    if (headerTooSlow || inactivity > m_limits.readTimeout)
+        = !m_parser->hasHead() && now - m_requestStartedAt > m_requestLimits.readTimeout;
+    if (headerTooSlow || inactivity > m_requestLimits.readTimeout)
         rejectRequest(requestTimeout, "the request took too long to arrive");
 }
 
@@ -152,13 +153,13 @@
         const bool hasHead = m_parser->hasHead();
         const std::uint64_t announced
             = hasHead ? m_parser->head().contentLength.value_or(0) : std::uint64_t{0};
-        if (announced > m_limits.bodyBytes || m_body.size() > m_limits.bodyBytes) {
+        if (announced > m_requestLimits.bodyBytes || m_body.size() > m_requestLimits.bodyBytes) {
             rejectRequest(bodyTooLarge, "the body is larger than the limit");
             break;
         }
         if (!m_parser->complete()) {
             // The parser leaves only an incomplete header, chunk header or trailer unconsumed.
-            if (m_stream.input().size() > m_limits.headerBytes)
+            if (m_stream.input().size() > m_requestLimits.headerBytes)
                 rejectRequest(headerTooLarge, "a header, chunk header or trailer is too long");
             break;
         }
@@ -177,8 +178,9 @@
         return;
     m_body.clear();
     m_requestStartedAt = m_clock();
+    m_requestLimits = m_limits;
     m_parser.emplace(message_kind::Request, m_limits.headerBytes, [this](std::string_view bytes) {
-        if (m_body.size() <= m_limits.bodyBytes)
+        if (m_body.size() <= m_requestLimits.bodyBytes)
             m_body.append(bytes);
     });
 }
@@ -208,6 +210,7 @@
 {
     m_responsePending = false;
     m_lastActivity = m_clock();
+    m_idleTimeout = m_limits.idleTimeout;
     if (!m_stream.isOpen()) {
         closeNow();
         return;
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -48,7 +48,10 @@
 public:
     using clock_function = std::function<core::time_point()>;
 
-    /** Reactor, limits and events must outlive the connection. Limits may change during its life.
+    /**
+     * Reactor, limits and events must outlive the connection. Limits may change during its life;
+     * lower ones apply to requests and idle periods that begin afterwards, since the caller relies
+     * on the limits that it knows.
      */
     server_connection(ACE_Reactor &reactor, socket_handle connection, const server_limits &limits,
                       clock_function clock, server_events &events);
@@ -106,12 +109,16 @@
     void beginRequest();
 
     const server_limits &m_limits;
+    /** The limits at the start of the current request. */
+    server_limits m_requestLimits;
     clock_function m_clock;
     server_events &m_events;
     std::optional<message_parser> m_parser;
     std::string m_body;
     core::time_point m_lastActivity;
     core::time_point m_requestStartedAt;
+    /** The limit at the start of the current idle period. */
+    core::duration m_idleTimeout;
     bool m_responsePending = false;
     bool m_keepAlive = true;
     bool m_closeAfterResponse = false;
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -90,6 +90,8 @@
     CPPUNIT_TEST(requestAfterAnUnannouncedCloseIsAnswered);
     CPPUNIT_TEST(timeoutsDoNotCutAResponseThatIsBeingSent);
     CPPUNIT_TEST(timeoutsFollowConfiguredLimits);
+    CPPUNIT_TEST(lowerIdleTimeoutAppliesToTheNextIdlePeriod);
+    CPPUNIT_TEST(lowerLimitsDoNotRejectARequestThatHasBegun);
     CPPUNIT_TEST(slowHeaderIsRejectedAfterTheReadTimeout);
     CPPUNIT_TEST(endlessChunkMetadataIsRejected);
     CPPUNIT_TEST(sentOutputIsReported);
@@ -267,6 +269,41 @@
         m_loop.waitFor("rejection", [&] { return slow.receive().starts_with("HTTP/1.1 408 "); });
     }
 
+    // Guards against closing a connection under a caller that still knows the longer timeout.
+    void lowerIdleTimeoutAppliesToTheNextIdlePeriod()
+    {
+        recording_server server(m_loop.reactor());
+        server.respondsImmediately = true;
+        tests::raw_socket caller(server.port());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("response", [&] { return caller.receive().ends_with("/1"); });
+        const core::duration before = server.limits.idleTimeout;
+        server.limits.idleTimeout = 1s;
+        server.connections.at(0)->checkTimeouts(transport::monotonicNow() + before * 4 / 5);
+        CPPUNIT_ASSERT_EQUAL(0, server.closed);
+        caller.send("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("response", [&] { return caller.receive().ends_with("/2"); });
+        server.connections.at(0)->checkTimeouts(transport::monotonicNow() + 2s);
+        CPPUNIT_ASSERT_EQUAL(1, server.closed);
+    }
+
+    // Guards against rejecting a request by limits that were lowered while it arrived.
+    void lowerLimitsDoNotRejectARequestThatHasBegun()
+    {
+        recording_server server(m_loop.reactor());
+        server.respondsImmediately = true;
+        tests::raw_socket caller(server.port());
+        caller.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nhalf");
+        m_loop.waitFor("connection", [&] { return server.connections.size() == 1; });
+        m_loop.waitFor("bytes", [&] { return !server.connections.at(0)->idle(); });
+        server.limits.bodyBytes = 4;
+        server.limits.readTimeout = 1s;
+        server.connections.at(0)->checkTimeouts(transport::monotonicNow() + 2s);
+        caller.send("rest");
+        m_loop.waitFor("response", [&] { return !caller.receive().empty(); });
+        CPPUNIT_ASSERT(caller.receive().starts_with("HTTP/1.1 200 "));
+    }
+
     // Guards against a caller that keeps a connection by sending single bytes of a header.
     void slowHeaderIsRejectedAfterTheReadTimeout()
     {
