Reject engine responses that cannot be attributed to the request

Cause: a response without an id was taken as the answer to the running request, also on a connection that had served others. A refusal that an engine wrote once more without its id was read as "not run": the request went to a second engine while the first ran it, or its caller got 503. A refusal with an id was skipped, but a second attempt at the same address (an engine that is listed under a new id) could meet the connection of the first, where the same id does not tell a repeated refusal from a new one; requests without an id could meet any. Ruled out: refusals with the id of an earlier request (skipped, the real answer is relayed), the bytes after a complete response and a refusal that comes twice at once (the connection is not reused), interim responses.

Change: a response without an id fails the attempt ("unattributed", may have run) on a reused connection and after a response to another request. Requests without an id, and second attempts at an address, use a new connection.

Conclusion: what cannot be attributed to a request is neither a promise nor an answer.

--- a/src/gateway/engine_connection_pool.cpp
+++ b/src/gateway/engine_connection_pool.cpp
@@ -38,6 +38,11 @@
             discard(std::move(last.connection));
         }
     }
+    return connect(address);
+}
+
+engine_connection engine_connection_pool::connect(const http1::endpoint &address)
+{
     return {.connection = std::make_shared<http1::client_connection>(m_reactor, address)};
 }
 
--- a/src/gateway/engine_connection_pool.h
+++ b/src/gateway/engine_connection_pool.h
@@ -36,6 +36,9 @@
     engine_connection acquire(const http1::endpoint &address, core::duration maxIdle,
                               core::time_point now);
 
+    /** Returns a new connection. */
+    engine_connection connect(const http1::endpoint &address);
+
     /** Returns a connection to the pool; `lifetime` is the engine's idle timeout, 0 if unknown. */
     void release(const http1::endpoint &address,
                  std::shared_ptr<http1::client_connection> connection, core::duration lifetime,
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -352,13 +352,26 @@
     m_bufferedBody.clear();
     m_bytesSinceProgress = 0;
     m_engineReadPaused = false;
-    m_connection = m_context.engineConnections.acquire(
-        *m_engineAddress, m_route->retryable() ? maxIdleRetryable : maxIdleNonRetryable, now);
+    m_foreignResponseSeen = false;
+    m_connection = connectionForAttempt(now);
+    m_triedAddresses.push_back(*m_engineAddress);
     m_connection.connection->start(buildRequest(engine), *this);
     m_attemptTimer.startOnce(m_connection.connection->connected() ? stallTimeout()
                                                                   : connectTimeout);
 }
 
+// The id tells responses on a reused connection apart, if it was not used there before.
+engine_connection request_flow::connectionForAttempt(core::time_point now)
+{
+    const bool isDistinct
+        = !m_metadata.attemptId.empty()
+          && std::ranges::find(m_triedAddresses, *m_engineAddress) == m_triedAddresses.end();
+    if (!isDistinct)
+        return m_context.engineConnections.connect(*m_engineAddress);
+    return m_context.engineConnections.acquire(
+        *m_engineAddress, m_route->retryable() ? maxIdleRetryable : maxIdleNonRetryable, now);
+}
+
 std::string request_flow::buildRequest(const dispatch::engine_entry &engine) const
 {
     attempt_metadata attempt;
@@ -469,8 +482,13 @@
 {
     response_metadata metadata = m_context.callerProtocol.readResponse(head);
     // A late response to an earlier request on this connection.
-    if (!metadata.attemptId.empty() && metadata.attemptId != m_metadata.attemptId)
+    if (!metadata.attemptId.empty() && metadata.attemptId != m_metadata.attemptId) {
+        m_foreignResponseSeen = true;
         return http1::head_decision::Skip;
+    }
+    const bool mayBeForeign = m_connection.isReused || m_foreignResponseSeen;
+    if (metadata.attemptId.empty() && mayBeForeign)
+        return http1::head_decision::Reject;
     const core::time_point now = m_context.now();
     m_context.registry.onBytes(m_engine->id, now);
     m_lastEventAt = now;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -86,6 +86,7 @@
     void onAnswered();
     void startAttempt(const dispatch::engine_entry &engine,
                       const dispatch::engine_selection &basis);
+    engine_connection connectionForAttempt(core::time_point now);
     std::string buildRequest(const dispatch::engine_entry &engine) const;
     void checkAttempt();
     void onConnectTimeout();
@@ -147,6 +148,8 @@
     std::optional<dispatch::engine_entry> m_engine;
     std::optional<http1::endpoint> m_engineAddress;
     engine_connection m_connection;
+    /** A response to another request has arrived in this attempt. */
+    bool m_foreignResponseSeen = false;
     core::time_point m_attemptStartedAt;
     core::time_point m_lastEventAt;
     response_metadata m_response;
@@ -165,6 +168,7 @@
     bool m_resumeCheckPending = false;
 
     std::vector<std::string> m_triedEngines;
+    std::vector<http1::endpoint> m_triedAddresses;
     /** Attempts that ran, are running or may have run. */
     std::uint32_t m_runAttempts = 0;
     /** Attempts that an engine rejected, and attempts whose engine was unreachable. */
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -20,8 +20,8 @@
 
 std::string_view toString(exchange_failure failure) noexcept
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"connect_failed", "no_response", "incomplete", "malformed"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"connect_failed", "no_response", "incomplete", "malformed", "unattributed"};
     return names.at(static_cast<std::size_t>(failure));
 }
 
@@ -106,13 +106,17 @@
     }
 }
 
-// Reports the header once, before any body bytes. Returns false if the response is skipped.
+// Reports the header once, before any body bytes. Returns false if the body is to be discarded.
 bool client_connection::reportHead()
 {
     if (std::exchange(m_headReported, true))
         return !m_skipping;
     const message_head &head = m_parser->head();
-    m_skipping = head.status < firstFinalStatus || m_events->onHead(head) == head_decision::Skip;
+    const head_decision decision
+        = head.status < firstFinalStatus ? head_decision::Skip : m_events->onHead(head);
+    m_skipping = decision != head_decision::Accept;
+    if (decision == head_decision::Reject)
+        fail(exchange_failure::Unattributed);
     return !m_skipping;
 }
 
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -22,6 +22,8 @@
     Incomplete,
     /** The received bytes are not a valid HTTP response. */
     Malformed,
+    /** A response arrived that cannot be attributed to the request. */
+    Unattributed,
 };
 
 /** Returns the stable lower-case name used in logs and metrics. Thread-safe. */
@@ -32,6 +34,8 @@
     Accept,
     /** The response belongs to an earlier request: discard it and wait for the next one. */
     Skip,
+    /** The response cannot be attributed to any request: close the connection. */
+    Reject,
 };
 
 /** Receives the events of one request on a client_connection. */
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -164,4 +164,13 @@
     return engine.receive();
 }
 
+void gateway_fixture::sendByteByByte(raw_socket &engine, std::string_view bytes)
+{
+    for (; !bytes.empty(); bytes.remove_prefix(1)) {
+        engine.send(bytes.substr(0, 1));
+        ACE_Time_Value maxWait(std::chrono::milliseconds(1));
+        loop.reactor().handle_events(maxWait);
+    }
+}
+
 } // namespace comfreypass::tests
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace comfreypass::tests {
@@ -67,6 +68,9 @@
     /** Reads a complete request from a connection of an engine. */
     std::string requestAt(raw_socket &engine);
 
+    /** Sends bytes of an engine one by one; the node reads each one before the next. */
+    void sendByteByByte(raw_socket &engine, std::string_view bytes);
+
     loopback loop;
     std::uint16_t callerPort = 0;
     std::unique_ptr<test_node> owner = startedNode();
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -19,13 +19,15 @@
 
 constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
-/** Accepts responses whose Id field is "mine" or missing. */
+/** Accepts responses whose Id field is "mine" or missing, and skips those of other requests. */
 class recording_events : public client_events
 {
 public:
     head_decision onHead(const message_head &head) override
     {
         const auto id = head.headers.find("Id");
+        if (id && *id == "rejected")
+            return head_decision::Reject;
         if (id && *id != "mine")
             return head_decision::Skip;
         status = head.status;
@@ -60,6 +62,7 @@
     CPPUNIT_TEST_SUITE(client_connection_test);
     CPPUNIT_TEST(connectionIsReusedAfterCompleteResponse);
     CPPUNIT_TEST(lateResponseToEarlierRequestIsSkipped);
+    CPPUNIT_TEST(rejectedResponseFailsTheExchange);
     CPPUNIT_TEST(bytesAfterCompleteResponseMakeConnectionUnusable);
     CPPUNIT_TEST(interruptedResponsesReportDistinctFailures);
     CPPUNIT_TEST(responseBeforeEndOfRequestClosesConnection);
@@ -99,6 +102,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("right"), events.body);
     }
 
+    // Guards against body bytes of a response that cannot be attributed, and against its
+    // connection.
+    void rejectedResponseFailsTheExchange()
+    {
+        for (const std::string end : {"Content-Length: 5\r\n\r\nwrong", "\r\nwrong"}) {
+            client_connection connection(m_loop.reactor(), target());
+            tests::raw_socket engine = m_listener.accept();
+            recording_events events;
+            connection.start(request, events);
+            engine.send("HTTP/1.1 200 OK\r\nId: rejected\r\n" + end);
+            m_loop.waitFor("failure", [&] { return events.done; });
+            CPPUNIT_ASSERT(events.failure == exchange_failure::Unattributed);
+            CPPUNIT_ASSERT_EQUAL(std::string(), events.body);
+            CPPUNIT_ASSERT(!connection.usable());
+        }
+    }
+
     // Guards against a surplus response or garbage that the next request would read as its own.
     void bytesAfterCompleteResponseMakeConnectionUnusable()
     {
