Treat an unframed success without a body as broken off

Cause: an engine that stops after the head of a response without a length and closes its connection left an empty 200, which its caller got framed as complete. Heads cut before the blank line were never taken for complete.

Change: a signed success without a length, chunks and body fails the attempt ("ended_before_body", may have run), as an unframed event stream without events already does. 204 has no body by its status and is forwarded.

Conclusion: what is cut within an unframed body and then closed, not reset, still cannot be told from a whole body.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -20,6 +20,7 @@
 /** Number of distinct route priorities within one team priority. */
 constexpr std::uint32_t routePrioritiesPerTeamPriority = 16;
 
+constexpr unsigned noContent = 204;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
 constexpr unsigned tooManyRequests = 429;
@@ -647,14 +648,18 @@
     completeBuffered(reusable);
 }
 
-// Without a length or chunks, the end of the connection does not show whether the stream is
+// Without a length or chunks, the end of the connection does not show whether the response is
 // complete.
+bool request_flow::endsWithConnection() const
+{
+    return !m_responseHead.contentLength && !m_responseHead.chunked;
+}
+
 bool request_flow::endsInsideStream() const
 {
-    const bool endedByClose = !m_responseHead.contentLength && !m_responseHead.chunked;
     const bool hasIncompleteEvent
         = m_events.incompleteEvent().find_first_not_of("\r\n") != std::string_view::npos;
-    return hasIncompleteEvent || (endedByClose && m_attemptEvents == 0);
+    return hasIncompleteEvent || (endsWithConnection() && m_attemptEvents == 0);
 }
 
 void request_flow::completeStream()
@@ -680,6 +685,10 @@
         handleFailure("unsigned_success", dispatch::attempt_result::Failed);
         return;
     }
+    if (success && status != noContent && endsWithConnection() && m_bufferedBody.empty()) {
+        handleFailure("ended_before_body", dispatch::attempt_result::Failed);
+        return;
+    }
     if (responseStarted()) {
         // A response that is not an event stream cannot resume the interrupted one.
         handleFailure("no_stream_to_resume", dispatch::attempt_result::Failed);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -104,6 +104,7 @@
     void writeToCaller(std::string_view bytes);
     void onBufferedBytes(std::string_view bytes);
     bool checkResumedStream();
+    bool endsWithConnection() const;
     bool endsInsideStream() const;
     void completeStream();
     void completeBuffered(bool reusable);
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -75,4 +75,11 @@
         ::close(std::exchange(m_descriptor, -1));
 }
 
+void raw_socket::reset()
+{
+    const linger immediate{1, 0};
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
+    close();
+}
+
 } // namespace comfreypass::tests
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -35,6 +35,9 @@
     void closeSending();
     void close();
 
+    /** Closes the connection with a reset. */
+    void reset();
+
 private:
     raw_socket() = default;
 
