Take no promise from a success that is marked as not run

Cause: a 2xx response with the engine's mark "not run" was read as a refusal, so the request went to a second engine although the first may have run it; as an event stream it was forwarded as a success.

Change: such a response contradicts itself and is neither; the attempt fails and may have run.

Measured: before, response_attribution_test::successMarkedAsNotRunIsNeither failed (the second engine got the request); with the change the six tests of the class pass (one run).

Conclusion: only a failure can promise that a request did not run.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -496,6 +496,11 @@
     m_response = std::move(metadata);
     m_responseHead = head;
     const bool success = head.status < firstErrorStatus;
+    if (success && m_response.notRun) {
+        // A response that contradicts itself is neither a success nor a promise.
+        m_response.notRun = false;
+        m_response.isSigned = false;
+    }
     if (success && m_response.isSigned && m_response.isEventStream && isStreamRoute()) {
         m_mode = relay_mode::Events;
         m_resumeCheckPending = responseStarted() || m_events.lastId().has_value();
--- a/tests/gateway/response_attribution_test.cpp
+++ b/tests/gateway/response_attribution_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(sameRequestNeverMeetsAConnectionTwice);
     CPPUNIT_TEST(requestWithoutIdUsesNewConnection);
     CPPUNIT_TEST(refusalSentTwiceIsCountedOnce);
+    CPPUNIT_TEST(successMarkedAsNotRunIsNeither);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +156,30 @@
         CPPUNIT_ASSERT(engine.ended());
     }
 
+    // Guards against a repeated run after a response that contradicts itself, and against its body.
+    void successMarkedAsNotRunIsNeither()
+    {
+        const std::string eventField = "Content-Type: text/event-stream\r\n";
+        for (const std::string route : {"/once/", "/fragile/"}) {
+            for (const std::string &fields : {std::string(), eventField}) {
+                gateway_fixture gateway;
+                listening_socket &listener = gateway.addEngine("e1");
+                gateway.configure(1);
+                const auto caller = gateway.call(route, "1");
+                raw_socket engine = gateway.acceptAt(listener);
+                gateway.requestAt(engine);
+                listening_socket &second = gateway.addEngine("e2");
+                engine.send(response("200 OK", "Id: 1\r\nSigned: s\r\nNot-Run: 1\r\n" + fields,
+                                     "id: 1\ndata: a\n\n"));
+                gateway.waitFor("outcome", [&] {
+                    return contains(caller->receive(), "\r\n\r\n") || second.pending();
+                });
+                CPPUNIT_ASSERT(!second.pending());
+                CPPUNIT_ASSERT(gateway.responseOf(*caller).starts_with("HTTP/1.1 502 "));
+            }
+        }
+    }
+
 private:
     /** Returns the engine's side of a connection that has served request 0. */
     static raw_socket serveFirstRequest(gateway_fixture &gateway, listening_socket &listener)
