Forward no unmarked refusal that callers read as not run

Cause: an engine's 408, 429 or 503 without its mark "not run" was forwarded as it came, though the request may have run; callers take these statuses for a promise and send a request again that must not run twice.

Change: such a response is a failed attempt ("unmarked_refusal"): another engine where the route allows it, else 502. The statuses are those of the platform's protocol (readsAsNotRun).

Conclusion: a caller gets "not run" only from the node itself, after the mark of each engine that it was sent to.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -540,7 +540,8 @@
     }
     if (m_bufferedBody.size() <= maxBufferedBytes)
         return;
-    const bool relayable = m_response.isSigned && !m_response.notRun && !responseStarted();
+    const bool relayable = m_response.isSigned && !m_response.notRun && !m_response.readsAsNotRun
+                           && !responseStarted();
     if (!relayable) {
         m_mayHaveRun = true;
         handleFailure("body_too_large", dispatch::attempt_result::Failed);
@@ -699,6 +700,11 @@
         handleFailure("no_stream_to_resume", dispatch::attempt_result::Failed);
         return;
     }
+    if (m_response.readsAsNotRun) {
+        // Only the engine's mark shows that the request did not run.
+        handleFailure("unmarked_refusal", dispatch::attempt_result::Failed);
+        return;
+    }
     const bool retry = status >= firstServerErrorStatus && m_route->retryable() && canRetry();
     if (retry && consumeRetryBudget()) {
         m_context.attemptFailed(m_record, "status_" + std::to_string(status));
--- a/src/gateway/response_metadata.h
+++ b/src/gateway/response_metadata.h
@@ -13,6 +13,8 @@
     bool isSigned = false;
     /** True if the engine reports that it did not run the request. */
     bool notRun = false;
+    /** True if callers take the status for a promise that the request did not run. */
+    bool readsAsNotRun = false;
     /** True if the address now belongs to another engine. */
     bool misdirected = false;
     bool isEventStream = false;
--- a/tests/gateway/response_attribution_test.cpp
+++ b/tests/gateway/response_attribution_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(requestWithoutIdUsesNewConnection);
     CPPUNIT_TEST(refusalSentTwiceIsCountedOnce);
     CPPUNIT_TEST(successMarkedAsNotRunIsNeither);
+    CPPUNIT_TEST(statusWithoutMarkIsNoPromise);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -180,6 +181,30 @@
         }
     }
 
+    // Guards against forwarding a failure that its caller reads as "not run".
+    void statusWithoutMarkIsNoPromise()
+    {
+        const std::string longBody(300'000, 'a');
+        for (const std::string status :
+             {"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"}) {
+            for (const std::string &body : {std::string("late"), longBody}) {
+                gateway_fixture gateway;
+                listening_socket &listener = gateway.addEngine("e1");
+                gateway.configure(1);
+                const auto caller = gateway.call("/once/", "1");
+                raw_socket engine = gateway.acceptAt(listener);
+                gateway.requestAt(engine);
+                const std::string bytes = response(status, "Id: 1\r\nSigned: s\r\n", body);
+                std::string_view rest = bytes;
+                gateway.waitFor(status, [&] {
+                    rest.remove_prefix(engine.send(rest));
+                    return contains(caller->receive(), "\r\n\r\n");
+                });
+                CPPUNIT_ASSERT_MESSAGE(status, caller->receive().starts_with("HTTP/1.1 502 "));
+            }
+        }
+    }
+
 private:
     /** Returns the engine's side of a connection that has served request 0. */
     static raw_socket serveFirstRequest(gateway_fixture &gateway, listening_socket &listener)
--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -140,6 +140,12 @@
         failed.headers = {{"Comfreypass-Response-Seal", "s"}};
         CPPUNIT_ASSERT(!m_protocol.readResponse(failed).notRun);
         CPPUNIT_ASSERT(m_protocol.readResponse(failed).isSigned);
+        for (const unsigned status : {200U, 400U, 404U, 408U, 421U, 429U, 500U, 502U, 503U, 504U}) {
+            http1::message_head unmarked;
+            unmarked.status = status;
+            const bool expected = status == 408 || status == 421 || status == 429 || status == 503;
+            CPPUNIT_ASSERT_EQUAL(expected, m_protocol.readResponse(unmarked).readsAsNotRun);
+        }
         http1::message_head stream;
         stream.status = 200;
         stream.headers = {{"Content-Type", "text/event-stream; charset=utf-8"}};
