Break off streams that repeat an event

Cause: an engine that sent an event twice, or an earlier one, within one response had both forwarded; only the first event of a resumed stream was checked.

Change: an event whose numeric id is not above the one before fails the attempt ("event_out_of_order") with nothing of it forwarded; the stream is resumed elsewhere or broken off. Ids may skip: the protocol only says that they increase.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "gateway/event_splitter.h"
 
+#include "core/parse_unsigned.h"
+
 namespace comfreypass::gateway {
 
 namespace {
@@ -76,6 +78,21 @@
     return first;
 }
 
+bool event_splitter::idsIncrease() const
+{
+    auto last = m_lastId ? core::parseUnsigned(*m_lastId) : std::nullopt;
+    bool increase = true;
+    forEachLine(completeEvents(), [&](std::string_view line) {
+        const auto id = idOfLine(line);
+        const auto number = id ? core::parseUnsigned(*id) : std::nullopt;
+        if (!number)
+            return;
+        increase = increase && (!last || *number > *last);
+        last = number;
+    });
+    return increase;
+}
+
 void event_splitter::consumeEvents()
 {
     forEachLine(completeEvents(), [this](std::string_view line) {
@@ -93,4 +110,11 @@
     m_searchOffset = m_completeBytes;
 }
 
+void event_splitter::discardEvents()
+{
+    m_buffer.clear();
+    m_completeBytes = 0;
+    m_searchOffset = 0;
+}
+
 } // namespace comfreypass::gateway
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -30,6 +30,9 @@
     /** Returns the id of the first event in completeEvents(), if it has one. */
     std::optional<std::string> firstId() const;
 
+    /** Returns false if completeEvents() have an id that is not above the one before it. */
+    bool idsIncrease() const;
+
     /** Removes completeEvents() and records their last id. */
     void consumeEvents();
 
@@ -42,6 +45,9 @@
     /** Discards an incomplete event. */
     void discardIncompleteEvent();
 
+    /** Discards completeEvents() without recording them, and an incomplete event. */
+    void discardEvents();
+
     /** Returns the last id among the consumed events, if any had one. */
     const std::optional<std::string> &lastId() const noexcept { return m_lastId; }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -589,6 +589,12 @@
         abortResponse("resumed_at_wrong_event");
         return;
     }
+    if (!m_events.idsIncrease()) {
+        m_mayHaveRun = true;
+        m_events.discardEvents();
+        handleFailure("event_out_of_order", dispatch::attempt_result::Failed);
+        return;
+    }
     if (std::exchange(m_firstEventSeen, true))
         m_context.registry.onEventInterval(m_engine->id, now - m_lastEventAt);
     else
--- a/tests/gateway/event_splitter_test.cpp
+++ b/tests/gateway/event_splitter_test.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace comfreypass::gateway;
 
@@ -11,6 +13,7 @@
     CPPUNIT_TEST_SUITE(event_splitter_test);
     CPPUNIT_TEST(fragmentationDoesNotChangeTheStream);
     CPPUNIT_TEST(incompleteEventIsDiscarded);
+    CPPUNIT_TEST(repeatedIdsAreDetected);
     CPPUNIT_TEST(eventIdsAreTracked);
     CPPUNIT_TEST(oversizedEventFails);
     CPPUNIT_TEST_SUITE_END();
@@ -35,6 +38,28 @@
         }
     }
 
+    // Guards against forwarding an event twice, and against rejecting ids that skip or are no
+    // numbers.
+    void repeatedIdsAreDetected()
+    {
+        const std::vector<std::pair<std::string, bool>> cases = {
+            {"id: 3\n\nid: 4\n\n", true},   {"id: 3\n\nid: 9\n\n", true},
+            {"data: a\n\nid: 3\n\n", true}, {"id: x\n\nid: x\n\n", true},
+            {"id: 2\n\n", false},           {"id: 1\n\n", false},
+            {"id: 3\n\nid: 3\n\n", false},  {"id: 5\n\nid: 4\n\nid: 6\n\n", false},
+        };
+        for (const auto &[text, expected] : cases) {
+            event_splitter events;
+            events.feed("id: 2\n\n");
+            events.consumeEvents();
+            events.feed(text);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, expected, events.idsIncrease());
+            events.discardEvents();
+            CPPUNIT_ASSERT(events.completeEvents().empty() && events.incompleteEvent().empty());
+            CPPUNIT_ASSERT_EQUAL(std::string("2"), *events.lastId());
+        }
+    }
+
     // Guards against forwarding part of an event of one engine before the events of another.
     void incompleteEventIsDiscarded()
     {
