Let the soak's engines repeat refusals and stop within a head

Change: a new seeded fault, confuse_engine: an engine repeats a refusal of an earlier request on the connection, with or without its id, before the real answer, stops within the head of a response and closes, or fails a resumed stream. New check: a success that ends as complete is complete. The faults of a seed differ from those before.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -24,6 +24,7 @@
         self.status = None
         self.sealed = False
         self.complete = False
+        self.ended = False
         self.events = []
         self.timed_out = False
 
@@ -113,5 +114,6 @@
         else:
             body = await reader.readexactly(int(headers.get("content-length", "0")))
             outcome.complete = outcome.status != 200 or body == outcome.attempt_id.encode()
+        outcome.ended = True
         if headers.get("connection", "").lower() == "close":
             self.disconnect()
--- a/tests/platform/soak/engine.py
+++ b/tests/platform/soak/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import random
 import time
 
 from http_io import encode, read_message
@@ -15,10 +16,12 @@
 class Engine:
     """Records in `runs`, for each attempt id, the engines that ran it and the start times."""
 
-    def __init__(self, name, runs):
+    def __init__(self, name, runs, seed):
         self.name = name
         self.runs = runs
+        self.random = random.Random("%s/%s" % (seed, name))
         self.failing = False
+        self.faulty = False
         self.running = 0
 
     async def start(self):
@@ -27,14 +30,17 @@
 
     async def _serve(self, reader, writer):
         try:
+            earlier_id = None
             while True:
-                await self._handle(await read_message(reader), writer)
+                request = await read_message(reader)
+                await self._handle(request, writer, earlier_id)
+                earlier_id = request.headers["comfreypass-attempt-id"]
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             writer.close()
 
-    async def _handle(self, request, writer):
+    async def _handle(self, request, writer, earlier_id):
         attempt_id = request.headers["comfreypass-attempt-id"]
         headers = {"Comfreypass-Attempt-Id": attempt_id}
         if request.headers["comfreypass-expect-instance"] != self.name:
@@ -48,6 +54,8 @@
         headers["Comfreypass-Response-Seal"] = self.name + "/" + attempt_id
         self.running += 1
         try:
+            if self.faulty:
+                await self._misbehave(request, writer, headers, earlier_id)
             if self.failing:
                 await self._respond(writer, "500 Internal Server Error", headers, b"failed")
             elif request.start_line.split()[1].startswith("/stream"):
@@ -58,6 +66,23 @@
         finally:
             self.running -= 1
 
+    async def _misbehave(self, request, writer, headers, earlier_id):
+        """Repeats a refusal of an earlier request, stops within a head, or fails a resumption."""
+        choice = self.random.random()
+        if choice < 0.4 and earlier_id is not None:
+            refusal = {"Comfreypass-Not-Executed": "full"}
+            if choice < 0.2:
+                refusal["Comfreypass-Attempt-Id"] = earlier_id
+            await self._respond(writer, "503 Service Unavailable", refusal, b"full")
+        elif choice < 0.6:
+            head = encode("HTTP/1.1 200 OK", {**headers, "Content-Length": 0})
+            writer.write(head[:self.random.randrange(1, len(head))])
+            await writer.drain()
+            raise ConnectionResetError
+        elif "last-event-id" in request.headers:
+            await self._respond(writer, "500 Internal Server Error", headers, b"id: 1\n\n")
+            raise ConnectionResetError
+
     @staticmethod
     async def _respond(writer, status, headers, body):
         writer.write(encode("HTTP/1.1 " + status, {**headers, "Content-Length": len(body)}, body))
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -71,7 +71,7 @@
         store_port = await self.store_proxy.start()
         self.engines = []
         for number in range(MODEL_ENGINE_COUNT + PLAIN_ENGINE_COUNT):
-            engine = Engine("e%d" % number, self.runs)
+            engine = Engine("e%d" % number, self.runs, self.seed)
             engine.service = "model" if number < MODEL_ENGINE_COUNT else "plain"
             engine.domain = DOMAINS[number % len(DOMAINS)]
             engine.proxy = Proxy(await engine.start())
@@ -156,6 +156,12 @@
         await asyncio.sleep(seconds)
         engine.failing = False
 
+    async def confuse_engine(self, seconds):
+        engine = self.random.choice(self.engines)
+        engine.faulty = True
+        await asyncio.sleep(seconds)
+        engine.faulty = False
+
     async def remove_engine(self, seconds):
         engine = self.random.choice(self.engines)
         engine.proxy.mode = "refuse"
@@ -179,8 +185,8 @@
         await self.store.remove("op/evacuate/" + domain)
 
     FAULTS = (kill_node, stop_node, pause_node, disrupt_engine_connections,
-              disrupt_engine_connections, disrupt_store_connections, fail_engine, remove_engine,
-              publish_configuration, evacuate_domain)
+              disrupt_engine_connections, disrupt_store_connections, fail_engine, confuse_engine,
+              remove_engine, publish_configuration, evacuate_domain)
 
     def disrupt_random_node(self, kind):
         free = [node for node in self.nodes if all(ended for _, _, ended in node.disruptions)]
@@ -265,6 +271,8 @@
                 self.fail("refused as not executed, but ran %d times" % ran, outcome)
             if outcome.status == 200 and not outcome.sealed:
                 self.fail("success without an engine's response seal", outcome)
+            if outcome.status == 200 and outcome.ended and not outcome.complete:
+                self.fail("incomplete success that ended as if it were complete", outcome)
             if outcome.status == 200 and outcome.sealed and not ran:
                 self.fail("success of a request that did not run", outcome)
             if outcome.events != list(range(1, len(outcome.events) + 1)):
