--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(invalidFieldsAreIgnored);
     CPPUNIT_TEST(reservedFieldsAreReplacedForTheEngine);
     CPPUNIT_TEST(responsesAreClassified);
+    CPPUNIT_TEST(conflictingIdsMatchNoRequest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,6 +153,21 @@
         CPPUNIT_ASSERT(m_protocol.readResponse(stream).isEventStream);
     }
 
+    // Guards against a head that an engine left unfinished and that runs into the next one.
+    void conflictingIdsMatchNoRequest()
+    {
+        http1::message_head joined;
+        joined.status = 200;
+        joined.headers = {{"Comfreypass-Attempt-Id", "a"},
+                          {"Comfreypass-Response-Seal", "sHTTP/1.1 200 OK"},
+                          {"comfreypass-attempt-id", "b"}};
+        CPPUNIT_ASSERT_EQUAL(std::string("a, b"), m_protocol.readResponse(joined).attemptId);
+        http1::message_head repeated;
+        repeated.status = 200;
+        repeated.headers = {{"Comfreypass-Attempt-Id", "a"}, {"Comfreypass-Attempt-Id", "a"}};
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), m_protocol.readResponse(repeated).attemptId);
+    }
+
 private:
     platform_protocol m_protocol;
 };
