Compare the revisions of published records by era and number

Change: record_revision, a pair of era and number, replaces the bare number everywhere. Messages between nodes carry eras in new fields; those without have era 0. The store client still names no era.

Conclusion: nodes agree on which history is newer, whoever notices first.

--- a/src/dispatch/fleet_member.h
+++ b/src/dispatch/fleet_member.h
@@ -2,6 +2,7 @@
 
 #include "core/time_point.h"
 #include "dispatch/engine_registry.h"
+#include "dispatch/record_revision.h"
 
 #include <cstdint>
 #include <string>
@@ -34,7 +35,7 @@
     /** Increases with each status of one process. */
     std::uint64_t sequence = 0;
     /** Latest applied revision of each collection of published records. */
-    std::vector<std::uint64_t> revisions;
+    std::vector<record_revision> revisions;
     source_state source = source_state::NotRead;
     std::vector<engine_load> loads;
 
--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -179,7 +179,7 @@
 }
 
 std::vector<const node_status *>
-fleet_view::peersAhead(std::size_t collection, std::uint64_t revision, core::time_point now) const
+fleet_view::peersAhead(std::size_t collection, record_revision revision, core::time_point now) const
 {
     std::vector<const node_status *> newer;
     for (const auto &[address, member] : m_members) {
@@ -190,12 +190,12 @@
     return newer;
 }
 
-std::vector<std::uint32_t> fleet_view::peersBehind(std::span<const std::uint64_t> revisions,
+std::vector<std::uint32_t> fleet_view::peersBehind(std::span<const record_revision> revisions,
                                                    core::time_point now) const
 {
     std::vector<std::uint32_t> behind;
     for (const auto &[address, member] : m_members) {
-        const std::vector<std::uint64_t> &known = member.status.revisions;
+        const std::vector<record_revision> &known = member.status.revisions;
         const bool isBehind = !std::ranges::equal(known, revisions, std::greater_equal{});
         if (isReachable(member, now) && isBehind)
             behind.push_back(address);
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -79,11 +79,11 @@
                                                 core::time_point now) const;
 
     /** Returns the reachable peers with a later revision of a collection than `revision`. */
-    std::vector<const node_status *> peersAhead(std::size_t collection, std::uint64_t revision,
+    std::vector<const node_status *> peersAhead(std::size_t collection, record_revision revision,
                                                 core::time_point now) const;
 
     /** Returns the reachable peers with an earlier revision of any collection than `revisions`. */
-    std::vector<std::uint32_t> peersBehind(std::span<const std::uint64_t> revisions,
+    std::vector<std::uint32_t> peersBehind(std::span<const record_revision> revisions,
                                            core::time_point now) const;
 
     /**
--- a/src/dispatch/published_record.h
+++ b/src/dispatch/published_record.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "dispatch/record_revision.h"
 
-#include <cstdint>
 #include <string>
 
 namespace comfreypass::dispatch {
@@ -11,7 +11,7 @@
 struct published_record
 {
     std::string key;
-    std::uint64_t revision = 0;
+    record_revision revision = {};
     std::string value;
     /** The value as sent to peers, if it is compressed; empty otherwise. */
     std::string compressedValue = {};
--- a/src/dispatch/record_collection.cpp
+++ b/src/dispatch/record_collection.cpp
@@ -19,7 +19,7 @@
     return applyWrite(std::move(record));
 }
 
-record_changes record_collection::remove(std::string_view key, std::uint64_t revision)
+record_changes record_collection::remove(std::string_view key, record_revision revision)
 {
     advance(revision);
     return applyRemoval(key, revision);
@@ -28,6 +28,8 @@
 record_changes record_collection::applyWrite(published_record record)
 {
     record_changes changes;
+    if (isOutdated(record.revision))
+        return changes;
     const auto known = m_records.find(record.key);
     if (known != m_records.end() && known->second.revision >= record.revision)
         return changes;
@@ -43,13 +45,15 @@
     return changes;
 }
 
-record_changes record_collection::applyRemoval(std::string_view key, std::uint64_t revision)
+record_changes record_collection::applyRemoval(std::string_view key, record_revision revision)
 {
     record_changes changes;
+    if (isOutdated(revision))
+        return changes;
     const auto known = m_records.find(key);
     if (known != m_records.end() && known->second.revision > revision)
         return changes;
-    std::uint64_t &removedAt = m_removed[std::string(key)];
+    record_revision &removedAt = m_removed[std::string(key)];
     removedAt = std::max(removedAt, revision);
     if (m_removed.size() > maxRemovals) {
         const auto oldest = std::ranges::min_element(
@@ -65,13 +69,20 @@
 }
 
 record_changes record_collection::replaceAll(std::vector<published_record> records,
-                                             std::uint64_t revision)
+                                             record_revision revision)
 {
     record_changes changes;
+    if (isOutdated(revision))
+        return changes;
     // A snapshot does not show the removals of records that were unknown here.
     if (revision > m_revision)
         m_historyStart = std::max(m_historyStart, revision);
-    std::map<std::string, std::uint64_t, std::less<>> present;
+    if (revision.era > m_revision.era) {
+        changes.restored = m_revision != record_revision();
+        m_revision = {revision.era, 0};
+        std::erase_if(m_removed, [&](const auto &entry) { return entry.second <= revision; });
+    }
+    std::map<std::string, record_revision, std::less<>> present;
     for (published_record &record : records) {
         present.emplace(record.key, record.revision);
         // A later record does not show the changes between the snapshot and itself.
@@ -91,9 +102,11 @@
     return changes;
 }
 
-record_changes record_collection::merge(difference received, std::uint64_t revision)
+record_changes record_collection::merge(difference received, record_revision revision)
 {
     record_changes changes;
+    if (isOutdated(revision))
+        return changes;
     for (published_record &record : received.written) {
         record_changes written = applyWrite(std::move(record));
         std::ranges::move(written.written, std::back_inserter(changes.written));
@@ -106,25 +119,25 @@
     return changes;
 }
 
-record_changes record_collection::writeAfter(std::uint64_t previous, published_record record)
+record_changes record_collection::writeAfter(record_revision previous, published_record record)
 {
-    if (m_revision >= previous)
+    if (m_revision >= previous && previous.era == record.revision.era)
         return write(std::move(record));
     return applyWrite(std::move(record));
 }
 
-record_changes record_collection::removeAfter(std::uint64_t previous, std::string_view key,
-                                              std::uint64_t revision)
+record_changes record_collection::removeAfter(record_revision previous, std::string_view key,
+                                              record_revision revision)
 {
-    if (m_revision >= previous)
+    if (m_revision >= previous && previous.era == revision.era)
         return remove(key, revision);
     return applyRemoval(key, revision);
 }
 
 std::optional<record_collection::difference>
-record_collection::changesSince(std::uint64_t revision) const
+record_collection::changesSince(record_revision revision) const
 {
-    if (revision == 0 || revision < m_historyStart)
+    if (revision.number == 0 || revision < m_historyStart)
         return std::nullopt;
     difference result;
     for (const auto &[key, record] : m_records) {
@@ -138,9 +151,10 @@
     return result;
 }
 
-void record_collection::advance(std::uint64_t revision)
+void record_collection::advance(record_revision revision)
 {
-    m_revision = std::max(m_revision, revision);
+    if (revision.era == m_revision.era)
+        m_revision = std::max(m_revision, revision);
 }
 
 } // namespace comfreypass::dispatch
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -39,15 +39,15 @@
     apply(m_collections.at(static_cast<std::size_t>(collection)).write(std::move(record)), {}, now);
 }
 
-void catalogue::onRemoved(collection_id collection, std::string_view key, std::uint64_t revision,
-                          core::time_point now)
+void catalogue::onRemoved(collection_id collection, std::string_view key,
+                          dispatch::record_revision revision, core::time_point now)
 {
     apply(m_collections.at(static_cast<std::size_t>(collection)).remove(key, revision), {}, now);
 }
 
 void catalogue::onSnapshot(collection_id collection,
-                           std::vector<dispatch::published_record> records, std::uint64_t revision,
-                           core::time_point now)
+                           std::vector<dispatch::published_record> records,
+                           dispatch::record_revision revision, core::time_point now)
 {
     apply(m_collections.at(static_cast<std::size_t>(collection))
               .replaceAll(std::move(records), revision),
@@ -105,9 +105,9 @@
         m_changed();
 }
 
-std::vector<std::uint64_t> catalogue::revisions() const
+std::vector<dispatch::record_revision> catalogue::revisions() const
 {
-    std::vector<std::uint64_t> result;
+    std::vector<dispatch::record_revision> result;
     for (const dispatch::record_collection &each : m_collections)
         result.push_back(each.revision());
     return result;
@@ -123,7 +123,7 @@
                 .revision = "",
                 .ageMs = ""};
     for (const dispatch::published_record &record : changes.written) {
-        m_change.revision = std::to_string(record.revision);
+        m_change.revision = record.revision.text();
         m_change.ageMs
             = record.readAt == core::time_point{} ? "" : millisecondsText(now - record.readAt);
         applyWritten(record, now);
@@ -139,7 +139,7 @@
     if (!content) {
         logEvent(log_level::Warning, "record_unreadable", "ignored an invalid published record",
                  {{"key", record.key},
-                  {"revision", std::to_string(record.revision)},
+                  {"revision", record.revision.text()},
                   {"detail", describe(content.error())}});
         // Another writer may have overwritten the entry, so the engine must not be used.
         if (const std::string_view id = m_decoder.engineOfKey(record.key); !id.empty())
@@ -154,7 +154,7 @@
         m_registry.setEvacuated(domain->name, true, now);
         logEvent(log_level::Info, "domain_evacuated",
                  "stopped sending requests to engines of the failure domain",
-                 {{"domain", domain->name}, {"revision", std::to_string(record.revision)}});
+                 {{"domain", domain->name}, {"revision", record.revision.text()}});
     }
 }
 
--- a/src/gateway/catalogue.h
+++ b/src/gateway/catalogue.h
@@ -57,10 +57,10 @@
 
     void onWritten(collection_id collection, dispatch::published_record record,
                    core::time_point now);
-    void onRemoved(collection_id collection, std::string_view key, std::uint64_t revision,
-                   core::time_point now);
+    void onRemoved(collection_id collection, std::string_view key,
+                   dispatch::record_revision revision, core::time_point now);
     void onSnapshot(collection_id collection, std::vector<dispatch::published_record> records,
-                    std::uint64_t revision, core::time_point now);
+                    dispatch::record_revision revision, core::time_point now);
 
     /**
      * Keeps engines whose entries vanish before `end` until then, since the entries may only have
@@ -90,7 +90,7 @@
     }
 
     /** Returns the newest revision of each collection. */
-    std::vector<std::uint64_t> revisions() const;
+    std::vector<dispatch::record_revision> revisions() const;
 
 private:
     /** Describes the change that is being applied, as fields of log lines. */
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -269,12 +269,13 @@
         m_fleet.addCandidate(seed, monotonicNow());
 }
 
-std::string gateway_node::recordsSince(std::span<const std::uint64_t> revisions) const
+std::string gateway_node::recordsSince(std::span<const dispatch::record_revision> revisions) const
 {
     return encodeRecords(m_catalogue.collections(), revisions, monotonicNow());
 }
 
-std::optional<std::string> gateway_node::serveRecords(std::span<const std::uint64_t> revisions)
+std::optional<std::string>
+gateway_node::serveRecords(std::span<const dispatch::record_revision> revisions)
 {
     const core::time_point now = monotonicNow();
     if (!m_recordTransfers.mayStart(now))
@@ -383,7 +384,8 @@
     forwardUpdate(update);
 }
 
-void gateway_node::onRemoved(collection_id collection, std::string_view key, std::uint64_t revision)
+void gateway_node::onRemoved(collection_id collection, std::string_view key,
+                             dispatch::record_revision revision)
 {
     const record_update update{.collection = static_cast<std::size_t>(collection),
                                .previous = revisionOf(collection),
@@ -393,7 +395,7 @@
     forwardUpdate(update);
 }
 
-std::uint64_t gateway_node::revisionOf(collection_id collection) const
+dispatch::record_revision gateway_node::revisionOf(collection_id collection) const
 {
     return m_catalogue.collections()[static_cast<std::size_t>(collection)].revision();
 }
@@ -417,14 +419,14 @@
 
 void gateway_node::onSnapshot(collection_id collection,
                               std::vector<dispatch::published_record> records,
-                              std::uint64_t revision)
+                              dispatch::record_revision revision)
 {
     const core::time_point now = monotonicNow();
     for (dispatch::published_record &record : records) {
         record.readAt = now;
         record.compressedValue = compressValue(record.value);
     }
-    const std::uint64_t before = revisionOf(collection);
+    const dispatch::record_revision before = revisionOf(collection);
     m_catalogue.onSnapshot(collection, std::move(records), revision, now);
     // Peers that have just started wait for the new revision.
     if (revisionOf(collection) != before)
@@ -738,7 +740,7 @@
 
 void gateway_node::catchUpWithPeers(core::time_point now)
 {
-    const std::vector<std::uint64_t> revisions = m_catalogue.revisions();
+    const std::vector<dispatch::record_revision> revisions = m_catalogue.revisions();
     std::vector<const dispatch::node_status *> newer;
     for (std::size_t i = 0; i < revisions.size() && newer.empty(); ++i)
         newer = m_fleet.peersAhead(i, revisions[i], now);
@@ -760,7 +762,7 @@
 // Without this, peers would learn only from the next status that this node has the records, too.
 void gateway_node::notifyPeersBehind()
 {
-    const std::vector<std::uint64_t> revisions = m_catalogue.revisions();
+    const std::vector<dispatch::record_revision> revisions = m_catalogue.revisions();
     std::vector<std::uint32_t> behind = m_fleet.peersBehind(revisions, monotonicNow());
     std::ranges::shuffle(behind, m_random);
     behind.resize(std::min(behind.size(), record_catch_up::notifiedPeers));
@@ -773,8 +775,8 @@
 {
     transport::http_call call;
     call.url = "http://" + http1::endpoint{peer, m_settings.peers.port}.text() + "/records?since=";
-    for (const std::uint64_t revision : m_catalogue.revisions())
-        call.url += std::to_string(revision) + ",";
+    for (const dispatch::record_revision &revision : m_catalogue.revisions())
+        call.url += revision.text() + ",";
     call.maxBodyBytes = maxPeerRecordsBytes;
     call.deadline = monotonicNow() + peerFetchTimeout;
     m_peerClient.start(std::move(call), std::make_shared<peer_fetch>(*this, peer));
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -77,13 +77,13 @@
     void updateSeeds(const std::vector<std::uint32_t> &seeds);
 
     /** Returns the encoded records that a peer with these revisions is missing. */
-    std::string recordsSince(std::span<const std::uint64_t> revisions) const;
+    std::string recordsSince(std::span<const dispatch::record_revision> revisions) const;
 
     /**
      * Returns the encoded records for a peer, or nothing if this node is sending as many records as
      * its link carries and the peer should try another node.
      */
-    std::optional<std::string> serveRecords(std::span<const std::uint64_t> revisions);
+    std::optional<std::string> serveRecords(std::span<const dispatch::record_revision> revisions);
 
     /** Updates the gauges in the metric registry. */
     void refreshMetrics();
@@ -101,9 +101,10 @@
     void onClosed(http1::server_connection &connection) override;
 
     void onWritten(collection_id collection, dispatch::published_record record) override;
-    void onRemoved(collection_id collection, std::string_view key, std::uint64_t revision) override;
+    void onRemoved(collection_id collection, std::string_view key,
+                   dispatch::record_revision revision) override;
     void onSnapshot(collection_id collection, std::vector<dispatch::published_record> records,
-                    std::uint64_t revision) override;
+                    dispatch::record_revision revision) override;
     void onAvailability(collection_id collection, bool available, std::string_view detail) override;
 
     void onAccepted(http1::socket_handle socket);
@@ -112,7 +113,7 @@
     void onCatalogueChanged();
     void onPeerStatus(const http1::endpoint &from, dispatch::node_status received);
     void forwardUpdate(const record_update &update);
-    std::uint64_t revisionOf(collection_id collection) const;
+    dispatch::record_revision revisionOf(collection_id collection) const;
     core::duration startDelay(core::time_point now) const;
     void updateSourceReading(core::time_point now);
 
--- a/src/gateway/record_source.h
+++ b/src/gateway/record_source.h
@@ -31,12 +31,16 @@
     record_source_events &operator=(const record_source_events &) = delete;
 
     virtual void onWritten(collection_id collection, dispatch::published_record record) = 0;
-    virtual void onRemoved(collection_id collection, std::string_view key, std::uint64_t revision)
+    virtual void onRemoved(collection_id collection, std::string_view key,
+                           dispatch::record_revision revision)
         = 0;
 
-    /** Delivers all records that existed at `revision`. */
+    /**
+     * Delivers all records that existed at `revision`. The first event of an era is a snapshot.
+     */
     virtual void onSnapshot(collection_id collection,
-                            std::vector<dispatch::published_record> records, std::uint64_t revision)
+                            std::vector<dispatch::published_record> records,
+                            dispatch::record_revision revision)
         = 0;
 
     /** The source became available or unavailable; `detail` is the reason. */
@@ -55,9 +59,11 @@
 
     /**
      * Starts reading; `events` must outlive the source. `known` holds the newest revision known of
-     * each collection, 0 for none.
+     * each collection, with the number 0 for none.
      */
-    virtual void start(record_source_events &events, std::span<const std::uint64_t> known) = 0;
+    virtual void start(record_source_events &events,
+                       std::span<const dispatch::record_revision> known)
+        = 0;
 
     /** Stops reading; start() may follow. */
     virtual void stop() = 0;
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -25,7 +25,10 @@
     status.ready = message.ready();
     status.leaving = message.leaving();
     status.sequence = message.sequence();
-    status.revisions.assign(message.revisions().begin(), message.revisions().end());
+    // A peer of an earlier build sends no eras.
+    for (int i = 0; i < message.revisions_size(); ++i)
+        status.revisions.emplace_back(i < message.eras_size() ? message.eras(i) : 0,
+                                      message.revisions(i));
     for (const fleet::EngineLoad &entry : message.loads())
         status.loads.push_back({entry.engine(), entry.running()});
     for (const fleet::EnginePace &entry : message.paces())
@@ -48,7 +51,8 @@
         target.set_age_ms(static_cast<std::uint64_t>(
             std::chrono::duration_cast<milliseconds>(now - record.readAt).count()));
     target.set_key(record.key);
-    target.set_revision(record.revision);
+    target.set_revision(record.revision.number);
+    target.set_era(record.revision.era);
     if (record.compressedValue.empty()) {
         target.set_value(record.value);
         return;
@@ -62,7 +66,7 @@
 {
     dispatch::published_record record;
     record.key = source.key();
-    record.revision = source.revision();
+    record.revision = {source.era(), source.revision()};
     record.value = source.value();
     record.compressedValue = source.compressed_value();
     if (!record.compressedValue.empty()) {
@@ -81,11 +85,11 @@
 {
     record_update update;
     update.collection = message.collection();
-    update.previous = message.previous();
+    update.previous = {message.previous_era(), message.previous()};
     update.removed = message.has_removal();
     if (update.removed) {
         update.record.key = message.removal().key();
-        update.record.revision = message.removal().revision();
+        update.record.revision = {message.removal().era(), message.removal().revision()};
         return update;
     }
     core::result<dispatch::published_record> record = readRecord(message.record());
@@ -140,8 +144,10 @@
     message.set_ready(status.ready);
     message.set_leaving(status.leaving);
     message.set_sequence(status.sequence);
-    for (const std::uint64_t revision : status.revisions)
-        message.add_revisions(revision);
+    for (const dispatch::record_revision &revision : status.revisions) {
+        message.add_revisions(revision.number);
+        message.add_eras(revision.era);
+    }
     for (const dispatch::engine_load &load : status.loads) {
         fleet::EngineLoad &entry = *message.add_loads();
         entry.set_engine(load.engine);
@@ -175,10 +181,12 @@
     fleet::PeerMessage wrapper;
     fleet::RecordUpdate &message = *wrapper.mutable_update();
     message.set_collection(static_cast<std::uint32_t>(update.collection));
-    message.set_previous(update.previous);
+    message.set_previous(update.previous.number);
+    message.set_previous_era(update.previous.era);
     if (update.removed) {
         message.mutable_removal()->set_key(update.record.key);
-        message.mutable_removal()->set_revision(update.record.revision);
+        message.mutable_removal()->set_revision(update.record.revision.number);
+        message.mutable_removal()->set_era(update.record.revision.era);
     } else {
         writeRecord(update.record, *message.mutable_record());
     }
@@ -245,14 +253,16 @@
 }
 
 std::string encodeRecords(std::span<const dispatch::record_collection> collections,
-                          std::span<const std::uint64_t> since, core::time_point now)
+                          std::span<const dispatch::record_revision> since, core::time_point now)
 {
     fleet::RecordSnapshot message;
     for (std::size_t i = 0; i < collections.size(); ++i) {
         const dispatch::record_collection &collection = collections[i];
         fleet::RecordCollection &target = *message.add_collections();
-        target.set_revision(collection.revision());
-        const auto difference = collection.changesSince(i < since.size() ? since[i] : 0);
+        target.set_revision(collection.revision().number);
+        target.set_era(collection.revision().era);
+        const auto difference
+            = collection.changesSince(i < since.size() ? since[i] : dispatch::record_revision());
         target.set_whole(!difference);
         if (!difference) {
             for (const auto &[key, record] : collection.records())
@@ -264,7 +274,8 @@
         for (const auto &[key, revision] : difference->removed) {
             fleet::Removal &removal = *target.add_removals();
             removal.set_key(key);
-            removal.set_revision(revision);
+            removal.set_revision(revision.number);
+            removal.set_era(revision.era);
         }
     }
     return message.SerializeAsString();
@@ -279,7 +290,7 @@
     std::vector<collection_snapshot> collections;
     for (const fleet::RecordCollection &source : message.collections()) {
         collection_snapshot &target = collections.emplace_back();
-        target.revision = source.revision();
+        target.revision = {source.era(), source.revision()};
         target.complete = source.whole();
         for (const fleet::Record &entry : source.records()) {
             core::result<dispatch::published_record> record = readRecord(entry, now);
@@ -288,7 +299,7 @@
             target.records.push_back(std::move(record).value());
         }
         for (const fleet::Removal &entry : source.removals())
-            target.removed[entry.key()] = entry.revision();
+            target.removed[entry.key()] = {entry.era(), entry.revision()};
     }
     return collections;
 }
--- a/src/gateway/status_codec.h
+++ b/src/gateway/status_codec.h
@@ -23,7 +23,7 @@
 {
     std::size_t collection = 0;
     /** Revision of the sender's collection before the change. */
-    std::uint64_t previous = 0;
+    dispatch::record_revision previous = {};
     /** For a removal, only key and revision are set. */
     dispatch::published_record record;
     bool removed = false;
@@ -52,19 +52,19 @@
 /** A collection as sent by a peer. */
 struct collection_snapshot
 {
-    std::uint64_t revision = 0;
+    dispatch::record_revision revision = {};
     std::vector<dispatch::published_record> records = {};
-    std::map<std::string, std::uint64_t, std::less<>> removed = {};
+    std::map<std::string, dispatch::record_revision, std::less<>> removed = {};
     /** True if the snapshot contains all records, so that missing ones do not exist. */
     bool complete = true;
 };
 
 /**
  * Encodes the changes of each collection after the revision at the same index of `since`, or all
- * records where that revision is 0, missing or too old. Thread-safe.
+ * records where that revision is 0, missing, too old or of an earlier era. Thread-safe.
  */
 std::string encodeRecords(std::span<const dispatch::record_collection> collections,
-                          std::span<const std::uint64_t> since, core::time_point now);
+                          std::span<const dispatch::record_revision> since, core::time_point now);
 
 /** `now` dates the ages of the records. Error: ParseFailed. Thread-safe. */
 core::result<std::vector<collection_snapshot>> decodeRecords(std::string_view bytes,
--- a/tests/dispatch/fleet_view_test.cpp
+++ b/tests/dispatch/fleet_view_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(teamUsageIsCountedOnce);
     CPPUNIT_TEST(nodesNamedByPeersAreAdded);
     CPPUNIT_TEST(peersWithLaterRevisionsAreFound);
+    CPPUNIT_TEST(laterEraIsAheadOfAHigherRevision);
     CPPUNIT_TEST(fewNodesReadTheSource);
     CPPUNIT_TEST(higherPrioritiesAtPeersAreCounted);
     CPPUNIT_TEST(outdatedUpdatesAreIgnored);
@@ -115,6 +116,25 @@
         CPPUNIT_ASSERT(view.peersAhead(0, 5, m_now + 5s).empty());
     }
 
+    // Guards against a fleet that keeps the old records after the source was restored, because
+    // these have higher revisions.
+    void laterEraIsAheadOfAHigherRevision()
+    {
+        fleet_view view(1, "d1", {});
+        node_status outdated = status(2, 1);
+        outdated.revisions = {{1, 50}};
+        node_status current = status(3, 1);
+        current.revisions = {{2, 5}};
+        view.onStatus(outdated, m_now);
+        view.onStatus(current, m_now);
+        const auto ahead = view.peersAhead(0, {1, 40}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ahead.size());
+        CPPUNIT_ASSERT_EQUAL(3U, view.peersAhead(0, {1, 50}, m_now).at(0)->address);
+        CPPUNIT_ASSERT(view.peersAhead(0, {2, 5}, m_now).empty());
+        const std::vector<record_revision> own = {{2, 5}};
+        CPPUNIT_ASSERT(view.peersBehind(own, m_now) == std::vector<std::uint32_t>{2});
+    }
+
     // Guards against no or all nodes reading the source, also while readers lose it.
     void fewNodesReadTheSource()
     {
--- a/tests/gateway/catalogue_test.cpp
+++ b/tests/gateway/catalogue_test.cpp
@@ -79,7 +79,7 @@
         m_catalogue.onPeerRecords(snapshots, m_peer, m_now);
         CPPUNIT_ASSERT(m_registry.find("e1") == nullptr);
         CPPUNIT_ASSERT(m_registry.find("e2") != nullptr);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, m_catalogue.revisions().at(1));
+        CPPUNIT_ASSERT(m_catalogue.revisions().at(1) == 8);
     }
 
     // Guards against missing a lost update because a later one arrived.
@@ -90,12 +90,12 @@
         m_catalogue.onPeerUpdate(
             {.collection = 1, .previous = 7, .record = {"engine/e2", 8, "new"}}, m_peer, m_now);
         CPPUNIT_ASSERT(m_registry.find("e2") != nullptr);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, m_catalogue.revisions().at(1));
+        CPPUNIT_ASSERT(m_catalogue.revisions().at(1) == 5);
         m_catalogue.onPeerUpdate(
             {.collection = 1, .previous = 5, .record = {"engine/e1", 9, ""}, .removed = true},
             m_peer, m_now);
         CPPUNIT_ASSERT(m_registry.find("e1") == nullptr);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, m_catalogue.revisions().at(1));
+        CPPUNIT_ASSERT(m_catalogue.revisions().at(1) == 9);
         m_catalogue.onPeerUpdate({.collection = 9, .previous = 0, .record = {"x", 1, ""}}, m_peer,
                                  m_now);
     }
@@ -111,11 +111,11 @@
             // The peer has not received the removal at revision 6.
             m_decoder.contents["new"] = dispatch::engine_entry{.id = "e2", .upstream = "u"};
             peer[1].writeAfter(6, {"engine/e2", 7, "new"});
-            const std::array<std::uint64_t, 2> since = {0, complete ? 0U : 5U};
+            const std::array<dispatch::record_revision, 2> since = {0, complete ? 0U : 5U};
             const auto records = decodeRecords(encodeRecords(peer, since, m_now), m_now);
             m_catalogue.onPeerRecords(records.value(), m_peer, m_now);
             CPPUNIT_ASSERT(m_registry.find("e1") != nullptr && m_registry.find("e2") != nullptr);
-            CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, m_catalogue.revisions().at(1));
+            CPPUNIT_ASSERT(m_catalogue.revisions().at(1) == 5);
         }
     }
 
--- a/tests/gateway/plain_protocol.h
+++ b/tests/gateway/plain_protocol.h
@@ -39,7 +39,7 @@
 class scripted_source final : public gateway::record_source
 {
 public:
-    void start(gateway::record_source_events &, std::span<const std::uint64_t>) override
+    void start(gateway::record_source_events &, std::span<const dispatch::record_revision>) override
     {
         ++starts;
     }
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet.pb.h"
 #include "gateway/status_codec.h"
 #include "gateway/value_compression.h"
 
@@ -21,6 +22,8 @@
     CPPUNIT_TEST(updateRoundTrips);
     CPPUNIT_TEST(engineUpdateRoundTrips);
     CPPUNIT_TEST(segmentReportRoundTrips);
+    CPPUNIT_TEST(erasRoundTrip);
+    CPPUNIT_TEST(messagesWithoutErasAreRead);
     CPPUNIT_TEST(invalidMessageIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -93,7 +96,7 @@
         const auto decoded = decodeRecords(encodeRecords(collections, {}, m_now), m_now);
         CPPUNIT_ASSERT(decoded);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decoded.value().size());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, decoded.value()[1].revision);
+        CPPUNIT_ASSERT(decoded.value()[1].revision == 9);
         CPPUNIT_ASSERT(collections[0].records().at("op") == decoded.value()[0].records.at(0));
     }
 
@@ -126,14 +129,14 @@
         collections[0].write({"c", 6, "z"});
         collections[0].remove("b", 7);
         collections[1].write({"e", 9, "x"});
-        const std::array<std::uint64_t, 2> since = {5, 9};
+        const std::array<dispatch::record_revision, 2> since = {5, 9};
         const auto decoded = decodeRecords(encodeRecords(collections, since, m_now), m_now);
         CPPUNIT_ASSERT(decoded);
         const collection_snapshot &first = decoded.value().at(0);
         CPPUNIT_ASSERT(!first.complete);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.records.size());
         CPPUNIT_ASSERT_EQUAL(std::string("c"), first.records.at(0).key);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, first.removed.at("b"));
+        CPPUNIT_ASSERT(first.removed.at("b") == 7);
         CPPUNIT_ASSERT(decoded.value().at(1).records.empty());
     }
 
@@ -149,7 +152,7 @@
             CPPUNIT_ASSERT(decoded);
             const auto &received = std::get<record_update>(decoded.value());
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, received.collection);
-            CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, received.previous);
+            CPPUNIT_ASSERT(received.previous == 8);
             CPPUNIT_ASSERT(received.record == update.record);
             CPPUNIT_ASSERT_EQUAL(removed, received.removed);
         }
@@ -174,6 +177,60 @@
         CPPUNIT_ASSERT(sent.report.answered == received.report.answered);
     }
 
+    // Guards against a peer that compares revisions without their eras.
+    void erasRoundTrip()
+    {
+        dispatch::node_status status;
+        status.address = 0x0a010019;
+        status.revisions = {{3, 5}, {2, 9}};
+        const auto received = decodeMessage(encodeStatus(status));
+        CPPUNIT_ASSERT(std::get<dispatch::node_status>(received.value()).revisions
+                       == status.revisions);
+        for (const bool removed : {false, true}) {
+            const record_update update{.collection = 1,
+                                       .previous = {2, 8},
+                                       .record = {"e", {2, 9}, removed ? "" : "x"},
+                                       .removed = removed};
+            const auto decoded = decodeMessage(encodeRecordUpdate(update));
+            const auto &copy = std::get<record_update>(decoded.value());
+            CPPUNIT_ASSERT(copy.previous == update.previous && copy.record == update.record);
+        }
+        std::array<dispatch::record_collection, 1> collections;
+        collections[0].replaceAll({{"a", {3, 5}, "x"}, {"b", {3, 6}, "x"}}, {3, 6});
+        collections[0].remove("a", {3, 8});
+        const std::array<dispatch::record_revision, 1> since = {{{3, 6}}};
+        for (const bool complete : {false, true}) {
+            const auto decoded = decodeRecords(complete ? encodeRecords(collections, {}, m_now)
+                                                        : encodeRecords(collections, since, m_now),
+                                               m_now);
+            const collection_snapshot &snapshot = decoded.value().at(0);
+            CPPUNIT_ASSERT_EQUAL(complete, snapshot.complete);
+            CPPUNIT_ASSERT(snapshot.revision == dispatch::record_revision(3, 8));
+            if (complete)
+                CPPUNIT_ASSERT(snapshot.records.at(0).revision == dispatch::record_revision(3, 6));
+            else
+                CPPUNIT_ASSERT(snapshot.removed.at("a") == dispatch::record_revision(3, 8));
+        }
+    }
+
+    // Guards against a node of an earlier build whose messages are misread.
+    void messagesWithoutErasAreRead()
+    {
+        fleet::PeerMessage message;
+        message.mutable_status()->set_address(0x0a010019);
+        message.mutable_status()->add_revisions(5);
+        message.mutable_status()->add_revisions(9);
+        const auto status = decodeMessage(message.SerializeAsString());
+        CPPUNIT_ASSERT(std::get<dispatch::node_status>(status.value()).revisions
+                       == (std::vector<dispatch::record_revision>{5, 9}));
+        message.mutable_update()->set_previous(8);
+        message.mutable_update()->mutable_record()->set_key("e");
+        message.mutable_update()->mutable_record()->set_revision(9);
+        const auto update = decodeMessage(message.SerializeAsString());
+        CPPUNIT_ASSERT(std::get<record_update>(update.value()).previous == 8);
+        CPPUNIT_ASSERT(std::get<record_update>(update.value()).record.revision == 9);
+    }
+
     // Guards against accepting an unrelated datagram as a message of a node.
     void invalidMessageIsRejected()
     {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -27,18 +27,19 @@
             lines.push_back("written " + record.key + "=" + record.value);
     }
 
-    void onRemoved(collection_id collection, std::string_view key, std::uint64_t revision) override
+    void onRemoved(collection_id collection, std::string_view key,
+                   dispatch::record_revision revision) override
     {
         if (collection == collection_id::Engines)
-            lines.push_back("removed " + std::string(key) + " " + std::to_string(revision));
+            lines.push_back("removed " + std::string(key) + " " + revision.text());
     }
 
     void onSnapshot(collection_id collection, std::vector<dispatch::published_record> records,
-                    std::uint64_t revision) override
+                    dispatch::record_revision revision) override
     {
         if (collection == collection_id::Engines)
             lines.push_back("snapshot " + std::to_string(records.size()) + " at "
-                            + std::to_string(revision));
+                            + revision.text());
     }
 
     void onAvailability(collection_id collection, bool available, std::string_view) override
@@ -135,7 +136,7 @@
     // a node that no longer reads the store.
     void knownRevisionIsWatchedWithoutList()
     {
-        const std::vector<std::uint64_t> known = {0, 7};
+        const std::vector<dispatch::record_revision> known = {0, 7};
         m_client->start(m_events, known);
         m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
         CPPUNIT_ASSERT_EQUAL(0, m_lists);
@@ -177,7 +178,7 @@
     void newReaderLearnsAtOnceThatTheStoreAnswers()
     {
         m_holdsLongWatches = true;
-        const std::vector<std::uint64_t> known = {0, 7};
+        const std::vector<dispatch::record_revision> known = {0, 7};
         m_client->start(m_events, known);
         m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
         CPPUNIT_ASSERT(m_events.has("available"));
