List the store again when an answer names another era

Change: the store client reads the era that each answer names. In a later one, it lists both collections instead of applying events; the pages of a list are of one era; an answer of an earlier era counts as a failed call; an answer without era is taken as of the last one and logged once.

Conclusion: readers follow a restored store. What the nodes know beyond the copy is still lost.

--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -69,6 +69,12 @@
     CPPUNIT_TEST(stalledWatchIsRetried);
     CPPUNIT_TEST(readersStaggerTheirWatches);
     CPPUNIT_TEST(newReaderLearnsAtOnceThatTheStoreAnswers);
+    CPPUNIT_TEST(watchIsNotContinuedInANewEra);
+    CPPUNIT_TEST(positionOfALostEraIsNotWatched);
+    CPPUNIT_TEST(pagesOfTwoErasAreNotJoined);
+    CPPUNIT_TEST(answerOfAnEarlierEraIsNotApplied);
+    CPPUNIT_TEST(otherCollectionNoticesTheNewEra);
+    CPPUNIT_TEST(answerWithoutEraIsTakenAsOfTheLastOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,13 +192,110 @@
         CPPUNIT_ASSERT_EQUAL(std::string("7"), m_watched.at(1));
     }
 
+    // Guards against changes that are missed because the revision of the watch exists in the
+    // restored store, too.
+    void watchIsNotContinuedInANewEra()
+    {
+        m_eras = {"1", "1", "2"};
+        m_client->start(m_events, {});
+        m_loop.waitFor("second list", [&] { return m_events.has("snapshot 3 at 7@2"); });
+        CPPUNIT_ASSERT(m_events.has("snapshot 3 at 7@1"));
+        CPPUNIT_ASSERT(!m_events.has("written servers/d=x"));
+        CPPUNIT_ASSERT(!m_events.has("lost"));
+    }
+
+    // Guards against a reader that is selected after the restoration and continues from the
+    // position of peers that have not noticed it.
+    void positionOfALostEraIsNotWatched()
+    {
+        m_eras = {"2"};
+        const std::vector<dispatch::record_revision> known = {0, {1, 7}};
+        m_client->start(m_events, known);
+        m_loop.waitFor("list", [&] { return m_events.has("snapshot 3 at 7@2"); });
+        CPPUNIT_ASSERT(!m_events.has("written servers/d=x"));
+    }
+
+    // Guards against a list whose first page is of the lost history.
+    void pagesOfTwoErasAreNotJoined()
+    {
+        m_eras = {"1", "2"};
+        m_client->start(m_events, {});
+        m_loop.waitFor("list", [&] { return m_events.has("snapshot 3 at 7@2"); });
+        CPPUNIT_ASSERT(!m_events.has("snapshot 3 at 7@1"));
+        CPPUNIT_ASSERT_EQUAL(2, m_lists);
+    }
+
+    // Guards against a late answer from before the restoration.
+    void answerOfAnEarlierEraIsNotApplied()
+    {
+        m_eras = {"2", "2", "1", "2"};
+        m_respondedWatches = 2;
+        m_client->start(m_events, {});
+        m_loop.waitFor("second watch", [&] { return m_watched.size() >= 2; });
+        CPPUNIT_ASSERT(m_events.has("lost"));
+        CPPUNIT_ASSERT(!m_events.has("written servers/d=x"));
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), m_watched.at(1));
+    }
+
+    // Guards against a collection that keeps the lost history until its watch ends.
+    void otherCollectionNoticesTheNewEra()
+    {
+        m_operatorsEra = "1";
+        m_client->start(m_events, {});
+        m_loop.waitFor("operators", [&] { return m_operatorLists == 1 && m_operatorWatches == 1; });
+        m_loop.waitFor("stalled watch", [&] { return m_watched.size() >= 2; });
+        m_operatorsEra = m_eras.emplace_back("2");
+        m_client->restart(collection_id::Engines);
+        m_loop.waitFor("operators again", [&] { return m_operatorLists == 2; });
+        CPPUNIT_ASSERT_EQUAL(1, m_operatorWatches);
+    }
+
+    // Guards against taking an answer without an era for one of before the first era.
+    void answerWithoutEraIsTakenAsOfTheLastOne()
+    {
+        m_eras = {"3", "3", "none"};
+        m_client->start(m_events, {});
+        m_loop.waitFor("watch", [&] { return m_watched.size() >= 2; });
+        CPPUNIT_ASSERT(m_events.has("snapshot 3 at 7@3"));
+        CPPUNIT_ASSERT(m_events.has("removed servers/a 9@3"));
+    }
+
 private:
+    /** Returns the header fields of the next answer about engines. */
+    transport::http_headers eraFields()
+    {
+        if (m_eras.empty())
+            return {};
+        const std::string era = m_eras.front();
+        if (m_eras.size() > 1)
+            m_eras.erase(m_eras.begin());
+        return {{"Store-Era", era}};
+    }
+
+    /** Answers lists of operators' records, and no watch. */
+    void respondOperators(transport::http_exchange &exchange)
+    {
+        if (m_operatorsEra.empty())
+            return;
+        if (exchange.request().path == "/api/kv-range") {
+            ++m_operatorLists;
+            exchange.respond(200, {{"Store-Era", m_operatorsEra}},
+                             R"({"Entries":[],"HasMore":false,"AsOf":7})");
+        } else {
+            ++m_operatorWatches;
+        }
+    }
+
     void respond(transport::http_exchange &exchange)
     {
         const auto &request = exchange.request();
         const auto prefix = request.arguments.find("PathPrefix");
-        if (prefix == request.arguments.end() || prefix->second != "servers/")
+        if (prefix == request.arguments.end())
             return;
+        if (prefix->second != "servers/") {
+            respondOperators(exchange);
+            return;
+        }
         if (request.path == "/api/kv-range")
             respondList(exchange);
         else if (request.path == "/api/kv-watch")
@@ -208,14 +311,14 @@
         const auto after = exchange.request().arguments.find("After");
         if (after == exchange.request().arguments.end()) {
             ++m_lists;
-            exchange.respond(200, {},
+            exchange.respond(200, eraFields(),
                              R"({"Entries":[{"Key":"servers/a","Value":"eA==","Rev":2},)"
                              R"({"Key":"servers/b","Value":"eA==","Rev":3}],)"
                              R"("HasMore":true,"AsOf":7})");
             return;
         }
         CPPUNIT_ASSERT_EQUAL(std::string("servers/b"), after->second);
-        exchange.respond(200, {},
+        exchange.respond(200, eraFields(),
                          R"({"Entries":[{"Key":"servers/c","Value":"eA==","Rev":8}],)"
                          R"("HasMore":false,"AsOf":8})");
     }
@@ -227,17 +330,17 @@
         constexpr int longWatch = 100;
         if (m_holdsLongWatches) {
             if (m_watchMilliseconds.back() < longWatch)
-                exchange.respond(200, {}, R"({"events":[],"AsOf":7})");
+                exchange.respond(200, eraFields(), R"({"events":[],"AsOf":7})");
             return;
         }
         if (m_watchStatus != 200)
             exchange.respond(m_watchStatus, {}, "");
         else if (m_watched.size() == 1)
-            exchange.respond(200, {},
+            exchange.respond(200, eraFields(),
                              R"({"events":[{"Key":"servers/d","Value":"eA==","Rev":8},)"
                              R"({"Key":"servers/a","Rev":9,"Deleted":true}],"AsOf":9})");
         else if (m_watched.size() <= m_respondedWatches)
-            exchange.respond(200, {}, R"({"events":[],"AsOf":9})");
+            exchange.respond(200, eraFields(), R"({"events":[],"AsOf":9})");
     }
 
     tests::loopback m_loop;
@@ -253,6 +356,11 @@
     /** Watches that are answered, the first one with changes. */
     std::size_t m_respondedWatches = 1;
     int m_lists = 0;
+    /** Eras of the answers about engines in this order; the last one is repeated. */
+    std::vector<std::string> m_eras;
+    std::string m_operatorsEra;
+    int m_operatorLists = 0;
+    int m_operatorWatches = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_client_test);
