Keep what is newer than a restored copy of the published records

Change: the configuration in force outlives the copy; statuses name its version, and peers hand on its record. Engines and evacuations that the copy lacks are kept for the usual retention. Each restoration is logged.

Conclusion: callers see neither an older configuration nor engines that have left, as far as a living node knew better.

--- a/src/dispatch/engine_entry.h
+++ b/src/dispatch/engine_entry.h
@@ -23,6 +23,8 @@
     core::duration coldRemaining{};
     /** Start time of the process; it changes if an engine restarts under its id. 0 if unknown. */
     std::uint64_t startedAt = 0;
+    /** Increases with each entry that the process writes. */
+    std::uint64_t sequence = 0;
 
     bool operator==(const engine_entry &) const = default;
 };
--- a/src/dispatch/fleet_member.h
+++ b/src/dispatch/fleet_member.h
@@ -36,6 +36,8 @@
     std::uint64_t sequence = 0;
     /** Latest applied revision of each collection of published records. */
     std::vector<record_revision> revisions;
+    /** Version of the active configuration; 0 if there is none. */
+    std::uint64_t configurationVersion = 0;
     source_state source = source_state::NotRead;
     std::vector<engine_load> loads;
 
--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -190,6 +190,17 @@
     return newer;
 }
 
+std::vector<const node_status *> fleet_view::peersWithLaterConfiguration(std::uint64_t version,
+                                                                         core::time_point now) const
+{
+    std::vector<const node_status *> later;
+    for (const auto &[address, member] : m_members) {
+        if (isReachable(member, now) && member.status.configurationVersion > version)
+            later.push_back(&member.status);
+    }
+    return later;
+}
+
 std::vector<std::uint32_t> fleet_view::peersBehind(std::span<const record_revision> revisions,
                                                    core::time_point now) const
 {
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -82,6 +82,10 @@
     std::vector<const node_status *> peersAhead(std::size_t collection, record_revision revision,
                                                 core::time_point now) const;
 
+    /** Returns the reachable peers with a later version of the configuration than `version`. */
+    std::vector<const node_status *> peersWithLaterConfiguration(std::uint64_t version,
+                                                                 core::time_point now) const;
+
     /** Returns the reachable peers with an earlier revision of any collection than `revisions`. */
     std::vector<std::uint32_t> peersBehind(std::span<const record_revision> revisions,
                                            core::time_point now) const;
--- a/src/gateway/catalogue.h
+++ b/src/gateway/catalogue.h
@@ -43,7 +43,11 @@
  *
  * The configuration version never decreases. An engine whose entry vanishes during an outage of the
  * source, or shortly after, is kept for a grace period: entries expire during an outage and are
- * written again after it. Not thread-safe.
+ * written again after it.
+ *
+ * If the source is restored from an older copy, engines and evacuations that the copy lacks are
+ * kept for this period, too, since they are written again. What the copy says of an engine counts
+ * only if it is newer than the last known entry. Not thread-safe.
  */
 class catalogue
 {
@@ -71,12 +75,27 @@
     /** Applies a change that a peer read from the source. */
     void onPeerUpdate(const record_update &update, std::uint32_t peer, core::time_point now);
 
-    /** Merges the records of a peer. */
+    /** Merges the records of a peer; what is in force there is applied first. */
     void onPeerRecords(std::span<const collection_snapshot> snapshots, std::uint32_t peer,
                        core::time_point now);
 
-    /** Removes the engines whose entries were not written again in time. */
-    void removeExpiredEngines(core::time_point now);
+    /**
+     * Ends the grace periods: removes engines and evacuations that were not written again in time,
+     * and uses engines that were removed before the source was restored and still have an entry.
+     */
+    void endGracePeriods(core::time_point now);
+
+    /** Returns the version of the active configuration; 0 while none is known. */
+    std::uint64_t configurationVersion() const noexcept
+    {
+        return m_routes ? m_routes->settings().version : 0;
+    }
+
+    /**
+     * Returns the record of the active configuration if the collections hold another one or none;
+     * null otherwise. Peers get it together with the collections. Valid until the next change.
+     */
+    const dispatch::published_record *retainedConfiguration() const;
 
     /** Returns the active configuration; null while none is known. */
     const std::shared_ptr<const dispatch::routing_index> &routes() const noexcept
@@ -103,13 +122,30 @@
         std::string ageMs;
     };
 
+    /** A removed engine, so that an older entry of it is recognized. */
+    struct removed_engine
+    {
+        dispatch::engine_entry entry;
+        core::time_point at{};
+    };
+
     void apply(const dispatch::record_changes &changes, const record_origin &origin,
                core::time_point now);
-    void applyWritten(const dispatch::published_record &record, core::time_point now);
-    void applyRemoved(const std::string &key, core::time_point now);
-    void applyConfiguration(dispatch::configuration settings);
+    static change_fields fieldsOf(const record_origin &origin);
+    /** `restored` if the record comes with a restored copy of the source. */
+    void applyWritten(const dispatch::published_record &record, bool restored,
+                      core::time_point now);
+    void applyRemoved(const std::string &key, bool restored, core::time_point now);
+    void applyConfiguration(dispatch::configuration settings,
+                            const dispatch::published_record &record);
     void applyEngine(const dispatch::engine_entry &entry, core::time_point now);
+    /** Returns true if a restored entry says nothing that is newer than what is known. */
+    bool isOutdated(const dispatch::engine_entry &entry, core::time_point now);
+    void endEvacuation(std::string_view domain, core::time_point now);
+    void rememberRemoved(std::string_view id, core::time_point now);
     void removeEngine(std::string_view id, std::string_view why);
+    void logRestoration(std::size_t collection, dispatch::record_revision before,
+                        const dispatch::record_changes &changes);
 
     const record_decoder &m_decoder;
     dispatch::engine_registry &m_registry;
@@ -117,9 +153,24 @@
     change_fields m_change;
     std::array<dispatch::record_collection, collectionCount> m_collections;
     std::shared_ptr<const dispatch::routing_index> m_routes;
+    /** Record of the active configuration. */
+    dispatch::published_record m_activeRecord;
     core::time_point m_removalsHeldUntil{};
     /** Engines whose entries vanished, with the time at which they are removed. */
     std::map<std::string, core::time_point, std::less<>> m_expired;
+    /** Evacuated domains that the restored source lacks, with the time at which they are restored.
+     */
+    std::map<std::string, core::time_point, std::less<>> m_expiredEvacuations;
+    /** Engines removed last, up to a maximum number. */
+    std::map<std::string, removed_engine, std::less<>> m_removedEngines;
+
+    /** An entry of a removed engine that was restored. */
+    struct deferred_entry
+    {
+        dispatch::engine_entry entry;
+        core::time_point usedFrom{};
+    };
+    std::map<std::string, deferred_entry, std::less<>> m_deferredEntries;
 };
 
 } // namespace comfreypass::gateway
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -65,6 +65,9 @@
 constexpr core::duration cleanupInterval = 250ms;
 
 constexpr core::duration peerFetchTimeout = 1s;
+
+/** A peer of another build may keep a configuration in force that this node cannot read. */
+constexpr core::duration configurationFetchInterval = 1s;
 constexpr std::size_t maxPeerRecordsBytes = 16'777'216;
 
 /**
@@ -271,7 +274,8 @@
 
 std::string gateway_node::recordsSince(std::span<const dispatch::record_revision> revisions) const
 {
-    return encodeRecords(m_catalogue.collections(), revisions, monotonicNow());
+    return encodeRecords(m_catalogue.collections(), revisions, monotonicNow(),
+                         m_catalogue.retainedConfiguration());
 }
 
 std::optional<std::string>
@@ -296,9 +300,8 @@
     m_metrics.set(metric::GatewayWaiting, {}, static_cast<double>(m_admission.queuedCount()));
     m_metrics.set(metric::GatewayEngines, {}, static_cast<double>(m_registry.size()));
     m_metrics.set(metric::GatewayConnections, {}, static_cast<double>(m_connections.size()));
-    m_metrics.set(
-        metric::GatewayConfigurationVersion, {},
-        m_catalogue.routes() ? static_cast<double>(m_catalogue.routes()->settings().version) : 0);
+    m_metrics.set(metric::GatewayConfigurationVersion, {},
+                  static_cast<double>(m_catalogue.configurationVersion()));
     m_metrics.set(metric::GatewayRecordCalls, {}, static_cast<double>(m_records.calls()));
     m_metrics.set(metric::GatewayLogLinesLeftOut, {}, static_cast<double>(m_log.suppressed()));
 }
@@ -666,6 +669,7 @@
     result.leaving = m_leaving;
     result.sequence = ++m_sequence;
     result.revisions = m_catalogue.revisions();
+    result.configurationVersion = m_catalogue.configurationVersion();
     result.source = m_source.state();
     result.loads = m_registry.ownLoads();
     addChangedUsage(result, full);
@@ -718,7 +722,7 @@
     m_fleet.removeExpired(now);
     const dispatch::fleet_view::reader_rank rank = m_fleet.readerRank(now);
     m_records.setReaderRank(rank.index, rank.count);
-    m_catalogue.removeExpiredEngines(now);
+    m_catalogue.endGracePeriods(now);
     m_engineConnections.closeExpired(now);
     std::vector<std::shared_ptr<http1::server_connection>> connections;
     connections.reserve(m_connections.size());
@@ -744,6 +748,10 @@
     std::vector<const dispatch::node_status *> newer;
     for (std::size_t i = 0; i < revisions.size() && newer.empty(); ++i)
         newer = m_fleet.peersAhead(i, revisions[i], now);
+    // A peer may keep a configuration in force that a restored source has lost.
+    const bool lacksConfiguration = newer.empty() && now >= m_configurationFetchAllowedAt;
+    if (lacksConfiguration)
+        newer = m_fleet.peersWithLaterConfiguration(m_catalogue.configurationVersion(), now);
     std::vector<std::uint32_t> ahead;
     ahead.reserve(newer.size());
     for (const dispatch::node_status *each : newer)
@@ -752,6 +760,8 @@
     const auto peer = m_catchUp.next(ahead, hasNoConfiguration, m_random, now);
     if (!peer)
         return;
+    if (lacksConfiguration)
+        m_configurationFetchAllowedAt = now + configurationFetchInterval;
     fetchFromPeer(*peer);
     for (std::size_t i = 0; m_source.reading() && i < revisions.size(); ++i) {
         if (!m_fleet.peersAhead(i, revisions[i], now).empty())
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -184,6 +184,7 @@
     std::map<std::string, reported_usage> m_reportedUsage;
     core::time_point m_nextPeerCheckAt{};
     record_catch_up m_catchUp;
+    core::time_point m_configurationFetchAllowedAt{};
     transfer_pacer m_recordTransfers;
     core::time_point m_startedAt{};
     source_monitor m_source;
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/status_codec.h"
 
 #include "fleet.pb.h"
+#include "gateway/record_source.h"
 #include "gateway/value_compression.h"
 
 #include <chrono>
@@ -25,6 +26,7 @@
     status.ready = message.ready();
     status.leaving = message.leaving();
     status.sequence = message.sequence();
+    status.configurationVersion = message.configuration_version();
     // A peer of an earlier build sends no eras.
     for (int i = 0; i < message.revisions_size(); ++i)
         status.revisions.emplace_back(i < message.eras_size() ? message.eras(i) : 0,
@@ -144,6 +146,7 @@
     message.set_ready(status.ready);
     message.set_leaving(status.leaving);
     message.set_sequence(status.sequence);
+    message.set_configuration_version(status.configurationVersion);
     for (const dispatch::record_revision &revision : status.revisions) {
         message.add_revisions(revision.number);
         message.add_eras(revision.era);
@@ -253,7 +256,8 @@
 }
 
 std::string encodeRecords(std::span<const dispatch::record_collection> collections,
-                          std::span<const dispatch::record_revision> since, core::time_point now)
+                          std::span<const dispatch::record_revision> since, core::time_point now,
+                          const dispatch::published_record *retained)
 {
     fleet::RecordSnapshot message;
     for (std::size_t i = 0; i < collections.size(); ++i) {
@@ -278,6 +282,9 @@
             removal.set_era(revision.era);
         }
     }
+    constexpr int operators = static_cast<int>(collection_id::Operators);
+    if (retained != nullptr && message.collections_size() > operators)
+        writeRecord(*retained, *message.mutable_collections(operators)->add_retained(), now);
     return message.SerializeAsString();
 }
 
@@ -298,6 +305,12 @@
                 return record.error();
             target.records.push_back(std::move(record).value());
         }
+        for (const fleet::Record &entry : source.retained()) {
+            core::result<dispatch::published_record> record = readRecord(entry, now);
+            if (!record)
+                return record.error();
+            target.retained.push_back(std::move(record).value());
+        }
         for (const fleet::Removal &entry : source.removals())
             target.removed[entry.key()] = {entry.era(), entry.revision()};
     }
--- a/src/gateway/status_codec.h
+++ b/src/gateway/status_codec.h
@@ -55,16 +55,21 @@
     dispatch::record_revision revision = {};
     std::vector<dispatch::published_record> records = {};
     std::map<std::string, dispatch::record_revision, std::less<>> removed = {};
+    /** Records that stay in force although the collection holds others, or none. */
+    std::vector<dispatch::published_record> retained = {};
     /** True if the snapshot contains all records, so that missing ones do not exist. */
     bool complete = true;
 };
 
 /**
  * Encodes the changes of each collection after the revision at the same index of `since`, or all
- * records where that revision is 0, missing, too old or of an earlier era. Thread-safe.
+ * records where that revision is 0, missing, too old or of an earlier era. `retained` is a
+ * configuration that stays in force although the operators' collection holds another one; null if
+ * there is none. Thread-safe.
  */
 std::string encodeRecords(std::span<const dispatch::record_collection> collections,
-                          std::span<const dispatch::record_revision> since, core::time_point now);
+                          std::span<const dispatch::record_revision> since, core::time_point now,
+                          const dispatch::published_record *retained = nullptr);
 
 /** `now` dates the ages of the records. Error: ParseFailed. Thread-safe. */
 core::result<std::vector<collection_snapshot>> decodeRecords(std::string_view bytes,
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(leavingNodeIsNotAdvertised);
     CPPUNIT_TEST(lonelySeedReadsTheSourceFirst);
     CPPUNIT_TEST(engineRemovedWhileReadersStartIsDropped);
+    CPPUNIT_TEST(configurationLostByTheSourceIsFetchedFromPeer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,7 +163,46 @@
         CPPUNIT_ASSERT_EQUAL(0.0, enginesOf(reader));
     }
 
+    // Guards against a node that keeps the older configuration of a restored source, since its
+    // records are as new as those of its peers.
+    void configurationLostByTheSourceIsFetchedFromPeer()
+    {
+        start();
+        waitForAllAddresses();
+        record_page page(*m_nodes[1]->node);
+        transport::http_server_settings settings;
+        settings.address = "127.0.0.2";
+        settings.port = m_peerSocket;
+        transport::http_server server(m_loop.reactor(), settings, page);
+        CPPUNIT_ASSERT(server.listen());
+        for (const auto &each : m_nodes) {
+            each->decoder.contents["v1"] = versioned(1);
+            each->decoder.contents["v2"] = versioned(2);
+        }
+        snapshot(*m_nodes[1], "v2", {1, 20});
+        for (const auto &each : m_nodes)
+            snapshot(*each, "v1", {2, 15});
+        CPPUNIT_ASSERT_EQUAL(1.0, versionOf(*m_nodes[0]));
+        waitFor("the configuration",
+                [&] { return versionOf(*m_nodes[0]) == 2 && versionOf(*m_nodes[2]) == 2; });
+        CPPUNIT_ASSERT_EQUAL(2.0, versionOf(*m_nodes[1]));
+    }
+
 private:
+    static dispatch::configuration versioned(std::uint64_t version)
+    {
+        dispatch::configuration result;
+        result.version = version;
+        return result;
+    }
+
+    static void snapshot(test_node &node, const std::string &value,
+                         dispatch::record_revision revision)
+    {
+        node.events().onSnapshot(gateway::collection_id::Operators,
+                                 {{"configuration", revision, value}}, revision);
+    }
+
     void start()
     {
         // A port that is free on one address may be in use on another, or by a UDP socket.
--- a/tests/platform/platform_records_test.cpp
+++ b/tests/platform/platform_records_test.cpp
@@ -86,7 +86,8 @@
                                               .slots = 18,
                                               .draining = true,
                                               .coldRemaining = 1'500ms,
-                                              .startedAt = 1'790'000'000'123};
+                                              .startedAt = 1'790'000'000'123,
+                                              .sequence = 4};
         CPPUNIT_ASSERT(entry == expected);
     }
 
