Keep the engine of a large response that is being forwarded

Cause: a response over 256 KiB is forwarded as it arrives, and from then on no byte of it counted as a sign of life. A retryable request whose response took longer than the stall timeout (0.4 s, 1.2 s on streaming routes) was moved to another engine with a free slot although bytes were arriving; its caller got a part of the first response and a closed connection.

Change: a response that is forwarded as it arrives rules out a retry, in one place for failures and for stalls. Its deadline still bounds it.

Whether the users' lost request was one of these is unknown.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -786,8 +786,7 @@
 {
     const std::string reason(failure);
     m_context.attemptFailed(m_record, reason);
-    const bool retry = canRetry() && m_mode != relay_mode::Bytes;
-    if (retry && consumeRetryBudget()) {
+    if (canRetry() && consumeRetryBudget()) {
         retryElsewhere(result);
         return;
     }
@@ -806,10 +805,11 @@
     submit();
 }
 
+// A response that is forwarded as it arrives cannot be continued by another attempt.
 bool request_flow::canRetry() const
 {
-    return m_route->retryable() && m_runAttempts < m_route->maxAttempts
-           && m_context.now() + 20ms < m_deadline;
+    return m_route->retryable() && m_mode != relay_mode::Bytes
+           && m_runAttempts < m_route->maxAttempts && m_context.now() + 20ms < m_deadline;
 }
 
 bool request_flow::consumeRetryBudget()
--- a/tests/gateway/silent_engine_test.cpp
+++ b/tests/gateway/silent_engine_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(brokenStreamIsResumedWhenItsEngineWasSilentBefore);
     CPPUNIT_TEST(silentStreamDoesNotRunAfterItsDeadline);
     CPPUNIT_TEST(silentStreamDoesNotRunAfterItsCallerHasLeft);
+    CPPUNIT_TEST(largeResponseIsNotAbandonedWhileItIsForwarded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -219,7 +220,41 @@
         assertBothEnginesAreFree(listener, other);
     }
 
+    // Guards against a response that is cut although its engine still sends it.
+    void largeResponseIsNotAbandonedWhileItIsForwarded()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1", 1);
+        configure();
+        m_caller = m_gateway.call("/plain/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        const listening_socket &other = m_gateway.addEngine("e2", 1);
+        const std::string block(100'000, 'x');
+        constexpr int blocks = 10;
+        engine.send("HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nContent-Length: "
+                    + std::to_string(block.size() * blocks) + "\r\n\r\n");
+        for (int i = 0; i < blocks; ++i) {
+            sendAll(engine, block);
+            m_gateway.loop.runFor(100ms);
+            m_caller->receive();
+        }
+        m_gateway.waitFor("end", [&] { return hasEnded(*m_caller); });
+        const std::string &received = m_caller->receive();
+        CPPUNIT_ASSERT(received.ends_with(streamEnd));
+        CPPUNIT_ASSERT_EQUAL(block.size() * blocks, count(received, "x"));
+        CPPUNIT_ASSERT(!other.pending());
+    }
+
 private:
+    void sendAll(raw_socket &engine, std::string_view bytes)
+    {
+        m_gateway.waitFor("bytes sent", [&] {
+            bytes.remove_prefix(engine.send(bytes));
+            m_caller->receive();
+            return bytes.empty() || m_caller->ended();
+        });
+    }
+
     void configure()
     {
         m_gateway.configure(1, {}, {{.name = "u", .coldTime = 60s, .coldRequestsPerSecond = 0.1}});
