Resume an interrupted stream for as long as its caller waits

When the engine of a resumable stream broke off, the stream was cut after 0.5 s in the queue, after a fourth rejection, when every engine had rejected it once, when the admission refused it or when the retry budget was used up, although callers wait at least 2 s after the last event.

Change: a begun, resumable stream stays queued until its caller leaves (2 s or four objectives after the last forwarded event, at most its deadline); a rejection, a refusal of the admission or a spent budget puts the next try off by 100 ms, and an engine that was full may be asked again. Each try after a rejection still spends the budget. Requests whose response has not begun still get 502 after 0.5 s, since their caller can try again itself.

Conclusion: a begun stream ends early only if its engine broke off and no engine took it within its caller's patience, or if its attempts are used up.

--- a/src/dispatch/route.h
+++ b/src/dispatch/route.h
@@ -3,6 +3,8 @@
 #include "core/time_point.h"
 #include "dispatch/request_kind.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -19,6 +21,10 @@
     bool operator==(const route_target &) const = default;
 };
 
+/** Callers abandon a stream after a pause of this time or of so many objectives, the longer one. */
+constexpr core::duration minCallerPatience = std::chrono::seconds(2);
+constexpr int patienceObjectives = 4;
+
 /** Maps requests to upstreams and defines their limits and objectives. */
 struct route
 {
@@ -47,6 +53,12 @@
         return kind == request_kind::Idempotent || (kind == request_kind::Streaming && resumable);
     }
 
+    /** Returns the shortest pause between two events after which callers abandon a stream. */
+    core::duration callerPatience() const noexcept
+    {
+        return std::max<core::duration>(minCallerPatience, patienceObjectives * objective);
+    }
+
     bool operator==(const route &) const = default;
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -77,7 +77,7 @@
 constexpr core::duration streamStallTimeout = 1'200ms;
 constexpr core::duration plainStallTimeout = 400ms;
 
-/** Interval at which a stalled attempt is offered to other engines. */
+/** Interval at which another engine is sought for a stalled or interrupted stream. */
 constexpr core::duration successorInterval = 100ms;
 
 /** The engine stops at the deadline by itself; allows time for its response to arrive. */
@@ -202,10 +202,7 @@
 {
     if (refuseQuarantined())
         return;
-    const core::time_point now = m_context.now();
-    const dispatch::admission_decision decision
-        = requestEngine(m_triedEngines, m_record.attempts == 0 ? m_arrivedAt + maxQueueTime()
-                                                               : now + maxRetryQueueTime);
+    const dispatch::admission_decision decision = requestEngine(m_triedEngines, queueDeadline());
     switch (decision.outcome) {
     case dispatch::admission_outcome::Start:
         startAttempt(decision.engine, decision.basis);
@@ -217,7 +214,7 @@
         break;
     }
     if (responseStarted())
-        abortResponse("no_engine_to_resume");
+        resumeLater(true);
     else if (m_mayHaveRun)
         respondLocally(badGateway, flow_outcome::Failed, "no_engine_to_repeat");
     else
@@ -282,6 +279,19 @@
     return isStreamRoute() ? std::min(share, maxStreamQueueTime) : share;
 }
 
+core::time_point request_flow::queueDeadline() const
+{
+    if (m_record.attempts == 0)
+        return m_arrivedAt + maxQueueTime();
+    const core::time_point end = m_context.now() + maxRetryQueueTime;
+    return responseStarted() ? std::max(end, callerLeavesAt()) : end;
+}
+
+core::time_point request_flow::callerLeavesAt() const
+{
+    return std::min(m_lastForwardedAt + m_route->callerPatience(), m_deadline);
+}
+
 void request_flow::onGrant(const dispatch::admission_grant &grant)
 {
     m_queued = false;
@@ -391,8 +401,10 @@
 
 void request_flow::checkAttempt()
 {
-    if (!m_engine)
+    if (!m_engine) {
+        resume();
         return;
+    }
     if (!m_connection.connection->connected()) {
         onConnectTimeout();
         return;
@@ -605,6 +617,7 @@
         m_caller.beginStream(m_responseHead.status,
                              http1::forwardedHeaders(m_responseHead.headers));
     }
+    m_lastForwardedAt = now;
     writeToCaller(m_events.completeEvents());
     m_events.consumeEvents();
 }
@@ -762,19 +775,19 @@
     ++(reachedEngine ? m_rejections : m_unreachableEngines);
     if (m_runAttempts > 0)
         --m_runAttempts;
-    m_triedEngines.push_back(m_record.engine);
     const core::time_point now = m_context.now();
-    const bool allowed
-        = m_rejections <= maxRejections && m_unreachableEngines <= maxUnreachable
-          && now < m_deadline
-          && (!reachedEngine
-              || m_context.retries.tryRetry(m_upstream, m_context.fleet.share(now), now));
-    if (allowed) {
+    const bool callerWaits = responseStarted() && now < callerLeavesAt();
+    const bool mayTryMore = m_rejections <= maxRejections && m_unreachableEngines <= maxUnreachable;
+    // A full engine may have free slots again before the caller of an interrupted stream leaves.
+    if (!responseStarted() || !reachedEngine)
+        m_triedEngines.push_back(m_record.engine);
+    if ((mayTryMore || callerWaits) && now < m_deadline
+        && (!reachedEngine || consumeRetryBudget())) {
         submit();
         return;
     }
     if (responseStarted())
-        abortResponse("no_engine_to_resume");
+        resumeLater(!reachedEngine);
     else if (m_mayHaveRun)
         respondLocally(badGateway, flow_outcome::Failed, "engines_refused_repeat");
     else
@@ -782,6 +795,25 @@
                        m_context.admission.retryAfter(m_upstream, now));
 }
 
+// The caller of a begun stream can be told nothing, so another engine is sought while it waits.
+void request_flow::resumeLater(bool budgetSpent)
+{
+    if (m_context.now() >= callerLeavesAt()) {
+        abortResponse("no_engine_to_resume");
+        return;
+    }
+    m_budgetSpent = budgetSpent;
+    m_attemptTimer.startOnce(successorInterval);
+}
+
+void request_flow::resume()
+{
+    if (m_budgetSpent || consumeRetryBudget())
+        submit();
+    else
+        resumeLater(false);
+}
+
 void request_flow::handleFailure(std::string_view failure, dispatch::attempt_result result)
 {
     const std::string reason(failure);
@@ -790,11 +822,17 @@
         retryElsewhere(result);
         return;
     }
+    const bool mayResume = responseStarted() && canRetry();
     endAttempt(result, false);
-    if (responseStarted())
+    if (mayResume) {
+        m_events.discardIncompleteEvent();
+        m_triedEngines.push_back(m_record.engine);
+        resumeLater(false);
+    } else if (responseStarted()) {
         abortResponse(reason);
-    else
+    } else {
         respondLocally(badGateway, flow_outcome::Failed, reason);
+    }
 }
 
 void request_flow::retryElsewhere(dispatch::attempt_result result)
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -109,6 +109,8 @@
     void completeStream();
     void completeBuffered(bool reusable);
     void handleNotRun();
+    void resumeLater(bool budgetSpent);
+    void resume();
     void handleFailure(std::string_view failure, dispatch::attempt_result result);
     void retryElsewhere(dispatch::attempt_result result);
     bool canRetry() const;
@@ -122,6 +124,8 @@
     void abortResponse(std::string_view reason);
     void finish(flow_outcome outcome, std::string_view reason);
     core::duration maxQueueTime() const;
+    core::time_point queueDeadline() const;
+    core::time_point callerLeavesAt() const;
     core::duration stallTimeout() const;
     bool responseStarted() const noexcept { return m_responseStarted; }
     bool isStreamRoute() const noexcept
@@ -167,6 +171,10 @@
     bool m_engineReadPaused = false;
     event_splitter m_events;
     bool m_resumeCheckPending = false;
+    /** Time of the last event that was forwarded. */
+    core::time_point m_lastForwardedAt;
+    /** The retry budget has been spent on the attempt that resumeLater() has put off. */
+    bool m_budgetSpent = false;
 
     std::vector<std::string> m_triedEngines;
     std::vector<http1::endpoint> m_triedAddresses;
--- a/tests/gateway/silent_engine_test.cpp
+++ b/tests/gateway/silent_engine_test.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-/** An engine that falls silent while it runs a request, and another one that may take it over. */
+/** An engine that falls silent or breaks off, and another one that may take its request over. */
 class silent_engine_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(silent_engine_test);
@@ -65,6 +65,9 @@
     CPPUNIT_TEST(silentStreamDoesNotRunAfterItsDeadline);
     CPPUNIT_TEST(silentStreamDoesNotRunAfterItsCallerHasLeft);
     CPPUNIT_TEST(largeResponseIsNotAbandonedWhileItIsForwarded);
+    CPPUNIT_TEST(brokenStreamIsNotCutWhileItsCallerWaits);
+    CPPUNIT_TEST(brokenStreamIsNotCutWhenAnEngineRejectsIt);
+    CPPUNIT_TEST(brokenStreamDoesNotRunAfterItsCallersPatience);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -245,7 +248,69 @@
         CPPUNIT_ASSERT(!other.pending());
     }
 
+    // Guards against a stream that is cut although a slot becomes free while its caller waits.
+    void brokenStreamIsNotCutWhileItsCallerWaits()
+    {
+        raw_socket engine = beginStream();
+        listening_socket &listener = m_gateway.addEngine("e2", 1);
+        raw_socket other = occupy(listener);
+        engine.close();
+        m_gateway.loop.runFor(1'000ms);
+        other.send(response("9", "done"));
+        assertResumedAt(other);
+        assertBothEnginesAreFree(listener, other);
+    }
+
+    // Guards against a stream that is cut because full engines reject it a few times.
+    void brokenStreamIsNotCutWhenAnEngineRejectsIt()
+    {
+        raw_socket engine = beginStream();
+        listening_socket &listener = m_gateway.addEngine("e2", 1);
+        engine.close();
+        raw_socket other = m_gateway.acceptAt(listener);
+        constexpr std::size_t rejections = 5;
+        for (std::size_t i = 1; i <= rejections; ++i) {
+            m_gateway.waitFor("request", [&] {
+                m_caller->receive();
+                return count(other.receive(), "\r\n\r\nbody") == i || m_caller->ended();
+            });
+            CPPUNIT_ASSERT(!m_caller->ended());
+            other.send(
+                "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        }
+        m_gateway.waitFor("request",
+                          [&] { return count(other.receive(), "\r\n\r\nbody") == rejections + 1; });
+        assertResumedAt(other);
+        assertBothEnginesAreFree(listener, other);
+    }
+
+    // Guards against a run for a caller that has given up, and against a stream that never ends.
+    void brokenStreamDoesNotRunAfterItsCallersPatience()
+    {
+        raw_socket engine = beginStream();
+        listening_socket &listener = m_gateway.addEngine("e2", 1);
+        raw_socket other = occupy(listener);
+        engine.close();
+        m_gateway.waitFor("end", [&] { return hasEnded(*m_caller); });
+        CPPUNIT_ASSERT(!m_caller->receive().ends_with(streamEnd));
+        other.send(response("9", "done"));
+        m_gateway.loop.runFor(200ms);
+        CPPUNIT_ASSERT(!contains(other.receive(), "Id: 1\r\n"));
+        assertBothEnginesAreFree(listener, other);
+    }
+
 private:
+    void assertResumedAt(raw_socket &other)
+    {
+        m_gateway.waitFor("resumed stream", [&] {
+            m_caller->receive();
+            return contains(other.receive(), "Resume: 1\r\n") || m_caller->ended();
+        });
+        other.send(streamHead + event(2) + streamEnd);
+        m_gateway.waitFor("end", [&] { return hasEnded(*m_caller); });
+        CPPUNIT_ASSERT(contains(m_caller->receive(), event(1) + event(2) + streamEnd));
+    }
+
     void sendAll(raw_socket &engine, std::string_view bytes)
     {
         m_gateway.waitFor("bytes sent", [&] {
