Keep the load of an engine whose entry was away for a moment

Cause: an engine whose entry left the list and came back (after an outage of the store, or overwritten by another writer) counted as idle, and the requests that still ran there were then subtracted from the new ones when they ended. The node sent more than the engine's slots, and the engine rejected them.

Change: the registry keeps the number of own requests at engines that are not listed, and counts them again when the engine is back. The entries go as the requests end, so their number is bounded by the running requests.

Conclusion: loads are right when entries come and go beside running requests.

--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -127,6 +127,12 @@
     if (isNew) {
         const auto known = m_peersRunning.find(target.key);
         target.peersRunning = known == m_peersRunning.end() ? 0 : known->second;
+        const auto unlisted = m_unlistedRunning.extract(entry.id);
+        if (!unlisted.empty()) {
+            target.running = unlisted.mapped();
+            target.lastActivityAt = now;
+            recordLoadChange(target.key);
+        }
     }
     if (settings != nullptr) {
         target.coldRate = settings->coldRequestsPerSecond;
@@ -151,6 +157,8 @@
         return;
     std::erase(m_byUpstream[found->second.entry.upstream], &found->second);
     m_idByKey.erase(found->second.key);
+    if (found->second.running > 0)
+        m_unlistedRunning[found->first] = found->second.running;
     m_engines.erase(found);
     ++m_membershipVersion;
 }
@@ -383,8 +391,12 @@
 void engine_registry::onEnd(std::string_view id, attempt_result result, core::time_point now)
 {
     engine *target = findEngine(id);
-    if (target == nullptr)
+    if (target == nullptr) {
+        const auto unlisted = m_unlistedRunning.find(std::string(id));
+        if (unlisted != m_unlistedRunning.end() && --unlisted->second == 0)
+            m_unlistedRunning.erase(unlisted);
         return;
+    }
     if (target->running > 0)
         --target->running;
     recordLoadChange(target->key);
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -129,7 +129,7 @@
     /** Adds or updates an engine; `settings` is null if the upstream is unknown. */
     void update(const engine_entry &entry, const upstream_settings *settings, core::time_point now);
 
-    /** Removes an engine that left the list of engines. */
+    /** Removes an engine that left the list; its running requests count again if it is back. */
     void remove(std::string_view id);
 
     /** Excludes the engines of a failure domain from selection, or includes them again. */
@@ -314,6 +314,8 @@
     std::string m_domain;
     std::minstd_rand m_random;
     std::unordered_map<std::string, engine> m_engines;
+    /** Running requests of this node at engines that left the list; never contains zeros. */
+    std::unordered_map<std::string, std::uint32_t> m_unlistedRunning;
     /** Points into m_engines, whose entries have stable addresses. */
     std::map<std::string, std::vector<engine *>, std::less<>> m_byUpstream;
     std::unordered_map<engine_key, std::string> m_idByKey;
--- a/tests/dispatch/engine_registry_test.cpp
+++ b/tests/dispatch/engine_registry_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(enginesOfARestoredDomainCountAsCold);
     CPPUNIT_TEST(unreachableEngineReturnsAsCold);
     CPPUNIT_TEST(stalledEngineIsNotSelected);
+    CPPUNIT_TEST(loadOfAnEngineThatIsListedAgainIsKept);
     CPPUNIT_TEST(stallCheckIsSkippedIfAllEnginesLookStalled);
     CPPUNIT_TEST(requestOfAStalledEngineIsNotMovedToAnotherStalledOne);
     CPPUNIT_TEST(failingEngineReceivesFewerRequests);
@@ -231,6 +232,24 @@
         }
     }
 
+    // Guards against requests beyond the slots of an engine whose entry was away for a moment.
+    void loadOfAnEngineThatIsListedAgainIsKept()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        registry.onStart("e1", m_now);
+        registry.onStart("e1", m_now);
+        registry.remove("e1");
+        registry.onEnd("e1", attempt_result::Served, m_now);
+        add(registry, "e1", 2);
+        CPPUNIT_ASSERT_EQUAL(1U, registry.capacityOf("u", m_now).running);
+        registry.onStart("e1", m_now);
+        registry.onEnd("e1", attempt_result::Served, m_now);
+        CPPUNIT_ASSERT_EQUAL(1U, registry.capacityOf("u", m_now).running);
+        registry.onEnd("e1", attempt_result::Served, m_now);
+        CPPUNIT_ASSERT_EQUAL(0U, registry.capacityOf("u", m_now).running);
+    }
+
     // Guards against a node that refuses all requests after its process was paused.
     void stallCheckIsSkippedIfAllEnginesLookStalled()
     {
