--- a/src/dispatch/record_collection.cpp
+++ b/src/dispatch/record_collection.cpp
@@ -15,8 +15,9 @@
 
 record_changes record_collection::write(published_record record)
 {
+    const record_revision covered = m_revision;
     advance(record.revision);
-    return applyWrite(std::move(record));
+    return applyWrite(std::move(record), covered);
 }
 
 record_changes record_collection::remove(std::string_view key, record_revision revision)
@@ -25,7 +26,7 @@
     return applyRemoval(key, revision);
 }
 
-record_changes record_collection::applyWrite(published_record record)
+record_changes record_collection::applyWrite(published_record record, record_revision covered)
 {
     record_changes changes;
     if (isOutdated(record.revision))
@@ -33,6 +34,8 @@
     const auto known = m_records.find(record.key);
     if (known != m_records.end() && known->second.revision >= record.revision)
         return changes;
+    if (known == m_records.end() && record.revision <= covered)
+        return changes;
     const auto removed = m_removed.find(record.key);
     if (removed != m_removed.end()) {
         if (removed->second >= record.revision)
@@ -82,12 +85,13 @@
         m_revision = {revision.era, 0};
         std::erase_if(m_removed, [&](const auto &entry) { return entry.second <= revision; });
     }
+    const record_revision covered = m_revision;
     std::map<std::string, record_revision, std::less<>> present;
     for (published_record &record : records) {
         present.emplace(record.key, record.revision);
         // A later record does not show the changes between the snapshot and itself.
         advance(std::min(record.revision, revision));
-        record_changes written = applyWrite(std::move(record));
+        record_changes written = applyWrite(std::move(record), covered);
         std::ranges::move(written.written, std::back_inserter(changes.written));
     }
     std::vector<std::string> missing;
@@ -108,7 +112,7 @@
     if (isOutdated(revision))
         return changes;
     for (published_record &record : received.written) {
-        record_changes written = applyWrite(std::move(record));
+        record_changes written = applyWrite(std::move(record), m_revision);
         std::ranges::move(written.written, std::back_inserter(changes.written));
     }
     for (const auto &[key, removedAt] : received.removed) {
@@ -123,7 +127,7 @@
 {
     if (m_revision >= previous && previous.era == record.revision.era)
         return write(std::move(record));
-    return applyWrite(std::move(record));
+    return applyWrite(std::move(record), m_revision);
 }
 
 record_changes record_collection::removeAfter(record_revision previous, std::string_view key,
--- a/src/dispatch/record_collection.h
+++ b/src/dispatch/record_collection.h
@@ -90,8 +90,11 @@
         return revision.era < m_revision.era;
     }
 
-    /** Apply a change without raising the revision. */
-    record_changes applyWrite(published_record record);
+    /**
+     * Apply a change without raising the revision. A record up to `covered` that is unknown has
+     * been removed, since all changes up to there were known before.
+     */
+    record_changes applyWrite(published_record record, record_revision covered);
     record_changes applyRemoval(std::string_view key, record_revision revision);
 
     std::map<std::string, published_record, std::less<>> m_records;
--- a/tests/dispatch/record_collection_test.cpp
+++ b/tests/dispatch/record_collection_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(oldSnapshotKeepsNewerRecords);
     CPPUNIT_TEST(laterPageDoesNotHideARemoval);
     CPPUNIT_TEST(revisionNeverCoversAMissingChange);
+    CPPUNIT_TEST(lateUpdateDoesNotBringBackARemovedRecord);
     CPPUNIT_TEST(changeAfterARestorationIsNotTakenForAKnownOne);
     CPPUNIT_TEST(lostEraIsNotBroughtBack);
     CPPUNIT_TEST(updateOfALaterEraDoesNotHideTheRestoredRecords);
@@ -116,6 +117,19 @@
         }
     }
 
+    // Guards against an ended evacuation that comes back with an update or a difference which
+    // arrives after a snapshot without it.
+    void lateUpdateDoesNotBringBackARemovedRecord()
+    {
+        record_collection records;
+        records.replaceAll({{"a", 60, "x"}}, 60);
+        CPPUNIT_ASSERT(records.writeAfter(40, {"b", 41, "x"}).empty());
+        CPPUNIT_ASSERT(records.merge({{{"b", 41, "x"}}, {}}, 45).empty());
+        CPPUNIT_ASSERT(records.replaceAll({{"b", 41, "x"}}, 45).empty());
+        CPPUNIT_ASSERT(records.write({"b", 41, "x"}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.records().size());
+    }
+
     // Guards against ignoring a change because the restored source reuses its revision.
     void changeAfterARestorationIsNotTakenForAKnownOne()
     {
@@ -195,8 +209,8 @@
         CPPUNIT_ASSERT(!fresh.replaceAll({{"a", {4, 2}, "x"}}, {4, 2}).restored);
     }
 
-    // Guards against a change that stays missing after a restoration: nodes lose updates, get those
-    // of the old era late, and fetch from nodes that have not noticed it.
+    // Guards against a change that stays missing after a restoration: nodes lose updates, get
+    // others late, also of an earlier era, and fetch from nodes that have not noticed it.
     void restorationWithLostUpdatesLeavesNoNodeBehind()
     {
         for (std::uint32_t seed = 1; seed <= 50; ++seed) {
@@ -218,9 +232,7 @@
                 for (record_collection &each : nodes) {
                     if (random() % 2 == 0)
                         change.deliver(each);
-                    const update &late = sent[random() % sent.size()];
-                    if (late.record.revision.era < source.revision().era)
-                        late.deliver(each);
+                    sent[random() % sent.size()].deliver(each);
                 }
                 const record_collection peer = nodes[random() % nodes.size()];
                 const bool fromSource = random() % 10 == 0;
