Follow the linter in the tests of the catalogue

Cause: clang-tidy reports two const results and one growing vector.

Change: as it asks; no check changes.

Conclusion: clean for these lines.

--- a/tests/gateway/catalogue_test.cpp
+++ b/tests/gateway/catalogue_test.cpp
@@ -256,9 +256,9 @@
     /** Returns the value of an engine's record. */
     std::string valueOf(const test_engine &engine)
     {
-        const std::string value = engine.id + "/" + std::to_string(engine.startedAt) + "/"
-                                  + std::to_string(engine.sequence)
-                                  + (engine.draining ? "/draining" : "");
+        std::string value = engine.id + "/" + std::to_string(engine.startedAt) + "/"
+                            + std::to_string(engine.sequence)
+                            + (engine.draining ? "/draining" : "");
         m_decoder.contents[value] = dispatch::engine_entry{.id = engine.id,
                                                            .upstream = "u",
                                                            .domain = "d1",
@@ -271,6 +271,7 @@
     void snapshotEngines(const std::vector<test_engine> &engines, std::uint64_t era)
     {
         std::vector<dispatch::published_record> records;
+        records.reserve(engines.size());
         for (const test_engine &each : engines)
             records.push_back({"engine/" + each.id, {era, 20}, valueOf(each)});
         m_catalogue.onSnapshot(collection_id::Engines, std::move(records), {era, 20}, m_now);
@@ -293,7 +294,7 @@
     {
         dispatch::configuration settings;
         settings.version = version;
-        const std::string value = "v" + std::to_string(version);
+        std::string value = "v" + std::to_string(version);
         m_decoder.contents[value] = settings;
         return value;
     }
