Leave an engine that states its leaving in its responses

Cause: engines that leave state it in all their responses (Server-Leaving), which the code ignored: a node went on sending requests until the store's entry said draining, which lags and may never say it. The soak with engines that state it while their entry says ready showed requests that reached an engine 0.5 to 1.1 s after the same node had passed on the statement.

Change: the registry keeps the statement by the start time of the engine's process and selects the engine no more; a later start ends it, an entry that says ready, an older entry or a removed one does not. Each header counts once it has been read, except that of a 421. Idle connections to the engine are closed, what runs there is left to finish. Refusals name engines_leaving; log event engine_leaving, metric excluded_engines, explain shows both.

Conclusion: a node's own reading is enough evidence; the store's entry follows.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -60,8 +60,8 @@
 
 std::string_view toString(refusal_cause cause) noexcept
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"none", "no_engine", "queue_full", "wait_too_long"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"none", "no_engine", "queue_full", "wait_too_long", "engines_leaving"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
@@ -96,9 +96,12 @@
         return decision;
     }
     if (request.queueDeadline <= now) {
-        decision.cause = decision.basis.outcome == selection_outcome::NoEngine && !waits
-                             ? refusal_cause::NoEngine
-                             : refusal_cause::WaitTooLong;
+        if (m_registry.areAllLeaving(request.upstream))
+            decision.cause = refusal_cause::EnginesLeaving;
+        else
+            decision.cause = decision.basis.outcome == selection_outcome::NoEngine && !waits
+                                 ? refusal_cause::NoEngine
+                                 : refusal_cause::WaitTooLong;
         return decision;
     }
     decision.outcome = admission_outcome::Wait;
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -37,7 +37,7 @@
 enum class admission_outcome : std::uint8_t { Start, Wait, Refuse };
 
 /** Reason for a refusal. */
-enum class refusal_cause : std::uint8_t { None, NoEngine, QueueFull, WaitTooLong };
+enum class refusal_cause : std::uint8_t { None, NoEngine, QueueFull, WaitTooLong, EnginesLeaving };
 
 /** Returns the stable name in logs. Thread-safe. */
 std::string_view toString(refusal_cause cause) noexcept;
--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -89,6 +89,9 @@
  */
 constexpr double coldRateFraction = 0.75;
 
+/** Engines without an entry whose statements are kept; the oldest one is dropped first. */
+constexpr std::size_t maxKeptStatements = 1'024;
+
 /** Two random choices avoid most of the load imbalance of a single one. */
 constexpr std::size_t minSampleSize = 2;
 
@@ -127,7 +130,11 @@
     if (isNew) {
         const auto known = m_peersRunning.find(target.key);
         target.peersRunning = known == m_peersRunning.end() ? 0 : known->second;
+        restoreStatement(target);
     }
+    // An entry that is older than the process must not make it usable again.
+    if (entry.startedAt > target.statement.startedAt)
+        target.statement = {};
     if (settings != nullptr) {
         target.coldRate = settings->coldRequestsPerSecond;
         target.coldTime = settings->coldTime;
@@ -149,6 +156,7 @@
     const auto found = m_engines.find(std::string(id));
     if (found == m_engines.end())
         return;
+    keepStatement(found->first, found->second.statement);
     std::erase(m_byUpstream[found->second.entry.upstream], &found->second);
     m_idByKey.erase(found->second.key);
     m_engines.erase(found);
@@ -426,6 +434,56 @@
     }
 }
 
+bool engine_registry::onLeaving(const engine_entry &sender, core::time_point now)
+{
+    const engine_statement statement{
+        .startedAt = sender.startedAt, .isLeaving = true, .leavingSince = now};
+    engine *target = findEngine(sender.id);
+    if (target == nullptr) {
+        keepStatement(sender.id, statement);
+        return false;
+    }
+    if (target->statement.isLeaving || target->entry.startedAt > sender.startedAt)
+        return false;
+    target->statement = statement;
+    return true;
+}
+
+std::size_t engine_registry::leavingCount() const noexcept
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_engines, [](const auto &each) { return each.second.statement.isLeaving; }));
+}
+
+bool engine_registry::areAllLeaving(std::string_view upstream) const
+{
+    const std::vector<engine *> &engines = enginesOf(upstream);
+    return !engines.empty() && std::ranges::all_of(engines, [](const engine *each) {
+        return each->statement.isLeaving;
+    });
+}
+
+// Without a start time, a new process under the same id could not be told from the old one.
+void engine_registry::keepStatement(const std::string &id, const engine_statement &statement)
+{
+    if (!statement.isLeaving || statement.startedAt == 0)
+        return;
+    m_keptStatements[id] = statement;
+    if (m_keptStatements.size() <= maxKeptStatements)
+        return;
+    m_keptStatements.erase(std::ranges::min_element(
+        m_keptStatements, {}, [](const auto &each) { return each.second.leavingSince; }));
+}
+
+void engine_registry::restoreStatement(engine &target)
+{
+    const auto kept = m_keptStatements.find(target.entry.id);
+    if (kept == m_keptStatements.end())
+        return;
+    target.statement = kept->second;
+    m_keptStatements.erase(kept);
+}
+
 void engine_registry::onEventInterval(std::string_view id, core::duration time)
 {
     engine *target = findEngine(id);
@@ -555,7 +613,8 @@
 
 bool engine_registry::isUsable(const engine &candidate, core::time_point now) const
 {
-    return !candidate.entry.draining && candidate.ejectedUntil <= now
+    return !candidate.entry.draining && !candidate.statement.isLeaving
+           && candidate.ejectedUntil <= now
            && (m_evacuated.empty() || !m_evacuated.contains(candidate.entry.domain));
 }
 
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -2,6 +2,7 @@
 
 #include "core/time_point.h"
 #include "dispatch/engine_entry.h"
+#include "dispatch/engine_statement.h"
 #include "dispatch/fleet_share.h"
 #include "dispatch/upstream_settings.h"
 
@@ -142,6 +143,20 @@
     /** Replaces the load of one peer at one engine. */
     void setPeerLoad(std::uint32_t peer, const engine_load &load);
 
+    /**
+     * Excludes an engine that stated in a response that it is leaving. `sender` is its entry at the
+     * start of the request. The exclusion ends when an entry shows a later start of the engine; it
+     * outlives the entry if that states a start time. Returns false if it is known already, or if
+     * an earlier process of the engine sent the response.
+     */
+    bool onLeaving(const engine_entry &sender, core::time_point now);
+
+    /** Returns the number of listed engines that stated that they are leaving. */
+    std::size_t leavingCount() const noexcept;
+
+    /** Returns true if engines serve the upstream and all of them are leaving. */
+    bool areAllLeaving(std::string_view upstream) const;
+
     /** Marks an engine degraded that a peer ejected, unless it has just served this node. */
     void onPeerEjected(engine_key key, core::time_point now);
 
@@ -275,8 +290,11 @@
         /** Event intervals that this node measured itself. */
         std::uint32_t eventIntervalCount = 0;
         affinity preference = affinity::None;
+        engine_statement statement;
     };
 
+    void restoreStatement(engine &target);
+    void keepStatement(const std::string &id, const engine_statement &statement);
     bool isUsable(const engine &candidate, core::time_point now) const;
     bool allowsColdRequest(const engine &candidate, const fleet_share &share,
                            core::time_point now) const;
@@ -327,6 +345,8 @@
     std::unordered_map<std::uint32_t, std::vector<engine_load>> m_peerLoads;
     /** Sum of m_peerLoads, including engines that this node does not know yet. */
     std::unordered_map<engine_key, std::uint32_t> m_peersRunning;
+    /** Statements of engines whose entry was removed; it may return while the process runs. */
+    std::map<std::string, engine_statement> m_keptStatements;
     std::vector<engine_key> m_changedLoads;
     std::vector<engine_key> m_newlyEjected;
     std::uint64_t m_membershipVersion = 0;
--- a/src/gateway/engine_connection_pool.cpp
+++ b/src/gateway/engine_connection_pool.cpp
@@ -59,6 +59,16 @@
     m_deleter.add(std::move(connection));
 }
 
+void engine_connection_pool::closeIdle(const http1::endpoint &address)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return;
+    for (idle_connection &each : found->second)
+        discard(std::move(each.connection));
+    m_idle.erase(found);
+}
+
 void engine_connection_pool::closeExpired(core::time_point now)
 {
     for (auto &[address, pooled] : m_idle) {
--- a/src/gateway/engine_connection_pool.h
+++ b/src/gateway/engine_connection_pool.h
@@ -44,6 +44,9 @@
     /** Closes a connection; may be called within one of its events. */
     void discard(std::shared_ptr<http1::client_connection> connection);
 
+    /** Closes the idle connections to an address. */
+    void closeIdle(const http1::endpoint &address);
+
     /** Closes the connections that are near their idle timeout or were closed by the engine. */
     void closeExpired(core::time_point now);
 
--- a/src/gateway/flow_context.h
+++ b/src/gateway/flow_context.h
@@ -38,6 +38,9 @@
     std::function<std::shared_ptr<const dispatch::routing_index>()> routes;
     /** Called when an attempt has ended, so that a slot of the upstream may be free. */
     std::function<void(const std::string &upstream)> slotFreed;
+    /** Called when an engine has stated for the first time that it is leaving. */
+    std::function<void(const dispatch::engine_entry &engine, const flow_record &record)>
+        engineLeaving;
     /** Called when an attempt has failed; the flow may continue with another attempt. */
     std::function<void(const flow_record &record, std::string_view failure)> attemptFailed;
     /** Called when the flow has ended and may be passed to a deferred_deleter. */
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -183,6 +183,15 @@
                     [this](const std::string &upstream) {
                         startQueued(upstream, dispatch::poll_trigger::OwnCompletion);
                     },
+                .engineLeaving =
+                    [](const dispatch::engine_entry &engine, const flow_record &record) {
+                        logEvent(log_level::Info, "engine_leaving",
+                                 "an engine states in its responses that it is leaving",
+                                 {{"engine", engine.id},
+                                  {"upstream", engine.upstream},
+                                  {"address", engine.address},
+                                  {"stated_in", record.attemptId}});
+                    },
                 .attemptFailed =
                     [this](const flow_record &record, std::string_view failure) {
                         m_log.onAttemptFailed(record, failure, monotonicNow());
@@ -291,6 +300,8 @@
     m_metrics.set(metric::GatewayRunning, {}, static_cast<double>(m_flows.size()));
     m_metrics.set(metric::GatewayWaiting, {}, static_cast<double>(m_admission.queuedCount()));
     m_metrics.set(metric::GatewayEngines, {}, static_cast<double>(m_registry.size()));
+    m_metrics.set(metric::GatewayExcludedEngines, {"leaving"},
+                  static_cast<double>(m_registry.leavingCount()));
     m_metrics.set(metric::GatewayConnections, {}, static_cast<double>(m_connections.size()));
     m_metrics.set(
         metric::GatewayConfigurationVersion, {},
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -285,7 +285,10 @@
     else if (m_mayHaveRun)
         respondLocally(badGateway, flow_outcome::Failed, "no_slot_to_repeat");
     else
-        respondRefused(unavailable, "waited_too_long",
+        respondRefused(unavailable,
+                       m_context.registry.areAllLeaving(m_upstream)
+                           ? toString(dispatch::refusal_cause::EnginesLeaving)
+                           : "waited_too_long",
                        m_context.admission.retryAfter(m_upstream, m_context.now()));
 }
 
@@ -386,9 +389,26 @@
     retryElsewhere(dispatch::attempt_result::Failed);
 }
 
+void request_flow::onInterimHead(const http1::message_head &head)
+{
+    recordStatements(m_context.callerProtocol.readResponse(head));
+}
+
+// What an engine states about itself counts in every response, also in one that is skipped.
+void request_flow::recordStatements(const response_metadata &response)
+{
+    // A misdirected request is rejected by another engine, which uses the address now.
+    if (!response.isLeaving || response.misdirected)
+        return;
+    m_context.engineConnections.closeIdle(*m_engineAddress);
+    if (m_context.registry.onLeaving(*m_engine, m_context.now()))
+        m_context.engineLeaving(*m_engine, m_record);
+}
+
 http1::head_decision request_flow::onHead(const http1::message_head &head)
 {
     response_metadata metadata = m_context.callerProtocol.readResponse(head);
+    recordStatements(metadata);
     // A late response to an earlier request on this connection.
     if (!metadata.attemptId.empty() && metadata.attemptId != m_metadata.attemptId)
         return http1::head_decision::Skip;
@@ -706,7 +726,7 @@
     const std::string engineId = m_engine->id;
     m_engine.reset();
     if (m_connection.connection) {
-        if (reusable && m_connection.connection->usable())
+        if (reusable && !m_response.isLeaving && m_connection.connection->usable())
             m_context.engineConnections.release(
                 *m_engineAddress, std::move(m_connection.connection),
                 std::chrono::seconds(m_response.keepAliveSeconds), now);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -64,6 +64,7 @@
         Bytes,
     };
 
+    void onInterimHead(const http1::message_head &head) override;
     http1::head_decision onHead(const http1::message_head &head) override;
     void onBody(std::string_view bytes) override;
     void onComplete(bool reusable) override;
@@ -85,6 +86,7 @@
     void onStall();
     void onDeadline();
 
+    void recordStatements(const response_metadata &response);
     void relayEvents();
     void onFirstEvent(core::duration time);
     void writeToCaller(std::string_view bytes);
--- a/src/gateway/response_metadata.h
+++ b/src/gateway/response_metadata.h
@@ -15,6 +15,8 @@
     bool notRun = false;
     /** True if the address now belongs to another engine. */
     bool misdirected = false;
+    /** True if the engine states that it is leaving and accepts no new requests. */
+    bool isLeaving = false;
     bool isEventStream = false;
     /** The engine's timeout for idle connections; 0 if it does not state one. */
     unsigned keepAliveSeconds = 0;
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -112,7 +112,12 @@
     if (std::exchange(m_headReported, true))
         return !m_skipping;
     const message_head &head = m_parser->head();
-    m_skipping = head.status < firstFinalStatus || m_events->onHead(head) == head_decision::Skip;
+    if (head.status < firstFinalStatus) {
+        m_skipping = true;
+        m_events->onInterimHead(head);
+        return false;
+    }
+    m_skipping = m_events->onHead(head) == head_decision::Skip;
     return !m_skipping;
 }
 
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -43,6 +43,9 @@
     client_events(const client_events &) = delete;
     client_events &operator=(const client_events &) = delete;
 
+    /** An interim response (1xx) arrived; the final one follows. */
+    virtual void onInterimHead(const message_head &head) = 0;
+
     virtual head_decision onHead(const message_head &head) = 0;
     virtual void onBody(std::string_view bytes) = 0;
 
--- a/src/observe/metric_info.h
+++ b/src/observe/metric_info.h
@@ -43,6 +43,7 @@
     GatewayWaiting,
     GatewayPeers,
     GatewayEngines,
+    GatewayExcludedEngines,
     GatewayConnections,
     GatewayConfigurationVersion,
     GatewayRecordCalls,
--- a/src/observe/request_timeline.cpp
+++ b/src/observe/request_timeline.cpp
@@ -80,8 +80,9 @@
     std::string_view event;
     /** Only the latest event of a topic is returned; without a topic, every recent event is. */
     std::string_view topic;
-    /** Restricts the rule to events of an engine that the request used. */
-    bool requiresSameEngine;
+    /** Events of an engine are returned if the request used it, or needed one of its upstream. */
+    enum class relation : std::uint8_t { Any, SameEngine, SameUpstream };
+    relation scope;
 };
 
 void request_timeline::feed(std::string_view line)
@@ -105,31 +106,36 @@
     return lines;
 }
 
-bool request_timeline::matchesEngine(const log_entry &stateEvent,
-                                     const state_event_rule &rule) const
+bool request_timeline::matches(const log_entry &stateEvent, const state_event_rule &rule) const
 {
-    return !rule.requiresSameEngine || std::ranges::any_of(m_own, [&](const log_entry &own) {
-        return !own.field("engine").empty() && own.field("engine") == stateEvent.field("engine");
+    if (rule.scope == state_event_rule::relation::Any)
+        return true;
+    const std::string_view name
+        = rule.scope == state_event_rule::relation::SameEngine ? "engine" : "upstream";
+    return std::ranges::any_of(m_own, [&](const log_entry &own) {
+        return !own.field(name).empty() && own.field(name) == stateEvent.field(name);
     });
 }
 
 std::vector<log_entry> request_timeline::stateEvents() const
 {
-    static constexpr std::array<state_event_rule, 14> rules = {{
-        {"node_started", "process", false},
-        {"node_stopping", "process", false},
-        {"configuration_applied", "configuration", false},
-        {"records_lost", "records", false},
-        {"records_regained", "records", false},
-        {"records_from_peer", "peer records", false},
-        {"engine_added", "", true},
-        {"engine_changed", "", true},
-        {"engine_removed", "", true},
-        {"domain_evacuated", "", false},
-        {"domain_restored", "", false},
-        {"peer_silent", "", false},
-        {"peer_returned", "", false},
-        {"log_lines_left_out", "log", false},
+    using enum state_event_rule::relation;
+    static constexpr std::array<state_event_rule, 15> rules = {{
+        {"node_started", "process", Any},
+        {"node_stopping", "process", Any},
+        {"configuration_applied", "configuration", Any},
+        {"records_lost", "records", Any},
+        {"records_regained", "records", Any},
+        {"records_from_peer", "peer records", Any},
+        {"engine_added", "", SameEngine},
+        {"engine_changed", "", SameEngine},
+        {"engine_removed", "", SameEngine},
+        {"engine_leaving", "", SameUpstream},
+        {"domain_evacuated", "", Any},
+        {"domain_restored", "", Any},
+        {"peer_silent", "", Any},
+        {"peer_returned", "", Any},
+        {"log_lines_left_out", "log", Any},
     }};
     std::vector<log_entry> result;
     // Latest event by node and topic.
@@ -143,7 +149,7 @@
                   return each.node == stateEvent.node;
               });
         if (rule == rules.end() || last == own.rend() || stateEvent.time > last->time
-            || !matchesEngine(stateEvent, *rule))
+            || !matches(stateEvent, *rule))
             continue;
         if (rule->topic.empty()) {
             if (isRecent(stateEvent, *last))
--- a/src/observe/request_timeline.h
+++ b/src/observe/request_timeline.h
@@ -46,7 +46,8 @@
     /**
      * Returns state changes on the request's nodes up to the node's last line of the request,
      * sorted by time: the latest change of the configuration, of the record source and of the
-     * process, and recent changes of the request's engines, of failure domains and of peers.
+     * process, and recent changes of the request's engines, of failure domains and of peers, and
+     * recent statements of engines of its upstream.
      */
     std::vector<log_entry> stateEvents() const;
 
@@ -56,7 +57,7 @@
 private:
     struct state_event_rule;
 
-    bool matchesEngine(const log_entry &stateEvent, const state_event_rule &rule) const;
+    bool matches(const log_entry &stateEvent, const state_event_rule &rule) const;
 
     std::string m_id;
     std::vector<log_entry> m_own;
--- a/tests/dispatch/engine_registry_test.cpp
+++ b/tests/dispatch/engine_registry_test.cpp
@@ -28,6 +28,10 @@
     CPPUNIT_TEST(stallCheckIsSkippedIfAllEnginesLookStalled);
     CPPUNIT_TEST(failingEngineReceivesFewerRequests);
     CPPUNIT_TEST(reusedIdIsTreatedAsANewEngine);
+    CPPUNIT_TEST(leavingEngineIsNotSelectedWhileItsEntrySaysReady);
+    CPPUNIT_TEST(statementOutlivesTheEntry);
+    CPPUNIT_TEST(earlierProcessDoesNotExcludeTheNextOne);
+    CPPUNIT_TEST(keptStatementsAreBounded);
     CPPUNIT_TEST(movedEngineServesItsNewUpstreamOnly);
     CPPUNIT_TEST(preferredEnginesAreSelectedFirst);
     CPPUNIT_TEST(singleLoadReplacesTheReportedLoad);
@@ -275,6 +279,90 @@
         CPPUNIT_ASSERT(registry.isUsable("e1", m_now));
     }
 
+    // Guards against requests to an engine that has stated its leaving, while the list lags.
+    void leavingEngineIsNotSelectedWhileItsEntrySaysReady()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 100;
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(registry.onLeaving(entry, m_now));
+        CPPUNIT_ASSERT(!registry.onLeaving(entry, m_now));
+        registry.update(entry, nullptr, m_now);
+        engine_entry older = entry;
+        older.startedAt = 50;
+        registry.update(older, nullptr, m_now);
+        CPPUNIT_ASSERT(registry.choose({.upstream = "u"}, {}, m_now + 1h).outcome
+                       == selection_outcome::NoEngine);
+        CPPUNIT_ASSERT(registry.areAllLeaving("u"));
+        add(registry, "e2", 2);
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), choose(registry).engine->id);
+        CPPUNIT_ASSERT(!registry.areAllLeaving("u"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.leavingCount());
+    }
+
+    // Guards against requests to a leaving engine whose entry expired and was written again.
+    void statementOutlivesTheEntry()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 100;
+        registry.update(entry, nullptr, m_now);
+        registry.onLeaving(entry, m_now);
+        registry.remove("e1");
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now));
+        // The response arrives after the entry was removed.
+        engine_entry removed = make("e2", 2);
+        removed.startedAt = 100;
+        registry.onLeaving(removed, m_now);
+        registry.update(removed, nullptr, m_now);
+        CPPUNIT_ASSERT(!registry.isUsable("e2", m_now));
+        registry.remove("e2");
+        removed.startedAt = 101;
+        registry.update(removed, nullptr, m_now);
+        CPPUNIT_ASSERT(registry.isUsable("e2", m_now));
+    }
+
+    // Guards against a new process that is shunned for a response of the one before it, also
+    // without start times.
+    void earlierProcessDoesNotExcludeTheNextOne()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 200;
+        registry.update(entry, nullptr, m_now);
+        engine_entry before = entry;
+        before.startedAt = 100;
+        CPPUNIT_ASSERT(!registry.onLeaving(before, m_now));
+        CPPUNIT_ASSERT(registry.isUsable("e1", m_now));
+        add(registry, "e2", 2);
+        registry.onLeaving(make("e2", 2), m_now);
+        CPPUNIT_ASSERT(!registry.isUsable("e2", m_now));
+        registry.remove("e2");
+        add(registry, "e2", 2);
+        CPPUNIT_ASSERT(registry.isUsable("e2", m_now));
+    }
+
+    // Guards against memory that grows with the number of engines that ever left.
+    void keptStatementsAreBounded()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("", 2);
+        entry.startedAt = 100;
+        for (int i = 0; i < 5'000; ++i) {
+            entry.id = "e" + std::to_string(i);
+            registry.update(entry, nullptr, m_now);
+            registry.onLeaving(entry, m_now + i * 1ms);
+            registry.remove(entry.id);
+        }
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(!registry.isUsable(entry.id, m_now));
+        entry.id = "e0";
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(registry.isUsable("e0", m_now));
+    }
+
     // Guards against an engine that is selected for its former upstream.
     void movedEngineServesItsNewUpstreamOnly()
     {
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -23,6 +23,8 @@
 class recording_events : public client_events
 {
 public:
+    void onInterimHead(const message_head & /*head*/) override { ++interimHeads; }
+
     head_decision onHead(const message_head &head) override
     {
         const auto id = head.headers.find("Id");
@@ -46,6 +48,7 @@
         failure = reason;
     }
 
+    unsigned interimHeads = 0;
     unsigned status = 0;
     std::string body;
     bool done = false;
@@ -60,6 +63,7 @@
     CPPUNIT_TEST_SUITE(client_connection_test);
     CPPUNIT_TEST(connectionIsReusedAfterCompleteResponse);
     CPPUNIT_TEST(lateResponseToEarlierRequestIsSkipped);
+    CPPUNIT_TEST(interimResponsesAreReported);
     CPPUNIT_TEST(bytesAfterCompleteResponseMakeConnectionUnusable);
     CPPUNIT_TEST(interruptedResponsesReportDistinctFailures);
     CPPUNIT_TEST(responseBeforeEndOfRequestClosesConnection);
@@ -99,6 +103,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("right"), events.body);
     }
 
+    // Guards against losing the fields of interim responses, or taking one for the final response.
+    void interimResponsesAreReported()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        connection.start(request, events);
+        engine.send("HTTP/1.1 103 Early Hints\r\nId: mine\r\n\r\n"
+                    "HTTP/1.1 100 Continue\r\n\r\n"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        m_loop.waitFor("response", [&] { return events.done; });
+        CPPUNIT_ASSERT_EQUAL(2U, events.interimHeads);
+        CPPUNIT_ASSERT_EQUAL(200U, events.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), events.body);
+    }
+
     // Guards against a surplus response or garbage that the next request would read as its own.
     void bytesAfterCompleteResponseMakeConnectionUnusable()
     {
--- a/tests/observe/request_timeline_test.cpp
+++ b/tests/observe/request_timeline_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(linesAreSortedByTime);
     CPPUNIT_TEST(listsOnlyEventsTheNodeKnewAtTheTime);
     CPPUNIT_TEST(omitsEventsOfOtherEngines);
+    CPPUNIT_TEST(listsLeavingEnginesOfTheUpstream);
     CPPUNIT_TEST(countsMalformedLines);
     CPPUNIT_TEST_SUITE_END();
 
@@ -59,6 +60,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string_view("e1"), stateEvents.at(0).field("engine"));
     }
 
+    // Guards against a refusal without its cause: the request has reached no engine.
+    void listsLeavingEnginesOfTheUpstream()
+    {
+        request_timeline timeline("r1");
+        timeline.feed(line("10:00:01.000", "a", "engine_leaving",
+                           R"("engine":"e1","upstream":"u","stated_in":"r0")"));
+        timeline.feed(line("10:00:01.000", "a", "engine_leaving",
+                           R"("engine":"e2","upstream":"v","stated_in":"r0")"));
+        timeline.feed(
+            line("10:00:03.000", "a", "request_ended",
+                 R"("request":"r1","engine":"","upstream":"u","reason":"engines_leaving")"));
+        const auto stateEvents = timeline.stateEvents();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stateEvents.size());
+        CPPUNIT_ASSERT_EQUAL(std::string_view("e1"), stateEvents.at(0).field("engine"));
+    }
+
     // Guards against a truncated line that stops parsing, and against a collector's prefix that
     // makes lines unparsable.
     void countsMalformedLines()
--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -135,6 +135,9 @@
         other.status = 421;
         CPPUNIT_ASSERT(m_protocol.readResponse(other).notRun);
         CPPUNIT_ASSERT(m_protocol.readResponse(other).misdirected);
+        CPPUNIT_ASSERT(!m_protocol.readResponse(other).isLeaving);
+        other.headers = {{"server-leaving", "1"}};
+        CPPUNIT_ASSERT(m_protocol.readResponse(other).isLeaving);
         http1::message_head failed;
         failed.status = 503;
         failed.headers = {{"Comfreypass-Response-Seal", "s"}};
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -23,6 +23,9 @@
         self.end_time = start_time
         self.status = None
         self.sealed = False
+        # Name of the engine that stated its leaving in this response, and the time.
+        self.leaving_engine = None
+        self.leaving_time = None
         self.complete = False
         self.events = []
         self.timed_out = False
@@ -103,6 +106,9 @@
         start_line, headers = await read_head(reader)
         outcome.status = int(start_line.split()[1])
         outcome.sealed = "comfreypass-response-seal" in headers
+        if outcome.sealed and "server-leaving" in headers:
+            outcome.leaving_engine = headers["comfreypass-response-seal"].split("/")[0]
+            outcome.leaving_time = time.monotonic()
         if headers.get("transfer-encoding", "").lower() == "chunked":
             text = b""
             async for chunk in read_chunks(reader):
--- a/tests/platform/soak/engine.py
+++ b/tests/platform/soak/engine.py
@@ -19,6 +19,9 @@
         self.name = name
         self.runs = runs
         self.failing = False
+        self.leaving = False
+        # Attempt id and time of each request that reached the engine, whether it ran or not.
+        self.arrivals = []
         self.running = 0
 
     async def start(self):
@@ -36,7 +39,10 @@
 
     async def _handle(self, request, writer):
         attempt_id = request.headers["comfreypass-attempt-id"]
+        self.arrivals.append((attempt_id, time.monotonic()))
         headers = {"Comfreypass-Attempt-Id": attempt_id}
+        if self.leaving:
+            headers["Server-Leaving"] = "1"
         if request.headers["comfreypass-expect-instance"] != self.name:
             await self._respond(writer, "421 Misdirected Request", headers, b"")
             return
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -1,8 +1,9 @@
 """Randomised soak test of gateway processes: injects faults and checks the guarantees of the
 gateway at the callers and at the engines.
 
-Usage: soak.py --node PROGRAM [--seed N] [--seconds N]. A failure prints its seed; the same seed
-reproduces the faults and their times, but not the interleaving of the processes.
+Usage: soak.py --node PROGRAM [--seed N] [--seconds N] [--nodes N] [--statements leaving]. A failure
+prints its seed; the same seed reproduces the faults and their times, but not the interleaving of the
+processes.
 """
 
 import argparse
@@ -35,6 +36,8 @@
 RECOVERY_SECONDS = 15
 RECOVERY_REQUESTS = 40
 FAULTS_PER_SECOND = 2
+# An engine that has stated its leaving to a node receives no new requests from it after this time.
+DRAIN_SECONDS = 0.5
 # An evacuated domain receives no new requests after this time.
 EVACUATION_SECONDS = 5
 
@@ -56,14 +59,19 @@
 
 
 class Soak:
-    def __init__(self, program, seed, seconds, folder):
+    def __init__(self, program, seed, seconds, folder, node_count=NODE_COUNT, statements=()):
         self.program, self.seed, self.seconds, self.folder = program, seed, seconds, folder
+        self.node_count = node_count
+        self.faults = self.FAULTS + tuple(self.STATEMENTS[each] for each in statements) * 4
         self.random = random.Random(seed)
         self.runs = new_run_log()
         self.outcomes = []
         self.failures = []
+        self.statement_count = 0
         self.version = 1
         self.evacuations = []
+        # Engine, start and end of each time in which an engine states its leaving.
+        self.departures = []
 
     async def start(self):
         self.store = Store()
@@ -76,12 +84,13 @@
             engine.domain = DOMAINS[number % len(DOMAINS)]
             engine.proxy = Proxy(await engine.start())
             engine.port = await engine.proxy.start()
+            engine.born = 1
             self.engines.append(engine)
             await self.register_engine(engine)
         await self.store.put("op/config", configuration(self.version))
         # Derived from the process ID, so that concurrent runs do not share loopback addresses.
         net = "127.%d.%d." % (1 + os.getpid() % 250, 1 + os.getpid() // 250 % 250)
-        addresses = [net + str(number + 1) for number in range(NODE_COUNT)]
+        addresses = [net + str(number + 1) for number in range(self.node_count)]
         self.nodes = [Node(self.program, self.folder, number, address,
                            DOMAINS[number % len(DOMAINS)], addresses[:3], store_port)
                       for number, address in enumerate(addresses)]
@@ -91,7 +100,8 @@
     async def register_engine(self, engine):
         await self.store.put("servers/" + engine.name, {
             "Service": engine.service, "Address": "127.0.0.1:%d" % engine.port,
-            "Zone": engine.domain, "Slots": 6, "State": "ready", "ColdLeftMs": 0, "born": 1})
+            "Zone": engine.domain, "Slots": 6, "State": "ready", "ColdLeftMs": 0,
+            "born": engine.born})
 
     async def wait_for_version(self, timeout):
         end = time.monotonic() + timeout
@@ -166,6 +176,21 @@
         engine.proxy.mode = "pass"
         await self.register_engine(engine)
 
+    async def leave_engine(self, seconds):
+        """States the leaving in responses only: the entry says ready until the next start."""
+        engine = self.random.choice(self.engines)
+        if engine.leaving:
+            return
+        engine.leaving = True
+        start = time.monotonic()
+        await asyncio.sleep(seconds)
+        await self.register_engine(engine)
+        await asyncio.sleep(seconds)
+        self.departures.append((engine, start, time.monotonic()))
+        engine.leaving = False
+        engine.born += 1
+        await self.register_engine(engine)
+
     async def publish_configuration(self, _seconds):
         self.version += 1
         await self.store.put("op/config", configuration(self.version))
@@ -182,6 +207,8 @@
               disrupt_engine_connections, disrupt_store_connections, fail_engine, remove_engine,
               publish_configuration, evacuate_domain)
 
+    STATEMENTS = {"leaving": leave_engine}
+
     def disrupt_random_node(self, kind):
         free = [node for node in self.nodes if all(ended for _, _, ended in node.disruptions)]
         node = self.random.choice(free) if free else None
@@ -203,7 +230,7 @@
         tasks = []
         while time.monotonic() < end:
             await asyncio.sleep(self.random.expovariate(FAULTS_PER_SECOND))
-            fault = self.random.choice(self.FAULTS)
+            fault = self.random.choice(self.faults)
             tasks.append(asyncio.create_task(fault(self, self.random.uniform(0.3, 3))))
         await asyncio.gather(*tasks)
 
@@ -230,6 +257,7 @@
         self.check_nodes()
         self.check_outcomes()
         self.check_runs()
+        self.check_departures()
 
     async def check_recovery(self):
         end = time.monotonic() + RECOVERY_SECONDS
@@ -294,6 +322,23 @@
                 self.failures.append("evacuated domain %s received new requests: %s"
                                      % (domain, late[:3]))
 
+    def check_departures(self):
+        sent = {outcome.attempt_id: outcome for outcome in self.outcomes}
+        for engine, start, end in self.departures:
+            for told in self.outcomes:
+                if told.leaving_engine != engine.name or not start <= told.leaving_time < end:
+                    continue
+                self.statement_count += 1
+                for attempt_id, at in engine.arrivals:
+                    late = sent.get(attempt_id)
+                    if (late is not None and late.node is told.node and at < end
+                            and late.start_time > told.leaving_time + DRAIN_SECONDS
+                            and not told.node.disrupted_between(told.leaving_time, at,
+                                                                ("kill", "stop", "pause"))):
+                        self.fail("reached %s %.3f s after %s had passed on its leaving"
+                                  % (engine.name, at - told.leaving_time, told.node.name), late)
+                        return
+
     def fail(self, message, outcome):
         self.failures.append("%s: %r; ran at %s"
                              % (message, outcome, self.runs[outcome.attempt_id]))
@@ -303,8 +348,10 @@
         for outcome in self.outcomes:
             counts[outcome.status] = counts.get(outcome.status, 0) + 1
         disruptions = sum(len(node.disruptions) for node in self.nodes)
-        return "%d requests, by status %s, %d processes disturbed" % (
-            len(self.outcomes), counts, disruptions)
+        departures = (", %d departures stated in %d responses"
+                      % (len(self.departures), self.statement_count) if self.departures else "")
+        return "%d requests, by status %s, %d processes disturbed%s" % (
+            len(self.outcomes), counts, disruptions, departures)
 
     def kill_nodes(self):
         for node in getattr(self, "nodes", []):
@@ -317,6 +364,9 @@
     parser.add_argument("--node", required=True, help="the comfreypass program")
     parser.add_argument("--seed", type=int, default=None)
     parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--nodes", type=int, default=NODE_COUNT)
+    parser.add_argument("--statements", nargs="*", default=[], choices=Soak.STATEMENTS,
+                        help="what engines state in their responses, in addition to the faults")
     parser.add_argument("--keep-logs", default=None, help="folder for the nodes' logs")
     options = parser.parse_args()
     seed = options.seed if options.seed is not None else random.SystemRandom().randrange(10**9)
@@ -324,7 +374,8 @@
         if options.keep_logs:
             folder = options.keep_logs
             os.makedirs(folder, exist_ok=True)
-        soak = Soak(options.node, seed, options.seconds, folder)
+        soak = Soak(options.node, seed, options.seconds, folder, options.nodes,
+                    options.statements)
         asyncio.run(soak.run())
     print("seed %d: %s" % (seed, soak.summary()))
     for failure in soak.failures[:10]:
