--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -60,8 +60,8 @@
 
 std::string_view toString(refusal_cause cause) noexcept
 {
-    static constexpr std::array<std::string_view, 5> names
-        = {"none", "no_engine", "queue_full", "wait_too_long", "engines_leaving"};
+    static constexpr std::array<std::string_view, 6> names
+        = {"none", "no_engine", "queue_full", "wait_too_long", "engines_leaving", "engines_paused"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
@@ -73,8 +73,7 @@
 {
     upstream_state &state = m_upstreams[request.upstream];
     admission_decision decision;
-    const bool waits = mustWait(request, state, now);
-    if (!waits) {
+    if (!mustWait(request, state, now)) {
         decision.basis = chooseWithinAllowance(state, request, now);
         if (decision.basis.outcome == selection_outcome::Selected) {
             decision.outcome = admission_outcome::Start;
@@ -86,22 +85,9 @@
     }
     decision.ahead = state.queue.ahead(request.priority);
     decision.expectedWait = expectedWait(request.upstream, decision.ahead, now);
-    decision.retryAfter = retryAfter(request.upstream, now);
-    if (state.queue.size() >= maxQueuedRequests) {
-        decision.cause = refusal_cause::QueueFull;
-        return decision;
-    }
-    if (decision.ahead > 0 && now + decision.expectedWait > request.queueDeadline) {
-        decision.cause = refusal_cause::WaitTooLong;
-        return decision;
-    }
-    if (request.queueDeadline <= now) {
-        if (m_registry.areAllLeaving(request.upstream))
-            decision.cause = refusal_cause::EnginesLeaving;
-        else
-            decision.cause = decision.basis.outcome == selection_outcome::NoEngine && !waits
-                                 ? refusal_cause::NoEngine
-                                 : refusal_cause::WaitTooLong;
+    decision.cause = causeToRefuse(request, state, decision, now);
+    if (decision.cause != refusal_cause::None) {
+        decision.retryAfter = retryAfter(request.upstream, request.priority, now);
         return decision;
     }
     decision.outcome = admission_outcome::Wait;
@@ -111,6 +97,28 @@
     return decision;
 }
 
+refusal_cause admission::causeToRefuse(const admission_request &request,
+                                       const upstream_state &state,
+                                       const admission_decision &decision,
+                                       core::time_point now) const
+{
+    const auto pause = m_registry.pauseOf(request.upstream, now);
+    if (pause && pause->endsAt > request.queueDeadline)
+        return refusal_cause::EnginesPaused;
+    if (state.queue.size() >= maxQueuedRequests)
+        return refusal_cause::QueueFull;
+    if (decision.ahead > 0 && now + decision.expectedWait > request.queueDeadline)
+        return refusal_cause::WaitTooLong;
+    if (request.queueDeadline > now)
+        return refusal_cause::None;
+    const refusal_cause excluded = exclusionCause(request.upstream, now);
+    if (excluded != refusal_cause::None)
+        return excluded;
+    const bool noEngine
+        = decision.basis.outcome == selection_outcome::NoEngine && !mustWait(request, state, now);
+    return noEngine ? refusal_cause::NoEngine : refusal_cause::WaitTooLong;
+}
+
 std::vector<admission_grant> admission::poll(const std::string &upstream, poll_trigger trigger,
                                              core::time_point now)
 {
@@ -129,6 +137,12 @@
     }
     updateAllowance(upstream, state, m_requests.at(next->id), now);
     grant(state, drawPreferredSlots(upstream, now), engine_choice::FreshLoad, grants, now);
+    // These slots become free without the end of a request, here or at a peer.
+    if (const std::uint32_t free = m_registry.recoveringSlots(upstream, now); free > 0) {
+        if (const auto waiting = queue.next(now))
+            grant(state, shareOf(free, upstream, state, m_requests.at(waiting->id), now),
+                  engine_choice::Any, grants, now);
+    }
     state.allowance -= grant(state, state.allowance, engine_choice::Any, grants, now);
     return grants;
 }
@@ -200,24 +214,35 @@
     if (completes)
         free = std::max(free, capacity.slots * seconds(std::min(elapsed, maxTurnoverWindow))
                                   / state.serviceSeconds);
+    state.allowance = shareOf(free, upstream, state, next, now);
+}
+
+std::size_t admission::shareOf(double freeSlots, const std::string &upstream,
+                               const upstream_state &state, const admission_request &next,
+                               core::time_point now)
+{
     auto queuedHere = static_cast<double>(state.queue.size());
     auto queuedElsewhere = static_cast<double>(m_fleet.queuedAtPeers(upstream, next.priority, now));
-    if (subsetted) {
+    if (m_registry.isSubsetted(upstream)) {
         // Each node may also receive a request that is not queued yet.
         queuedHere += 1;
         queuedElsewhere += static_cast<double>(m_fleet.share(now).reachable - 1);
     }
-    const double share = queuedHere > 0 ? free * queuedHere / (queuedHere + queuedElsewhere) : 0;
+    const double share
+        = queuedHere > 0 ? freeSlots * queuedHere / (queuedHere + queuedElsewhere) : 0;
     // The fraction below one slot is rounded randomly, so that small shares are not always lost.
-    state.allowance
-        = static_cast<std::size_t>(share + std::uniform_real_distribution<double>(0, 1)(m_random));
+    return static_cast<std::size_t>(share + std::uniform_real_distribution<double>(0, 1)(m_random));
 }
 
 std::vector<core::request_id> admission::takeExpired(core::time_point now)
 {
     std::vector<core::request_id> expired;
     for (auto &[upstream, state] : m_upstreams) {
-        for (const waiting_request &each : state.queue.takeExpired(now)) {
+        if (state.queue.empty())
+            continue;
+        const auto pause = m_registry.pauseOf(upstream, now);
+        for (const waiting_request &each :
+             state.queue.takeExpired(pause ? std::max(now, pause->endsAt) : now)) {
             expired.push_back(each.id);
             m_requests.erase(each.id);
         }
@@ -272,9 +297,41 @@
     return request.objectiveAt - std::min(fromSeconds(found->second), request.objective / 2);
 }
 
-core::duration admission::retryAfter(const std::string &upstream, core::time_point now)
+refusal_cause admission::exclusionCause(const std::string &upstream, core::time_point now) const
 {
-    const upstream_state &state = m_upstreams[upstream];
+    if (m_registry.pauseOf(upstream, now))
+        return refusal_cause::EnginesPaused;
+    return m_registry.areAllLeaving(upstream) ? refusal_cause::EnginesLeaving : refusal_cause::None;
+}
+
+core::duration admission::retryAfterPause(upstream_state &state, const upstream_pause &pause,
+                                          std::uint32_t priority, core::time_point now)
+{
+    if (now >= state.pauseEndsAt)
+        state.refusedInPause.clear();
+    state.pauseEndsAt = pause.endsAt;
+    std::size_t ahead = state.queue.ahead(priority);
+    for (const auto &[each, count] : state.refusedInPause)
+        ahead += each <= priority ? count : 0;
+    if (state.refusedInPause.size() < maxTrackedPriorities
+        || state.refusedInPause.contains(priority))
+        ++state.refusedInPause[priority];
+    double rate = minCompletionsPerSecond;
+    if (state.serviceSeconds > 0)
+        rate = std::max(rate, pause.slots / state.serviceSeconds
+                                  / static_cast<double>(m_fleet.share(now).reachable));
+    // The jitter never lets a caller return before the engine.
+    const double factor = std::uniform_real_distribution<double>(0.7, 1.3)(m_random);
+    const core::duration turn = fromSeconds(static_cast<double>(ahead + 1) / rate * factor);
+    return pause.endsAt - now + std::min(turn, maxRetryAfter);
+}
+
+core::duration admission::retryAfter(const std::string &upstream, std::uint32_t priority,
+                                     core::time_point now)
+{
+    upstream_state &state = m_upstreams[upstream];
+    if (const auto pause = m_registry.pauseOf(upstream, now))
+        return retryAfterPause(state, *pause, priority, now);
     const core::duration wait = expectedWait(upstream, state.queue.size(), now);
     // Jitter keeps callers that were refused together from retrying together.
     const double factor = std::uniform_real_distribution<double>(0.7, 1.3)(m_random);
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -7,6 +7,7 @@
 #include "dispatch/wait_queue.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -37,7 +38,14 @@
 enum class admission_outcome : std::uint8_t { Start, Wait, Refuse };
 
 /** Reason for a refusal. */
-enum class refusal_cause : std::uint8_t { None, NoEngine, QueueFull, WaitTooLong, EnginesLeaving };
+enum class refusal_cause : std::uint8_t {
+    None,
+    NoEngine,
+    QueueFull,
+    WaitTooLong,
+    EnginesLeaving,
+    EnginesPaused
+};
 
 /** Returns the stable name in logs. Thread-safe. */
 std::string_view toString(refusal_cause cause) noexcept;
@@ -108,7 +116,10 @@
     std::vector<admission_grant> poll(const std::string &upstream, poll_trigger trigger,
                                       core::time_point now);
 
-    /** Removes and returns the requests whose queue deadline has passed. */
+    /**
+     * Removes and returns the requests whose queue deadline has passed, or passes while all engines
+     * are paused.
+     */
     std::vector<core::request_id> takeExpired(core::time_point now);
 
     /** Removes a request from the queue. */
@@ -121,8 +132,15 @@
     /** Records the time at the engine until the first event or, without events, the response. */
     void onFirstEvent(const std::string &upstream, std::uint32_t priority, core::duration time);
 
-    /** Returns the delay after which a caller that is refused now should retry. */
-    core::duration retryAfter(const std::string &upstream, core::time_point now);
+    /**
+     * Returns the delay after which a caller that is refused now should retry. If all engines are
+     * paused, the callers return one after another when the first engine does, by priority.
+     */
+    core::duration retryAfter(const std::string &upstream, std::uint32_t priority,
+                              core::time_point now);
+
+    /** Returns why no engine of the upstream accepts requests; `None` if one does or is full. */
+    refusal_cause exclusionCause(const std::string &upstream, core::time_point now) const;
 
     /** Returns the queue lengths of the upstreams with queued requests. */
     std::vector<node_status::queue_length> queues() const;
@@ -150,8 +168,14 @@
         std::size_t allowance = 0;
         std::uint64_t allowanceGeneration = 0;
         core::time_point allowanceUpdatedAt{};
+        /** End of the last pause of all engines, and the callers refused in it, by priority. */
+        core::time_point pauseEndsAt{};
+        std::map<std::uint32_t, std::size_t> refusedInPause;
     };
 
+    /** Returns why the request cannot be queued; `None` if it can. */
+    refusal_cause causeToRefuse(const admission_request &request, const upstream_state &state,
+                                const admission_decision &decision, core::time_point now) const;
     /** Returns the latest start time with which the request is expected to meet its objective. */
     static core::time_point latestStart(const admission_request &request,
                                         const upstream_state &state);
@@ -161,6 +185,11 @@
     bool completesBetweenUpdates(const upstream_state &state) const;
     core::duration expectedWait(const std::string &upstream, std::size_t ahead,
                                 core::time_point now);
+    /** Returns this node's share of free slots, by its share of the fleet's queue. */
+    std::size_t shareOf(double freeSlots, const std::string &upstream, const upstream_state &state,
+                        const admission_request &next, core::time_point now);
+    core::duration retryAfterPause(upstream_state &state, const upstream_pause &pause,
+                                   std::uint32_t priority, core::time_point now);
     void updateAllowance(const std::string &upstream, upstream_state &state,
                          const admission_request &next, core::time_point now);
     /** `FreshLoad` excludes the engines whose load this node learns with a delay. */
--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -92,6 +92,12 @@
 /** Engines without an entry whose statements are kept; the oldest one is dropped first. */
 constexpr std::size_t maxKeptStatements = 1'024;
 
+/** Longest pause of an engine; longer ones are likely to be an error of the engine. */
+constexpr core::duration maxPause = 5min;
+
+/** After a pause, the usable slots of an engine grow from one to all in this time. */
+constexpr core::duration pauseRecovery = 300ms;
+
 /** Two random choices avoid most of the load imbalance of a single one. */
 constexpr std::size_t minSampleSize = 2;
 
@@ -156,7 +162,9 @@
     const auto found = m_engines.find(std::string(id));
     if (found == m_engines.end())
         return;
-    keepStatement(found->first, found->second.statement);
+    const engine_statement &statement = found->second.statement;
+    if (statement.startedAt > 0)
+        keptStatement(found->first) = statement;
     std::erase(m_byUpstream[found->second.entry.upstream], &found->second);
     m_idByKey.erase(found->second.key);
     m_engines.erase(found);
@@ -331,7 +339,8 @@
             fastest = std::min(fastest, each->eventIntervalSeconds);
     }
     std::erase_if(candidates, [&](const engine *each) {
-        return !hasFreeCapacity(*each, request, unreported) || !allowsColdRequest(*each, share, now)
+        return !hasFreeCapacity(*each, request, unreported, now)
+               || !allowsColdRequest(*each, share, now)
                || (request.freshLoadOnly && each->preference == affinity::Other);
     });
     std::vector<candidate> eligible;
@@ -436,17 +445,39 @@
 
 bool engine_registry::onLeaving(const engine_entry &sender, core::time_point now)
 {
-    const engine_statement statement{
-        .startedAt = sender.startedAt, .isLeaving = true, .leavingSince = now};
-    engine *target = findEngine(sender.id);
-    if (target == nullptr) {
-        keepStatement(sender.id, statement);
+    engine_statement *statement = statementOf(sender);
+    if (statement == nullptr)
         return false;
-    }
-    if (target->statement.isLeaving || target->entry.startedAt > sender.startedAt)
+    statement->statedAt = now;
+    return !std::exchange(statement->isLeaving, true);
+}
+
+core::duration engine_registry::onPauseRequested(const engine_entry &sender, core::duration pause,
+                                                 core::time_point now)
+{
+    engine_statement *statement = statementOf(sender);
+    if (statement == nullptr)
+        return {};
+    const core::duration bounded = std::min(pause, maxPause);
+    const bool isPaused = statement->pausedUntil > now;
+    statement->statedAt = now;
+    statement->pausedUntil = std::max(statement->pausedUntil, now + bounded);
+    return isPaused ? core::duration::zero() : bounded;
+}
+
+bool engine_registry::onInvalidPause(const engine_entry &sender, core::time_point now)
+{
+    engine_statement *statement = statementOf(sender);
+    if (statement == nullptr)
         return false;
-    target->statement = statement;
-    return true;
+    statement->statedAt = now;
+    return !std::exchange(statement->hasInvalidPause, true);
+}
+
+std::size_t engine_registry::pausedCount(core::time_point now) const noexcept
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_engines, [now](const auto &each) { return each.second.statement.pausedUntil > now; }));
 }
 
 std::size_t engine_registry::leavingCount() const noexcept
@@ -463,16 +494,60 @@
     });
 }
 
-// Without a start time, a new process under the same id could not be told from the old one.
-void engine_registry::keepStatement(const std::string &id, const engine_statement &statement)
+std::optional<upstream_pause> engine_registry::pauseOf(std::string_view upstream,
+                                                       core::time_point now) const
 {
-    if (!statement.isLeaving || statement.startedAt == 0)
-        return;
-    m_keptStatements[id] = statement;
-    if (m_keptStatements.size() <= maxKeptStatements)
-        return;
-    m_keptStatements.erase(std::ranges::min_element(
-        m_keptStatements, {}, [](const auto &each) { return each.second.leavingSince; }));
+    upstream_pause pause{.endsAt = core::time_point::max()};
+    bool hasPaused = false;
+    for (const engine *each : enginesOf(upstream)) {
+        if (isExcluded(*each))
+            continue;
+        if (isUsable(*each, now))
+            return std::nullopt;
+        hasPaused = hasPaused || each->statement.pausedUntil > now;
+        pause.endsAt
+            = std::min(pause.endsAt, std::max(each->statement.pausedUntil, each->ejectedUntil));
+        pause.slots += each->entry.slots;
+    }
+    return hasPaused ? std::optional(pause) : std::nullopt;
+}
+
+std::uint32_t engine_registry::recoveringSlots(std::string_view upstream,
+                                               core::time_point now) const
+{
+    std::uint32_t total = 0;
+    for (const engine *each : enginesOf(upstream)) {
+        const core::duration since = now - each->statement.pausedUntil;
+        if (since > 2 * pauseRecovery || !isUsable(*each, now))
+            continue;
+        const std::uint32_t slots = usableSlots(*each, now);
+        total += slots - std::min(slots, each->running + each->peersRunning);
+    }
+    return total;
+}
+
+engine_statement *engine_registry::statementOf(const engine_entry &sender)
+{
+    engine *target = findEngine(sender.id);
+    // Without a start time, a new process under the same id could not be told from the old one.
+    if (target == nullptr && sender.startedAt == 0)
+        return nullptr;
+    if (target != nullptr && target->entry.startedAt > sender.startedAt)
+        return nullptr;
+    engine_statement &statement = target == nullptr ? keptStatement(sender.id) : target->statement;
+    if (statement.startedAt > sender.startedAt)
+        return nullptr;
+    if (statement.startedAt < sender.startedAt)
+        statement = {.startedAt = sender.startedAt};
+    return &statement;
+}
+
+engine_statement &engine_registry::keptStatement(const std::string &id)
+{
+    if (m_keptStatements.size() >= maxKeptStatements && !m_keptStatements.contains(id))
+        m_keptStatements.erase(std::ranges::min_element(
+            m_keptStatements, {}, [](const auto &each) { return each.second.statedAt; }));
+    return m_keptStatements[id];
 }
 
 void engine_registry::restoreStatement(engine &target)
@@ -559,7 +634,7 @@
 {
     return std::ranges::any_of(enginesOf(upstream), [&](const engine *each) {
         return each->entry.id != id && isUsable(*each, now) && !isStalled(*each, now)
-               && each->running + each->peersRunning < each->entry.slots;
+               && each->running + each->peersRunning < usableSlots(*each, now);
     });
 }
 
@@ -598,8 +673,9 @@
         if (!filter(*each))
             continue;
         ++total.engines;
-        total.slots += each->entry.slots;
-        total.running += std::min(each->entry.slots, each->running + each->peersRunning);
+        const std::uint32_t slots = usableSlots(*each, now);
+        total.slots += slots;
+        total.running += std::min(slots, each->running + each->peersRunning);
         total.peersRunning += each->peersRunning;
     }
     return total;
@@ -613,9 +689,26 @@
 
 bool engine_registry::isUsable(const engine &candidate, core::time_point now) const
 {
-    return !candidate.entry.draining && !candidate.statement.isLeaving
-           && candidate.ejectedUntil <= now
-           && (m_evacuated.empty() || !m_evacuated.contains(candidate.entry.domain));
+    return !isExcluded(candidate) && candidate.ejectedUntil <= now
+           && candidate.statement.pausedUntil <= now;
+}
+
+bool engine_registry::isExcluded(const engine &candidate) const
+{
+    return candidate.entry.draining || candidate.statement.isLeaving
+           || (!m_evacuated.empty() && m_evacuated.contains(candidate.entry.domain));
+}
+
+// All nodes and callers wait for the end of a pause, so their requests would arrive together.
+std::uint32_t engine_registry::usableSlots(const engine &candidate, core::time_point now)
+{
+    const std::uint32_t slots = candidate.entry.slots;
+    if (candidate.statement.pausedUntil == core::time_point{})
+        return slots;
+    const double fraction = seconds(now - candidate.statement.pausedUntil) / seconds(pauseRecovery);
+    return fraction >= 1
+               ? slots
+               : std::max(1U, static_cast<std::uint32_t>(slots * std::max(0.0, fraction)));
 }
 
 bool engine_registry::allowsColdRequest(const engine &candidate, const fleet_share &share,
@@ -645,13 +738,13 @@
 // The delayed load of an engine has changed by starts and completions at other nodes; their
 // difference has a standard deviation of about the square root of their number.
 bool engine_registry::hasFreeCapacity(const engine &candidate, const selection_request &request,
-                                      double unreportedStarts)
+                                      double unreportedStarts, core::time_point now)
 {
+    const std::uint32_t slots = usableSlots(candidate, now);
     if (request.peerRequestsPerSlot)
-        return candidate.running + *request.peerRequestsPerSlot * candidate.entry.slots
-               < candidate.entry.slots;
+        return candidate.running + *request.peerRequestsPerSlot * candidate.entry.slots < slots;
     const double margin = candidate.preference == affinity::Other ? std::sqrt(unreportedStarts) : 0;
-    return candidate.running + candidate.peersRunning + std::lround(margin) < candidate.entry.slots;
+    return candidate.running + candidate.peersRunning + std::lround(margin) < slots;
 }
 
 // A slower engine is used only if the faster ones have no free capacity, not if they are merely
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -4,6 +4,7 @@
 #include "dispatch/engine_entry.h"
 #include "dispatch/engine_statement.h"
 #include "dispatch/fleet_share.h"
+#include "dispatch/upstream_pause.h"
 #include "dispatch/upstream_settings.h"
 
 #include <cstddef>
@@ -151,6 +152,34 @@
      */
     bool onLeaving(const engine_entry &sender, core::time_point now);
 
+    /**
+     * Excludes an engine that asked for a pause of this node, until the pause ends; then it gets
+     * its slots back gradually. `sender` is as for onLeaving(), and the pause ends early in the
+     * same way. Returns the time for which it is excluded, which is bounded; zero if it is paused
+     * already or an earlier process of the engine sent the response. Precondition: `pause` is not
+     * negative.
+     */
+    core::duration onPauseRequested(const engine_entry &sender, core::duration pause,
+                                    core::time_point now);
+
+    /**
+     * Records that an engine asked for a pause of an invalid length, which has no effect. Returns
+     * true for the first one of its process.
+     */
+    bool onInvalidPause(const engine_entry &sender, core::time_point now);
+
+    /** Returns the number of listed engines that are paused. */
+    std::size_t pausedCount(core::time_point now) const noexcept;
+
+    /**
+     * Returns when the engines of an upstream return if none is usable and one at least is paused;
+     * nothing otherwise.
+     */
+    std::optional<upstream_pause> pauseOf(std::string_view upstream, core::time_point now) const;
+
+    /** Returns the free slots of the engines whose pause has just ended. */
+    std::uint32_t recoveringSlots(std::string_view upstream, core::time_point now) const;
+
     /** Returns the number of listed engines that stated that they are leaving. */
     std::size_t leavingCount() const noexcept;
 
@@ -293,8 +322,13 @@
         engine_statement statement;
     };
 
+    /** Returns the statement to change; nullptr if it is not that of the sender's process. */
+    engine_statement *statementOf(const engine_entry &sender);
     void restoreStatement(engine &target);
-    void keepStatement(const std::string &id, const engine_statement &statement);
+    engine_statement &keptStatement(const std::string &id);
+    bool isExcluded(const engine &candidate) const;
+    /** Returns the slots that may be used; fewer than those of the entry after a pause. */
+    static std::uint32_t usableSlots(const engine &candidate, core::time_point now);
     bool isUsable(const engine &candidate, core::time_point now) const;
     bool allowsColdRequest(const engine &candidate, const fleet_share &share,
                            core::time_point now) const;
@@ -309,7 +343,7 @@
     void keepOneByFreeSlots(std::vector<candidate> &candidates);
     /** `unreportedStarts` is the expected number at this engine. */
     static bool hasFreeCapacity(const engine &candidate, const selection_request &request,
-                                double unreportedStarts);
+                                double unreportedStarts, core::time_point now);
     template<typename Filter>
     engine_capacity sumCapacity(std::string_view upstream, core::time_point now,
                                 Filter filter) const;
--- a/src/dispatch/engine_statement.h
+++ b/src/dispatch/engine_statement.h
@@ -11,9 +11,14 @@
 {
     /** Start time of the process, as in its entry; 0 if unknown. */
     std::uint64_t startedAt = 0;
+    /** Time of the latest statement. */
+    core::time_point statedAt{};
     /** The process accepts no new requests until it ends. */
     bool isLeaving = false;
-    core::time_point leavingSince{};
+    /** The process wants no new requests of this node until then. */
+    core::time_point pausedUntil{};
+    /** The process asked for a pause of an invalid length, which has been reported. */
+    bool hasInvalidPause = false;
 };
 
 } // namespace comfreypass::dispatch
--- a/src/gateway/flow_context.h
+++ b/src/gateway/flow_context.h
@@ -41,6 +41,13 @@
     /** Called when an engine has stated for the first time that it is leaving. */
     std::function<void(const dispatch::engine_entry &engine, const flow_record &record)>
         engineLeaving;
+    /** Called when an engine has asked for a pause and is excluded for `applied`. */
+    std::function<void(const dispatch::engine_entry &engine, const flow_record &record,
+                       core::duration requested, core::duration applied)>
+        enginePaused;
+    /** Called when an engine has asked for the first time for a pause of an invalid length. */
+    std::function<void(const dispatch::engine_entry &engine, const flow_record &record)>
+        pauseIgnored;
     /** Called when an attempt has failed; the flow may continue with another attempt. */
     std::function<void(const flow_record &record, std::string_view failure)> attemptFailed;
     /** Called when the flow has ended and may be passed to a deferred_deleter. */
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -95,6 +95,11 @@
 /** A caller's connection is aborted when its unsent output exceeds this. */
 constexpr std::size_t maxUnsentBytes = 4'194'304;
 
+std::string millisecondsText(core::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 std::uint64_t randomIncarnation()
 {
     std::random_device entropy;
@@ -192,6 +197,25 @@
                                   {"address", engine.address},
                                   {"stated_in", record.attemptId}});
                     },
+                .enginePaused =
+                    [](const dispatch::engine_entry &engine, const flow_record &record,
+                       core::duration requested, core::duration applied) {
+                        logEvent(applied < requested ? log_level::Warning : log_level::Info,
+                                 "engine_paused", "an engine asks for a pause of this node",
+                                 {{"engine", engine.id},
+                                  {"upstream", engine.upstream},
+                                  {"requested_ms", millisecondsText(requested)},
+                                  {"pause_ms", millisecondsText(applied)},
+                                  {"stated_in", record.attemptId}});
+                    },
+                .pauseIgnored =
+                    [](const dispatch::engine_entry &engine, const flow_record &record) {
+                        logEvent(log_level::Warning, "engine_pause_ignored",
+                                 "an engine asks for a pause of an invalid length",
+                                 {{"engine", engine.id},
+                                  {"upstream", engine.upstream},
+                                  {"stated_in", record.attemptId}});
+                    },
                 .attemptFailed =
                     [this](const flow_record &record, std::string_view failure) {
                         m_log.onAttemptFailed(record, failure, monotonicNow());
@@ -302,6 +326,8 @@
     m_metrics.set(metric::GatewayEngines, {}, static_cast<double>(m_registry.size()));
     m_metrics.set(metric::GatewayExcludedEngines, {"leaving"},
                   static_cast<double>(m_registry.leavingCount()));
+    m_metrics.set(metric::GatewayExcludedEngines, {"paused"},
+                  static_cast<double>(m_registry.pausedCount(now)));
     m_metrics.set(metric::GatewayConnections, {}, static_cast<double>(m_connections.size()));
     m_metrics.set(
         metric::GatewayConfigurationVersion, {},
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -285,11 +285,16 @@
     else if (m_mayHaveRun)
         respondLocally(badGateway, flow_outcome::Failed, "no_slot_to_repeat");
     else
-        respondRefused(unavailable,
-                       m_context.registry.areAllLeaving(m_upstream)
-                           ? toString(dispatch::refusal_cause::EnginesLeaving)
-                           : "waited_too_long",
-                       m_context.admission.retryAfter(m_upstream, m_context.now()));
+        refuseAfterWaiting();
+}
+
+void request_flow::refuseAfterWaiting()
+{
+    const core::time_point now = m_context.now();
+    const dispatch::refusal_cause cause = m_context.admission.exclusionCause(m_upstream, now);
+    respondRefused(unavailable,
+                   cause == dispatch::refusal_cause::None ? "waited_too_long" : toString(cause),
+                   m_context.admission.retryAfter(m_upstream, m_record.priority, now));
 }
 
 void request_flow::startAttempt(const dispatch::engine_entry &engine,
@@ -405,6 +410,19 @@
         m_context.engineLeaving(*m_engine, m_record);
 }
 
+void request_flow::recordPause()
+{
+    const core::time_point now = m_context.now();
+    if (m_response.hasInvalidPause && m_context.registry.onInvalidPause(*m_engine, now))
+        m_context.pauseIgnored(*m_engine, m_record);
+    if (!m_response.pauseFor)
+        return;
+    const core::duration applied
+        = m_context.registry.onPauseRequested(*m_engine, *m_response.pauseFor, now);
+    if (applied > core::duration::zero())
+        m_context.enginePaused(*m_engine, m_record, *m_response.pauseFor, applied);
+}
+
 http1::head_decision request_flow::onHead(const http1::message_head &head)
 {
     response_metadata metadata = m_context.callerProtocol.readResponse(head);
@@ -417,6 +435,7 @@
     m_lastEventAt = now;
     m_response = std::move(metadata);
     m_responseHead = head;
+    recordPause();
     const bool success = head.status < firstErrorStatus;
     if (success && m_response.isSigned && m_response.isEventStream && isStreamRoute()) {
         m_mode = relay_mode::Events;
@@ -678,7 +697,7 @@
         respondLocally(badGateway, flow_outcome::Failed, "engines_refused_repeat");
     else
         respondRefused(unavailable, "engines_refused",
-                       m_context.admission.retryAfter(m_upstream, now));
+                       m_context.admission.retryAfter(m_upstream, m_record.priority, now));
 }
 
 void request_flow::handleFailure(std::string_view failure, dispatch::attempt_result result)
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -76,6 +76,7 @@
     const std::string &chooseTarget();
     void submit();
     bool refuseQuarantined();
+    void refuseAfterWaiting();
     void onBrokenOff();
     void onAnswered();
     void startAttempt(const dispatch::engine_entry &engine,
@@ -87,6 +88,7 @@
     void onDeadline();
 
     void recordStatements(const response_metadata &response);
+    void recordPause();
     void relayEvents();
     void onFirstEvent(core::duration time);
     void writeToCaller(std::string_view bytes);
--- a/src/gateway/response_metadata.h
+++ b/src/gateway/response_metadata.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "core/time_point.h"
+
+#include <optional>
 #include <string>
 
 namespace comfreypass::gateway {
@@ -17,6 +20,10 @@
     bool misdirected = false;
     /** True if the engine states that it is leaving and accepts no new requests. */
     bool isLeaving = false;
+    /** The engine rejects the request and wants no other one of this node for this time. */
+    std::optional<core::duration> pauseFor;
+    /** The engine asks for a pause, but not with a valid length. */
+    bool hasInvalidPause = false;
     bool isEventStream = false;
     /** The engine's timeout for idle connections; 0 if it does not state one. */
     unsigned keepAliveSeconds = 0;
--- a/src/observe/request_timeline.cpp
+++ b/src/observe/request_timeline.cpp
@@ -120,7 +120,7 @@
 std::vector<log_entry> request_timeline::stateEvents() const
 {
     using enum state_event_rule::relation;
-    static constexpr std::array<state_event_rule, 15> rules = {{
+    static constexpr std::array<state_event_rule, 17> rules = {{
         {"node_started", "process", Any},
         {"node_stopping", "process", Any},
         {"configuration_applied", "configuration", Any},
@@ -131,6 +131,8 @@
         {"engine_changed", "", SameEngine},
         {"engine_removed", "", SameEngine},
         {"engine_leaving", "", SameUpstream},
+        {"engine_paused", "", SameUpstream},
+        {"engine_pause_ignored", "", SameEngine},
         {"domain_evacuated", "", Any},
         {"domain_restored", "", Any},
         {"peer_silent", "", Any},
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -27,6 +27,11 @@
     CPPUNIT_TEST(shortRequestsAreNotRefusedByOutdatedLoads);
     CPPUNIT_TEST(nodeWithoutUsablePreferredEnginesUsesOthers);
     CPPUNIT_TEST(slotsAreGrantedToRequestsThatCanMeetTheirObjective);
+    CPPUNIT_TEST(requestIsRefusedAtOnceIfAllEnginesPauseForLonger);
+    CPPUNIT_TEST(requestWaitsForAPauseThatEndsInTime);
+    CPPUNIT_TEST(queuedRequestsAreRefusedWhenThePauseOutlastsThem);
+    CPPUNIT_TEST(callersReturnAfterThePauseByPriority);
+    CPPUNIT_TEST(queuedRequestsReturnGraduallyAfterAPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,6 +85,82 @@
         CPPUNIT_ASSERT(last.retryAfter > 0s);
     }
 
+    // Guards against requests that wait in vain for engines that asked for a pause.
+    void requestIsRefusedAtOnceIfAllEnginesPauseForLonger()
+    {
+        pauseAll(3s);
+        const admission_decision decision = submit(1, 0);
+        CPPUNIT_ASSERT(decision.outcome == admission_outcome::Refuse);
+        CPPUNIT_ASSERT(decision.cause == refusal_cause::EnginesPaused);
+        CPPUNIT_ASSERT_EQUAL(std::string_view("engines_paused"), toString(decision.cause));
+        CPPUNIT_ASSERT(decision.retryAfter >= 3s && decision.retryAfter <= 3s + 4s);
+    }
+
+    // Guards against a refusal although an engine returns before the request must start.
+    void requestWaitsForAPauseThatEndsInTime()
+    {
+        pauseAll(600ms);
+        CPPUNIT_ASSERT(submit(1, 0).outcome == admission_outcome::Wait);
+        CPPUNIT_ASSERT(m_admission.takeExpired(m_now + 599ms).empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            m_admission.poll("u", poll_trigger::OwnCompletion, m_now + 600ms).size());
+    }
+
+    // Guards against queued requests that are held for engines that return too late for them.
+    void queuedRequestsAreRefusedWhenThePauseOutlastsThem()
+    {
+        submit(1, 0);
+        submit(2, 0);
+        CPPUNIT_ASSERT(submit(3, 0).outcome == admission_outcome::Wait);
+        pauseAll(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_admission.takeExpired(m_now + 1ms).size());
+        CPPUNIT_ASSERT(m_admission.exclusionCause("u", m_now) == refusal_cause::EnginesPaused);
+    }
+
+    // Guards against callers that all return at one moment, before the engine, or ahead of more
+    // urgent ones.
+    void callersReturnAfterThePauseByPriority()
+    {
+        pauseAll(2s);
+        std::map<std::uint32_t, double> sum;
+        std::map<core::duration, int> seen;
+        for (core::request_id id = 1; id <= 60; ++id) {
+            const auto priority = static_cast<std::uint32_t>(id % 3);
+            const core::duration delay = submit(id, priority).retryAfter;
+            CPPUNIT_ASSERT(delay >= 2s && delay <= 2s + 4s);
+            sum[priority] += std::chrono::duration<double>(delay).count();
+            if (delay < 2s + 4s)
+                ++seen[delay];
+        }
+        CPPUNIT_ASSERT(sum[0] < sum[1] && sum[1] < sum[2]);
+        CPPUNIT_ASSERT(seen.size() >= 10);
+    }
+
+    // Guards against a burst of all queued requests when a pause ends, and against slots that stay
+    // free after it.
+    void queuedRequestsReturnGraduallyAfterAPause()
+    {
+        m_registry.update(
+            {.id = "e1", .upstream = "u", .address = "127.0.0.1:1", .domain = "d1", .slots = 40},
+            nullptr, m_now);
+        for (core::request_id id = 1; id <= 100; ++id) {
+            submit(id, 0);
+            m_admission.onEnd("u", "e1", attempt_result::Served, 10ms, m_now);
+        }
+        pauseAll(400ms);
+        for (core::request_id id = 101; id <= 130; ++id)
+            CPPUNIT_ASSERT(submit(id, 0).outcome == admission_outcome::Wait);
+        std::size_t granted = 0;
+        for (auto after = 0ms; after <= 320ms; after += 20ms) {
+            const std::size_t count
+                = m_admission.poll("u", poll_trigger::RemoteChange, m_now + 400ms + after).size();
+            CPPUNIT_ASSERT(count <= 8);
+            granted += count;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{30}, granted);
+    }
+
     // Guards against requests that stay queued forever.
     void queuedRequestExpiresAtItsDeadline()
     {
@@ -148,7 +229,7 @@
     {
         std::map<core::duration, int> seen;
         for (int i = 0; i < 50; ++i)
-            ++seen[m_admission.retryAfter("u", m_now)];
+            ++seen[m_admission.retryAfter("u", 0, m_now)];
         CPPUNIT_ASSERT(seen.size() > 25);
         CPPUNIT_ASSERT(seen.begin()->first > 100ms);
     }
@@ -308,6 +389,11 @@
                 .objective = 500ms};
     }
 
+    void pauseAll(core::duration pause)
+    {
+        m_registry.onPauseRequested(*m_registry.find("e1"), pause, m_now);
+    }
+
     admission_decision submit(core::request_id id, std::uint32_t priority)
     {
         return m_admission.submit(request(id, priority), m_now);
--- a/tests/dispatch/engine_registry_test.cpp
+++ b/tests/dispatch/engine_registry_test.cpp
@@ -32,6 +32,12 @@
     CPPUNIT_TEST(statementOutlivesTheEntry);
     CPPUNIT_TEST(earlierProcessDoesNotExcludeTheNextOne);
     CPPUNIT_TEST(keptStatementsAreBounded);
+    CPPUNIT_TEST(pausedEngineIsNotSelectedUntilThePauseEnds);
+    CPPUNIT_TEST(shorterPauseDoesNotEndALongerOne);
+    CPPUNIT_TEST(pauseIsBounded);
+    CPPUNIT_TEST(pauseEndsWithTheProcessOnly);
+    CPPUNIT_TEST(slotsReturnGraduallyAfterAPause);
+    CPPUNIT_TEST(pauseOfAnUpstreamEndsWithItsFirstEngine);
     CPPUNIT_TEST(movedEngineServesItsNewUpstreamOnly);
     CPPUNIT_TEST(preferredEnginesAreSelectedFirst);
     CPPUNIT_TEST(singleLoadReplacesTheReportedLoad);
@@ -363,6 +369,101 @@
         CPPUNIT_ASSERT(registry.isUsable("e0", m_now));
     }
 
+    // Guards against requests to an engine that asked for a pause, fractions of seconds included.
+    void pausedEngineIsNotSelectedUntilThePauseEnds()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 1'250ms, m_now) == 1'250ms);
+        add(registry, "e1", 2);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 1'249ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.pausedCount(m_now));
+        CPPUNIT_ASSERT(registry.isUsable("e1", m_now + 1'250ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.pausedCount(m_now + 1'250ms));
+    }
+
+    // Guards against a later response that cuts a pause short.
+    void shorterPauseDoesNotEndALongerOne()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        registry.onPauseRequested(make("e1", 2), 3s, m_now);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 500ms, m_now + 1s) == 0s);
+        registry.onStart("e1", m_now);
+        registry.onEnd("e1", attempt_result::Served, m_now + 1s);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 2'999ms));
+        registry.onPauseRequested(make("e1", 2), 3s, m_now + 2s);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 4'999ms));
+    }
+
+    // Guards against an engine that is lost for days by a wrong value.
+    void pauseIsBounded()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 240h, m_now) == 5min);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 299s));
+        CPPUNIT_ASSERT(registry.isUsable("e1", m_now + 5min));
+        CPPUNIT_ASSERT(registry.onInvalidPause(make("e1", 2), m_now));
+        CPPUNIT_ASSERT(!registry.onInvalidPause(make("e1", 2), m_now));
+    }
+
+    // Guards against a pause that a new process inherits, or that the entry of the same one ends.
+    void pauseEndsWithTheProcessOnly()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 100;
+        registry.update(entry, nullptr, m_now);
+        registry.onPauseRequested(entry, 3s, m_now);
+        registry.remove("e1");
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now));
+        entry.startedAt = 200;
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT_EQUAL(2, startAll(registry, 9));
+    }
+
+    // Guards against all queued requests that start at once when a pause ends.
+    void slotsReturnGraduallyAfterAPause()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 20);
+        registry.onPauseRequested(make("e1", 20), 1s, m_now);
+        std::uint32_t last = 0;
+        for (const auto after : {0ms, 60ms, 150ms, 240ms, 300ms}) {
+            const core::time_point now = m_now + 1s + after;
+            const std::uint32_t slots = registry.capacityOf("u", now).slots;
+            std::uint32_t started = 0;
+            for (;
+                 registry.choose({.upstream = "u"}, {}, now).outcome == selection_outcome::Selected;
+                 ++started)
+                registry.onStart("e1", now);
+            CPPUNIT_ASSERT_EQUAL(slots, last + started);
+            CPPUNIT_ASSERT(slots > last && started <= 8);
+            last = slots;
+        }
+        CPPUNIT_ASSERT_EQUAL(20U, last);
+    }
+
+    // Guards against a retry time that is later than the return of the first engine.
+    void pauseOfAnUpstreamEndsWithItsFirstEngine()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        add(registry, "e2", 3);
+        CPPUNIT_ASSERT(!registry.pauseOf("u", m_now));
+        registry.onPauseRequested(make("e1", 2), 2s, m_now);
+        CPPUNIT_ASSERT(!registry.pauseOf("u", m_now));
+        registry.onPauseRequested(make("e2", 3), 1s, m_now);
+        CPPUNIT_ASSERT(registry.pauseOf("u", m_now)->endsAt == m_now + 1s);
+        CPPUNIT_ASSERT_EQUAL(5U, registry.pauseOf("u", m_now)->slots);
+        registry.onLeaving(make("e2", 3), m_now);
+        CPPUNIT_ASSERT(registry.pauseOf("u", m_now)->endsAt == m_now + 2s);
+        registry.onLeaving(make("e1", 2), m_now);
+        CPPUNIT_ASSERT(!registry.pauseOf("u", m_now));
+    }
+
     // Guards against an engine that is selected for its former upstream.
     void movedEngineServesItsNewUpstreamOnly()
     {
--- a/tests/gateway/engine_statements_test.cpp
+++ b/tests/gateway/engine_statements_test.cpp
@@ -46,6 +46,9 @@
     CPPUNIT_TEST(misdirectedResponseDoesNotExcludeTheNamedEngine);
     CPPUNIT_TEST(restartedEngineIsUsedAgain);
     CPPUNIT_TEST(refusalNamesTheLeavingEngines);
+    CPPUNIT_TEST(pausedEngineReceivesNoRequests);
+    CPPUNIT_TEST(refusalNamesThePauseAndItsEnd);
+    CPPUNIT_TEST(pauseOfAnotherRequestIsNotCounted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -226,6 +229,63 @@
         CPPUNIT_ASSERT(refusal.ends_with("engines_leaving\n"));
     }
 
+    // Guards against requests to an engine that rejected one and asked for a pause.
+    void pausedEngineReceivesNoRequests()
+    {
+        listening_socket &first = m_gateway.addEngine("e1", 9);
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(first);
+        m_gateway.requestAt(engine);
+        listening_socket &second = m_gateway.addEngine("e2", 9);
+        engine.send(response("503 Service Unavailable", "Not-Run: 1\r\nPause-Ms: 60000\r\n", ""));
+        for (int i = 1; i < 8; ++i) {
+            const auto next = i == 1 ? nullptr : m_gateway.call("/once/", std::to_string(i));
+            raw_socket other = m_gateway.acceptAt(second);
+            m_gateway.requestAt(other);
+            other.send(served(std::to_string(i), "Connection: close\r\n"));
+            CPPUNIT_ASSERT(m_gateway.responseOf(i == 1 ? *caller : *next).ends_with("fine"));
+        }
+        CPPUNIT_ASSERT_EQUAL(1.0, excludedEngines(m_gateway));
+        CPPUNIT_ASSERT(!first.pending() && !contains(engine.receive(), "Id: 2\r\n"));
+    }
+
+    // Guards against a refusal that sends callers back while all engines are paused.
+    void refusalNamesThePauseAndItsEnd()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1", 9);
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(response("503 Service Unavailable", "Not-Run: 1\r\nPause-Ms: 20000\r\n", ""));
+        const std::string refusal = m_gateway.responseOf(*caller);
+        CPPUNIT_ASSERT(refusal.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(refusal.ends_with("engines_paused\n"));
+        const std::string field = "Retry-After: ";
+        const double delay = std::stod(refusal.substr(refusal.find(field) + field.size()));
+        CPPUNIT_ASSERT(delay > 19 && delay < 25);
+    }
+
+    // Guards against a pause stated in a response that does not belong to the request, or in one
+    // that is not a valid pause.
+    void pauseOfAnotherRequestIsNotCounted()
+    {
+        listening_socket &listener = m_gateway.addEngine("e1", 9);
+        m_gateway.configure(1);
+        const auto caller = m_gateway.call("/once/", "1");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(
+            response("503 Service Unavailable", "Id: 0\r\nNot-Run: 1\r\nPause-Ms: 20000\r\n", ""));
+        CPPUNIT_ASSERT(m_gateway.isWaitingForResponse(*caller));
+        CPPUNIT_ASSERT_EQUAL(0.0, excludedEngines(m_gateway));
+        engine.send(response("503 Service Unavailable",
+                             "Id: 1\r\nNot-Run: 1\r\nPause-Ms: invalid\r\n", ""));
+        m_gateway.isWaitingForResponse(*caller);
+        CPPUNIT_ASSERT_EQUAL(0.0, excludedEngines(m_gateway));
+    }
+
 private:
     /** Returns the number of engines that the node excludes because of their statements. */
     static double excludedEngines(gateway_fixture &gateway)
--- a/tests/gateway/plain_protocol.cpp
+++ b/tests/gateway/plain_protocol.cpp
@@ -37,6 +37,10 @@
     metadata.isSigned = head.headers.find("Signed").has_value();
     metadata.misdirected = head.status == 421;
     metadata.notRun = metadata.misdirected || head.headers.find("Not-Run").has_value();
+    if (const auto pause = head.headers.find("Pause-Ms"); pause && *pause != "invalid")
+        metadata.pauseFor = milliseconds(std::stol(std::string(*pause)));
+    else
+        metadata.hasInvalidPause = pause.has_value();
     metadata.isLeaving = head.headers.find("Leaving").has_value();
     metadata.isEventStream = head.headers.find("Content-Type").value_or("") == "text/event-stream";
     metadata.keepAliveSeconds = 10;
--- a/tests/observe/request_timeline_test.cpp
+++ b/tests/observe/request_timeline_test.cpp
@@ -12,7 +12,7 @@
     CPPUNIT_TEST(linesAreSortedByTime);
     CPPUNIT_TEST(listsOnlyEventsTheNodeKnewAtTheTime);
     CPPUNIT_TEST(omitsEventsOfOtherEngines);
-    CPPUNIT_TEST(listsLeavingEnginesOfTheUpstream);
+    CPPUNIT_TEST(listsStatementsOfEnginesOfTheUpstream);
     CPPUNIT_TEST(countsMalformedLines);
     CPPUNIT_TEST_SUITE_END();
 
@@ -61,18 +61,21 @@
     }
 
     // Guards against a refusal without its cause: the request has reached no engine.
-    void listsLeavingEnginesOfTheUpstream()
+    void listsStatementsOfEnginesOfTheUpstream()
     {
         request_timeline timeline("r1");
         timeline.feed(line("10:00:01.000", "a", "engine_leaving",
                            R"("engine":"e1","upstream":"u","stated_in":"r0")"));
         timeline.feed(line("10:00:01.000", "a", "engine_leaving",
                            R"("engine":"e2","upstream":"v","stated_in":"r0")"));
+        timeline.feed(line("10:00:02.000", "a", "engine_paused",
+                           R"("engine":"e3","upstream":"u","pause_ms":"900")"));
         timeline.feed(
             line("10:00:03.000", "a", "request_ended",
-                 R"("request":"r1","engine":"","upstream":"u","reason":"engines_leaving")"));
+                 R"("request":"r1","engine":"","upstream":"u","reason":"engines_paused")"));
         const auto stateEvents = timeline.stateEvents();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stateEvents.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stateEvents.size());
+        CPPUNIT_ASSERT_EQUAL(std::string_view("e3"), stateEvents.at(1).field("engine"));
         CPPUNIT_ASSERT_EQUAL(std::string_view("e1"), stateEvents.at(0).field("engine"));
     }
 
--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(invalidFieldsAreIgnored);
     CPPUNIT_TEST(reservedFieldsAreReplacedForTheEngine);
     CPPUNIT_TEST(responsesAreClassified);
+    CPPUNIT_TEST(pausesAreParsed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +123,30 @@
                        == "12");
     }
 
+    // Guards against a pause that is misread, or taken from a response that rejects nothing.
+    void pausesAreParsed()
+    {
+        http1::message_head head;
+        const auto read = [&](unsigned status, const std::string &text) {
+            head.status = status;
+            head.headers = {{"retry-after", text}};
+            return m_protocol.readResponse(head);
+        };
+        CPPUNIT_ASSERT(read(503, "2").pauseFor == 2s);
+        CPPUNIT_ASSERT(read(503, "0.25").pauseFor == 250ms);
+        CPPUNIT_ASSERT(read(503, "0").pauseFor == 0s);
+        CPPUNIT_ASSERT(read(503, "9999999999999999999999").pauseFor >= 240h);
+        for (const unsigned status : {200U, 429U, 500U, 421U}) {
+            CPPUNIT_ASSERT(!read(status, "2").pauseFor);
+            CPPUNIT_ASSERT(!read(status, "soon").hasInvalidPause);
+        }
+        for (const std::string text :
+             {"", "-1", "nan", "inf", "soon", "1,5", "2 s", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !read(503, text).pauseFor);
+            CPPUNIT_ASSERT_MESSAGE(text, read(503, text).hasInvalidPause);
+        }
+    }
+
     // Guards against "not run" for a response that does not say so.
     void responsesAreClassified()
     {
--- a/tests/platform/soak/engine.py
+++ b/tests/platform/soak/engine.py
@@ -20,6 +20,12 @@
         self.runs = runs
         self.failing = False
         self.leaving = False
+        # Forwards the connections of the nodes, if there is one.
+        self.proxy = None
+        # The engine rejects all requests until then and asks for a pause of the rest of the time.
+        self.paused_until = 0
+        # Attempt id and time of each rejection with a pause, and the end of the pause.
+        self.pauses = []
         # Attempt id and time of each request that reached the engine, whether it ran or not.
         self.arrivals = []
         self.running = 0
@@ -46,6 +52,16 @@
         if request.headers["comfreypass-expect-instance"] != self.name:
             await self._respond(writer, "421 Misdirected Request", headers, b"")
             return
+        now = time.monotonic()
+        if now < self.paused_until:
+            rest = self.paused_until - now
+            headers["Comfreypass-Not-Executed"] = "paused"
+            headers["Retry-After"] = "%.3f" % rest
+            await self._respond(writer, "503 Service Unavailable", headers, b"")
+            # A disturbed connection may lose the response.
+            if self.proxy is None or self.proxy.mode == "pass":
+                self.pauses.append((attempt_id, time.monotonic(), self.paused_until))
+            return
         if self.running >= 2 * SLOTS:
             headers["Comfreypass-Not-Executed"] = "full"
             await self._respond(writer, "503 Service Unavailable", headers, b"")
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -1,7 +1,7 @@
 """Randomised soak test of gateway processes: injects faults and checks the guarantees of the
 gateway at the callers and at the engines.
 
-Usage: soak.py --node PROGRAM [--seed N] [--seconds N] [--nodes N] [--statements leaving]. A failure
+Usage: soak.py --node PROGRAM [--seed N] [--seconds N] [--nodes N] [--statements KIND...]. A failure
 prints its seed; the same seed reproduces the faults and their times, but not the interleaving of the
 processes.
 """
@@ -38,6 +38,9 @@
 FAULTS_PER_SECOND = 2
 # An engine that has stated its leaving to a node receives no new requests from it after this time.
 DRAIN_SECONDS = 0.5
+# An engine that has asked a node for a pause receives at most this many requests from it between
+# this time after its response and the end of the pause.
+PAUSE_SLACK_SECONDS, PAUSE_REQUESTS = 0.5, 2
 # An evacuated domain receives no new requests after this time.
 EVACUATION_SECONDS = 5
 
@@ -68,6 +71,7 @@
         self.outcomes = []
         self.failures = []
         self.statement_count = 0
+        self.pause_count = 0
         self.version = 1
         self.evacuations = []
         # Engine, start and end of each time in which an engine states its leaving.
@@ -207,7 +211,11 @@
               disrupt_engine_connections, disrupt_store_connections, fail_engine, remove_engine,
               publish_configuration, evacuate_domain)
 
-    STATEMENTS = {"leaving": leave_engine}
+    async def overload_engine(self, seconds):
+        engine = self.random.choice(self.engines)
+        engine.paused_until = time.monotonic() + max(seconds, 0.5)
+
+    STATEMENTS = {"leaving": leave_engine, "pauses": overload_engine}
 
     def disrupt_random_node(self, kind):
         free = [node for node in self.nodes if all(ended for _, _, ended in node.disruptions)]
@@ -258,6 +266,7 @@
         self.check_outcomes()
         self.check_runs()
         self.check_departures()
+        self.check_pauses()
 
     async def check_recovery(self):
         end = time.monotonic() + RECOVERY_SECONDS
@@ -339,6 +348,23 @@
                                   % (engine.name, at - told.leaving_time, told.node.name), late)
                         return
 
+    def check_pauses(self):
+        sent = {outcome.attempt_id: outcome for outcome in self.outcomes}
+        for engine in self.engines:
+            for attempt_id, told_at, end in engine.pauses:
+                told = sent.get(attempt_id)
+                if told is None:
+                    continue
+                self.pause_count += 1
+                late = [at - told_at for other, at in engine.arrivals
+                        if other in sent and sent[other].node is told.node
+                        and told_at + PAUSE_SLACK_SECONDS < at < end]
+                if (len(late) > PAUSE_REQUESTS and not told.node.disrupted_between(
+                        told_at, end, ("kill", "stop", "pause"))):
+                    self.fail("%s received %d requests of %s in a pause, after %s s"
+                              % (engine.name, len(late), told.node.name, late[:3]), told)
+                    return
+
     def fail(self, message, outcome):
         self.failures.append("%s: %r; ran at %s"
                              % (message, outcome, self.runs[outcome.attempt_id]))
@@ -350,8 +376,9 @@
         disruptions = sum(len(node.disruptions) for node in self.nodes)
         departures = (", %d departures stated in %d responses"
                       % (len(self.departures), self.statement_count) if self.departures else "")
+        pauses = ", %d rejections with a pause" % self.pause_count if self.pause_count else ""
         return "%d requests, by status %s, %d processes disturbed%s" % (
-            len(self.outcomes), counts, disruptions, departures)
+            len(self.outcomes), counts, disruptions, departures + pauses)
 
     def kill_nodes(self):
         for node in getattr(self, "nodes", []):
