Log extended pauses, and ignore pauses of no length

Cause: reading the change again. A pause that an engine extended was logged with its first end only, and Retry-After: 0 reduced the engine's slots to one for a moment.

Change: a pause that moves the end by more than half of its length is logged, too; one of zero seconds has no effect.

Conclusion: no decision changes but for a pause of zero.

--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -456,13 +456,14 @@
                                                  core::time_point now)
 {
     engine_statement *statement = statementOf(sender);
-    if (statement == nullptr)
+    if (statement == nullptr || pause <= core::duration::zero())
         return {};
     const core::duration bounded = std::min(pause, maxPause);
-    const bool isPaused = statement->pausedUntil > now;
+    const core::duration known = statement->pausedUntil - now;
     statement->statedAt = now;
     statement->pausedUntil = std::max(statement->pausedUntil, now + bounded);
-    return isPaused ? core::duration::zero() : bounded;
+    // Requests that were on their way when the pause began are rejected with the same pause.
+    return known < bounded / 2 ? bounded : core::duration::zero();
 }
 
 bool engine_registry::onInvalidPause(const engine_entry &sender, core::time_point now)
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -155,9 +155,8 @@
     /**
      * Excludes an engine that asked for a pause of this node, until the pause ends; then it gets
      * its slots back gradually. `sender` is as for onLeaving(), and the pause ends early in the
-     * same way. Returns the time for which it is excluded, which is bounded; zero if it is paused
-     * already or an earlier process of the engine sent the response. Precondition: `pause` is not
-     * negative.
+     * same way. Returns the time for which it is excluded, which is bounded; zero if the pause is
+     * empty, changes little, or was requested by an earlier process of the engine.
      */
     core::duration onPauseRequested(const engine_entry &sender, core::duration pause,
                                     core::time_point now);
--- a/tests/dispatch/engine_registry_test.cpp
+++ b/tests/dispatch/engine_registry_test.cpp
@@ -392,7 +392,8 @@
         registry.onStart("e1", m_now);
         registry.onEnd("e1", attempt_result::Served, m_now + 1s);
         CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 2'999ms));
-        registry.onPauseRequested(make("e1", 2), 3s, m_now + 2s);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 3s, m_now + 2s) == 3s);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 3s, m_now + 2'010ms) == 0s);
         CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 4'999ms));
     }
 
@@ -404,6 +405,9 @@
         CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 240h, m_now) == 5min);
         CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 299s));
         CPPUNIT_ASSERT(registry.isUsable("e1", m_now + 5min));
+        add(registry, "e2", 9);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e2", 9), 0s, m_now) == 0s);
+        CPPUNIT_ASSERT_EQUAL(9U, registry.capacityOf("u", m_now).slots);
         CPPUNIT_ASSERT(registry.onInvalidPause(make("e1", 2), m_now));
         CPPUNIT_ASSERT(!registry.onInvalidPause(make("e1", 2), m_now));
     }
