--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -2,7 +2,9 @@
 
 #include "core/time_point.h"
 #include "dispatch/engine_entry.h"
+#include "dispatch/engine_statement.h"
 #include "dispatch/fleet_share.h"
+#include "dispatch/upstream_pause.h"
 #include "dispatch/upstream_settings.h"
 
 #include <cstddef>
@@ -144,6 +146,47 @@
     /** Replaces the load of one peer at one engine. */
     void setPeerLoad(std::uint32_t peer, const engine_load &load);
 
+    /**
+     * Excludes an engine that stated in a response that it is leaving. `sender` is its entry at the
+     * start of the request. The exclusion ends when an entry shows a later start of the engine; it
+     * outlives the entry if that states a start time. Returns false if it is known already, or if
+     * an earlier process of the engine sent the response.
+     */
+    bool onLeaving(const engine_entry &sender, core::time_point now);
+
+    /**
+     * Excludes an engine that asked for a pause of this node, until the pause ends; then it gets
+     * its slots back gradually. `sender` is as for onLeaving(), and the pause ends early in the
+     * same way. Returns the time for which it is excluded, which is bounded; zero if the pause is
+     * empty, changes little, or was requested by an earlier process of the engine.
+     */
+    core::duration onPauseRequested(const engine_entry &sender, core::duration pause,
+                                    core::time_point now);
+
+    /**
+     * Records that an engine asked for a pause of an invalid length, which has no effect. Returns
+     * true for the first one of its process.
+     */
+    bool onInvalidPause(const engine_entry &sender, core::time_point now);
+
+    /** Returns the number of listed engines that are paused. */
+    std::size_t pausedCount(core::time_point now) const noexcept;
+
+    /**
+     * Returns when the engines of an upstream return if none is usable and one at least is paused;
+     * nothing otherwise.
+     */
+    std::optional<upstream_pause> pauseOf(std::string_view upstream, core::time_point now) const;
+
+    /** Returns the free slots of the engines whose pause has just ended. */
+    std::uint32_t recoveringSlots(std::string_view upstream, core::time_point now) const;
+
+    /** Returns the number of listed engines that stated that they are leaving. */
+    std::size_t leavingCount() const noexcept;
+
+    /** Returns true if engines serve the upstream and all of them are leaving. */
+    bool areAllLeaving(std::string_view upstream) const;
+
     /** Marks an engine degraded that a peer ejected, unless it has just served this node. */
     void onPeerEjected(engine_key key, core::time_point now);
 
@@ -273,8 +316,16 @@
         /** Event intervals that this node measured itself. */
         std::uint32_t eventIntervalCount = 0;
         affinity preference = affinity::None;
+        engine_statement statement;
     };
 
+    /** Returns the statement to change; nullptr if it is not that of the sender's process. */
+    engine_statement *statementOf(const engine_entry &sender);
+    void restoreStatement(engine &target);
+    engine_statement &keptStatement(const std::string &id);
+    bool isExcluded(const engine &candidate) const;
+    /** Returns the slots that may be used; fewer than those of the entry after a pause. */
+    static std::uint32_t usableSlots(const engine &candidate, core::time_point now);
     bool isUsable(const engine &candidate, core::time_point now) const;
     bool allowsColdRequest(const engine &candidate, const fleet_share &share,
                            core::time_point now) const;
@@ -289,7 +340,7 @@
     void keepOneByFreeSlots(std::vector<candidate> &candidates);
     /** `unreportedStarts` is the expected number at this engine. */
     static bool hasFreeCapacity(const engine &candidate, const selection_request &request,
-                                double unreportedStarts);
+                                double unreportedStarts, core::time_point now);
     template<typename Filter>
     engine_capacity sumCapacity(std::string_view upstream, core::time_point now,
                                 Filter filter) const;
@@ -327,6 +378,8 @@
     std::unordered_map<std::uint32_t, std::vector<engine_load>> m_peerLoads;
     /** Sum of m_peerLoads, including engines that this node does not know yet. */
     std::unordered_map<engine_key, std::uint32_t> m_peersRunning;
+    /** Statements of engines whose entry was removed; it may return while the process runs. */
+    std::map<std::string, engine_statement> m_keptStatements;
     std::vector<engine_key> m_changedLoads;
     std::vector<engine_key> m_newlyEjected;
     std::uint64_t m_membershipVersion = 0;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -329,8 +329,16 @@
     else if (m_mayHaveRun)
         respondLocally(badGateway, flow_outcome::Failed, "no_slot_to_repeat");
     else
-        respondRefused(unavailable, "waited_too_long",
-                       m_context.admission.retryAfter(m_upstream, m_context.now()));
+        refuseAfterWaiting();
+}
+
+void request_flow::refuseAfterWaiting()
+{
+    const core::time_point now = m_context.now();
+    const dispatch::refusal_cause cause = m_context.admission.exclusionCause(m_upstream, now);
+    respondRefused(unavailable,
+                   cause == dispatch::refusal_cause::None ? "waited_too_long" : toString(cause),
+                   m_context.admission.retryAfter(m_upstream, m_record.priority, now));
 }
 
 void request_flow::startAttempt(const dispatch::engine_entry &engine,
@@ -491,9 +499,39 @@
     handleNotRun();
 }
 
+void request_flow::onInterimHead(const http1::message_head &head)
+{
+    recordStatements(m_context.callerProtocol.readResponse(head));
+}
+
+// What an engine states about itself counts in every response, also in one that is skipped.
+void request_flow::recordStatements(const response_metadata &response)
+{
+    // A misdirected request is rejected by another engine, which uses the address now.
+    if (!response.isLeaving || response.misdirected)
+        return;
+    m_context.engineConnections.closeIdle(*m_engineAddress);
+    if (m_context.registry.onLeaving(*m_engine, m_context.now()))
+        m_context.engineLeaving(*m_engine, m_record);
+}
+
+void request_flow::recordPause()
+{
+    const core::time_point now = m_context.now();
+    if (m_response.hasInvalidPause && m_context.registry.onInvalidPause(*m_engine, now))
+        m_context.pauseIgnored(*m_engine, m_record);
+    if (!m_response.pauseFor)
+        return;
+    const core::duration applied
+        = m_context.registry.onPauseRequested(*m_engine, *m_response.pauseFor, now);
+    if (applied > core::duration::zero())
+        m_context.enginePaused(*m_engine, m_record, *m_response.pauseFor, applied);
+}
+
 http1::head_decision request_flow::onHead(const http1::message_head &head)
 {
     response_metadata metadata = m_context.callerProtocol.readResponse(head);
+    recordStatements(metadata);
     // A late response to an earlier request on this connection.
     if (!metadata.attemptId.empty() && metadata.attemptId != m_metadata.attemptId) {
         m_foreignResponseSeen = true;
@@ -507,6 +545,7 @@
     m_lastEventAt = now;
     m_response = std::move(metadata);
     m_responseHead = head;
+    recordPause();
     const bool success = head.status < firstErrorStatus;
     if (success && m_response.notRun) {
         // A response that contradicts itself is neither a success nor a promise.
@@ -792,7 +831,7 @@
         respondLocally(badGateway, flow_outcome::Failed, "engines_refused_repeat");
     else
         respondRefused(unavailable, "engines_refused",
-                       m_context.admission.retryAfter(m_upstream, now));
+                       m_context.admission.retryAfter(m_upstream, m_record.priority, now));
 }
 
 // The caller of a begun stream can be told nothing, so another engine is sought while it waits.
@@ -866,7 +905,7 @@
     const std::string engineId = m_engine->id;
     m_engine.reset();
     if (m_connection.connection) {
-        if (reusable && m_connection.connection->usable())
+        if (reusable && !m_response.isLeaving && m_connection.connection->usable())
             m_context.engineConnections.release(
                 *m_engineAddress, std::move(m_connection.connection),
                 std::chrono::seconds(m_response.keepAliveSeconds), now);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -68,6 +68,7 @@
         Bytes,
     };
 
+    void onInterimHead(const http1::message_head &head) override;
     http1::head_decision onHead(const http1::message_head &head) override;
     void onBody(std::string_view bytes) override;
     void onComplete(bool reusable) override;
@@ -82,6 +83,7 @@
                                                core::time_point queueDeadline);
     bool isQuarantined() const;
     bool refuseQuarantined();
+    void refuseAfterWaiting();
     void onBrokenOff();
     void onAnswered();
     void startAttempt(const dispatch::engine_entry &engine,
@@ -99,6 +101,8 @@
     void onProgress(core::time_point now);
     void onDeadline();
 
+    void recordStatements(const response_metadata &response);
+    void recordPause();
     void relayEvents();
     void onFirstEvent(core::duration time);
     void writeToCaller(std::string_view bytes);
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -112,8 +112,12 @@
     if (std::exchange(m_headReported, true))
         return !m_skipping;
     const message_head &head = m_parser->head();
-    const head_decision decision
-        = head.status < firstFinalStatus ? head_decision::Skip : m_events->onHead(head);
+    if (head.status < firstFinalStatus) {
+        m_skipping = true;
+        m_events->onInterimHead(head);
+        return false;
+    }
+    const head_decision decision = m_events->onHead(head);
     m_skipping = decision != head_decision::Accept;
     if (decision == head_decision::Reject)
         fail(exchange_failure::Unattributed);
--- a/tests/dispatch/engine_registry_test.cpp
+++ b/tests/dispatch/engine_registry_test.cpp
@@ -30,6 +30,16 @@
     CPPUNIT_TEST(requestOfAStalledEngineIsNotMovedToAnotherStalledOne);
     CPPUNIT_TEST(failingEngineReceivesFewerRequests);
     CPPUNIT_TEST(reusedIdIsTreatedAsANewEngine);
+    CPPUNIT_TEST(leavingEngineIsNotSelectedWhileItsEntrySaysReady);
+    CPPUNIT_TEST(statementOutlivesTheEntry);
+    CPPUNIT_TEST(earlierProcessDoesNotExcludeTheNextOne);
+    CPPUNIT_TEST(keptStatementsAreBounded);
+    CPPUNIT_TEST(pausedEngineIsNotSelectedUntilThePauseEnds);
+    CPPUNIT_TEST(shorterPauseDoesNotEndALongerOne);
+    CPPUNIT_TEST(pauseIsBounded);
+    CPPUNIT_TEST(pauseEndsWithTheProcessOnly);
+    CPPUNIT_TEST(slotsReturnGraduallyAfterAPause);
+    CPPUNIT_TEST(pauseOfAnUpstreamEndsWithItsFirstEngine);
     CPPUNIT_TEST(movedEngineServesItsNewUpstreamOnly);
     CPPUNIT_TEST(preferredEnginesAreSelectedFirst);
     CPPUNIT_TEST(singleLoadReplacesTheReportedLoad);
@@ -311,6 +321,189 @@
         CPPUNIT_ASSERT(registry.isUsable("e1", m_now));
     }
 
+    // Guards against requests to an engine that has stated its leaving, while the list lags.
+    void leavingEngineIsNotSelectedWhileItsEntrySaysReady()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 100;
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(registry.onLeaving(entry, m_now));
+        CPPUNIT_ASSERT(!registry.onLeaving(entry, m_now));
+        registry.update(entry, nullptr, m_now);
+        engine_entry older = entry;
+        older.startedAt = 50;
+        registry.update(older, nullptr, m_now);
+        CPPUNIT_ASSERT(registry.choose({.upstream = "u"}, {}, m_now + 1h).outcome
+                       == selection_outcome::NoEngine);
+        CPPUNIT_ASSERT(registry.areAllLeaving("u"));
+        add(registry, "e2", 2);
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), choose(registry).engine->id);
+        CPPUNIT_ASSERT(!registry.areAllLeaving("u"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.leavingCount());
+    }
+
+    // Guards against requests to a leaving engine whose entry expired and was written again.
+    void statementOutlivesTheEntry()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 100;
+        registry.update(entry, nullptr, m_now);
+        registry.onLeaving(entry, m_now);
+        registry.remove("e1");
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now));
+        // The response arrives after the entry was removed.
+        engine_entry removed = make("e2", 2);
+        removed.startedAt = 100;
+        registry.onLeaving(removed, m_now);
+        registry.update(removed, nullptr, m_now);
+        CPPUNIT_ASSERT(!registry.isUsable("e2", m_now));
+        registry.remove("e2");
+        removed.startedAt = 101;
+        registry.update(removed, nullptr, m_now);
+        CPPUNIT_ASSERT(registry.isUsable("e2", m_now));
+    }
+
+    // Guards against a new process that is shunned for a response of the one before it, also
+    // without start times.
+    void earlierProcessDoesNotExcludeTheNextOne()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 200;
+        registry.update(entry, nullptr, m_now);
+        engine_entry before = entry;
+        before.startedAt = 100;
+        CPPUNIT_ASSERT(!registry.onLeaving(before, m_now));
+        CPPUNIT_ASSERT(registry.isUsable("e1", m_now));
+        add(registry, "e2", 2);
+        registry.onLeaving(make("e2", 2), m_now);
+        CPPUNIT_ASSERT(!registry.isUsable("e2", m_now));
+        registry.remove("e2");
+        add(registry, "e2", 2);
+        CPPUNIT_ASSERT(registry.isUsable("e2", m_now));
+    }
+
+    // Guards against memory that grows with the number of engines that ever left.
+    void keptStatementsAreBounded()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("", 2);
+        entry.startedAt = 100;
+        for (int i = 0; i < 5'000; ++i) {
+            entry.id = "e" + std::to_string(i);
+            registry.update(entry, nullptr, m_now);
+            registry.onLeaving(entry, m_now + i * 1ms);
+            registry.remove(entry.id);
+        }
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(!registry.isUsable(entry.id, m_now));
+        entry.id = "e0";
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(registry.isUsable("e0", m_now));
+    }
+
+    // Guards against requests to an engine that asked for a pause, fractions of seconds included.
+    void pausedEngineIsNotSelectedUntilThePauseEnds()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 1'250ms, m_now) == 1'250ms);
+        add(registry, "e1", 2);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 1'249ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.pausedCount(m_now));
+        CPPUNIT_ASSERT(registry.isUsable("e1", m_now + 1'250ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.pausedCount(m_now + 1'250ms));
+    }
+
+    // Guards against a later response that cuts a pause short.
+    void shorterPauseDoesNotEndALongerOne()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        registry.onPauseRequested(make("e1", 2), 3s, m_now);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 500ms, m_now + 1s) == 0s);
+        registry.onStart("e1", m_now);
+        registry.onEnd("e1", attempt_result::Served, m_now + 1s);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 2'999ms));
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 3s, m_now + 2s) == 3s);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 3s, m_now + 2'010ms) == 0s);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 4'999ms));
+    }
+
+    // Guards against an engine that is lost for days by a wrong value.
+    void pauseIsBounded()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e1", 2), 240h, m_now) == 5min);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now + 299s));
+        CPPUNIT_ASSERT(registry.isUsable("e1", m_now + 5min));
+        add(registry, "e2", 9);
+        CPPUNIT_ASSERT(registry.onPauseRequested(make("e2", 9), 0s, m_now) == 0s);
+        CPPUNIT_ASSERT_EQUAL(9U, registry.capacityOf("u", m_now).slots);
+        CPPUNIT_ASSERT(registry.onInvalidPause(make("e1", 2), m_now));
+        CPPUNIT_ASSERT(!registry.onInvalidPause(make("e1", 2), m_now));
+    }
+
+    // Guards against a pause that a new process inherits, or that the entry of the same one ends.
+    void pauseEndsWithTheProcessOnly()
+    {
+        engine_registry registry("d1", 1);
+        engine_entry entry = make("e1", 2);
+        entry.startedAt = 100;
+        registry.update(entry, nullptr, m_now);
+        registry.onPauseRequested(entry, 3s, m_now);
+        registry.remove("e1");
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT(!registry.isUsable("e1", m_now));
+        entry.startedAt = 200;
+        registry.update(entry, nullptr, m_now);
+        CPPUNIT_ASSERT_EQUAL(2, startAll(registry, 9));
+    }
+
+    // Guards against all queued requests that start at once when a pause ends.
+    void slotsReturnGraduallyAfterAPause()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 20);
+        registry.onPauseRequested(make("e1", 20), 1s, m_now);
+        std::uint32_t last = 0;
+        for (const auto after : {0ms, 60ms, 150ms, 240ms, 300ms}) {
+            const core::time_point now = m_now + 1s + after;
+            const std::uint32_t slots = registry.capacityOf("u", now).slots;
+            std::uint32_t started = 0;
+            for (;
+                 registry.choose({.upstream = "u"}, {}, now).outcome == selection_outcome::Selected;
+                 ++started)
+                registry.onStart("e1", now);
+            CPPUNIT_ASSERT_EQUAL(slots, last + started);
+            CPPUNIT_ASSERT(slots > last && started <= 8);
+            last = slots;
+        }
+        CPPUNIT_ASSERT_EQUAL(20U, last);
+    }
+
+    // Guards against a retry time that is later than the return of the first engine.
+    void pauseOfAnUpstreamEndsWithItsFirstEngine()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "e1", 2);
+        add(registry, "e2", 3);
+        CPPUNIT_ASSERT(!registry.pauseOf("u", m_now));
+        registry.onPauseRequested(make("e1", 2), 2s, m_now);
+        CPPUNIT_ASSERT(!registry.pauseOf("u", m_now));
+        registry.onPauseRequested(make("e2", 3), 1s, m_now);
+        CPPUNIT_ASSERT(registry.pauseOf("u", m_now)->endsAt == m_now + 1s);
+        CPPUNIT_ASSERT_EQUAL(5U, registry.pauseOf("u", m_now)->slots);
+        registry.onLeaving(make("e2", 3), m_now);
+        CPPUNIT_ASSERT(registry.pauseOf("u", m_now)->endsAt == m_now + 2s);
+        registry.onLeaving(make("e1", 2), m_now);
+        CPPUNIT_ASSERT(!registry.pauseOf("u", m_now));
+    }
+
     // Guards against an engine that is selected for its former upstream.
     void movedEngineServesItsNewUpstreamOnly()
     {
