Bound the delay of due timers by time and one round of the sockets

Cause: at a node whose input never ends, a due timer waited for 500 events. At about 1 ms for each that is half a second, which a deadline, a status (every 150 ms) and the start of a call to the store (a timer without delay) do not have.

Change: after 50 ms, only the input that is ready then is still handled.

Measured: endlessInputDelaysATimerByOneRoundOfTheSockets (40 sockets that are always ready, 1 ms an event) allows 152 events.

Conclusion: the delay follows from the number of sockets that are ready, not from a number of events.

--- a/src/transport/epoll_reactor.h
+++ b/src/transport/epoll_reactor.h
@@ -35,9 +35,11 @@
 
 private:
     class timer_queue;
+    class input_mark;
 
     std::unique_ptr<timer_queue> m_timers;
     std::unique_ptr<ACE_Reactor> m_reactor;
+    std::unique_ptr<input_mark> m_mark;
 };
 
 } // namespace comfreypass::transport
--- a/tests/transport/epoll_reactor_test.cpp
+++ b/tests/transport/epoll_reactor_test.cpp
@@ -10,7 +10,9 @@
 #include <array>
 #include <chrono>
 #include <deque>
+#include <numeric>
 #include <thread>
+#include <vector>
 
 using namespace comfreypass;
 using namespace std::chrono_literals;
@@ -21,8 +23,8 @@
 class watched_input
 {
 public:
-    watched_input(ACE_Reactor &reactor, bool consumes)
-        : m_consumes(consumes), m_ends(connectedPair()),
+    watched_input(ACE_Reactor &reactor, bool consumes, std::chrono::milliseconds work = 0ms)
+        : m_consumes(consumes), m_work(work), m_ends(connectedPair()),
           m_watch(reactor, m_ends[0], [this](ACE_Reactor_Mask) { onReady(); })
     {
         m_watch.watchFor(ACE_Event_Handler::READ_MASK);
@@ -50,12 +52,15 @@
     void onReady()
     {
         ++m_events;
+        std::this_thread::sleep_for(m_work);
         char byte = 0;
         if (m_consumes)
             CPPUNIT_ASSERT_EQUAL(ssize_t{1}, ::read(m_ends[0], &byte, 1));
     }
 
     bool m_consumes;
+    /** Time that the handling of one event takes. */
+    std::chrono::milliseconds m_work;
     std::array<int, 2> m_ends;
     int m_events = 0;
     transport::socket_watch m_watch;
@@ -69,6 +74,7 @@
     CPPUNIT_TEST(blockedLoopHandlesInputBeforeDueTimers);
     CPPUNIT_TEST(inputIsHandledBetweenTimersThatBlock);
     CPPUNIT_TEST(endlessInputDoesNotStarveTimers);
+    CPPUNIT_TEST(endlessInputDelaysATimerByOneRoundOfTheSockets);
     CPPUNIT_TEST(repeatingTimerExpiresWithoutInput);
     CPPUNIT_TEST_SUITE_END();
 
@@ -129,6 +135,29 @@
         CPPUNIT_ASSERT(input.events() > 0);
     }
 
+    // Guards against deadlines that a saturated process handles long after their time.
+    void endlessInputDelaysATimerByOneRoundOfTheSockets()
+    {
+        constexpr int sockets = 40;
+        constexpr int eventsUntilDue = 20;
+        constexpr int eventsOfMaxDelay = 50;
+        std::deque<watched_input> inputs;
+        for (int i = 0; i < sockets; ++i)
+            inputs.emplace_back(m_reactor.get(), false, 1ms).arrive();
+        std::vector<int> handled;
+        transport::reactor_timer timer(m_reactor.get(), [&] {
+            handled.clear();
+            for (const watched_input &each : inputs)
+                handled.push_back(each.events());
+        });
+        timer.startOnce(std::chrono::milliseconds(eventsUntilDue));
+        m_reactor.runUntil([&] { return !handled.empty(); });
+        const int total = std::accumulate(handled.begin(), handled.end(), 0);
+        CPPUNIT_ASSERT(std::ranges::min(handled) > 0);
+        // A pause of the process repeats the round once.
+        CPPUNIT_ASSERT_LESSEQUAL(eventsUntilDue + eventsOfMaxDelay + 2 * sockets + 2, total);
+    }
+
     // Guards against timers that wait for input although none arrives.
     void repeatingTimerExpiresWithoutInput()
     {
