Read a response that has arrived before a call reaches its deadline

Cause: libcurl compares a call's time limit before it reads, so after a pause of the process a call to the store, to a peer or to an engine of the daemon ended with a timeout although its whole response lay in the socket. The reactor's order of input and timers does not reach this check. Callers of the daemon got 504; a node took the store for unavailable.

Change: http_client ends a call at its deadline with a timer of the reactor, which expires after the input.

Conclusion: the same class as the reactor's timers. libcurl still checks the time limit of connecting itself; a call that ends there has sent nothing.

--- a/src/transport/curl_transfer.cpp
+++ b/src/transport/curl_transfer.cpp
@@ -75,8 +75,6 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, maxReadBlockBytes);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, toMilliseconds(m_call.connectTimeout));
-    if (m_call.deadline != core::time_point::max())
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMilliseconds(m_call.deadline - now));
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &curl_transfer::onBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &curl_transfer::onHeaderLine);
@@ -234,6 +232,11 @@
     return returned && !transfer->m_cancelled ? bytes : 0;
 }
 
+void curl_transfer::expire() noexcept
+{
+    m_deadlinePassed = true;
+}
+
 bool curl_transfer::clearPause() noexcept
 {
     return std::exchange(m_paused, false);
--- a/src/transport/curl_transfer.h
+++ b/src/transport/curl_transfer.h
@@ -36,6 +36,11 @@
     /** Suppresses all further events except onDone. */
     void cancel() noexcept { m_cancelled = true; }
 
+    core::time_point deadline() const noexcept { return m_call.deadline; }
+
+    /** Makes the result a timeout. */
+    void expire() noexcept;
+
     /** Clears the paused flag and returns its previous value. */
     bool clearPause() noexcept;
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_client.h"
 
+#include "transport/clock.h"
 #include "transport/curl_transfer.h"
 #include "transport/reactor_timer.h"
 #include "transport/socket_watch.h"
@@ -74,6 +75,8 @@
     void performSocketAction(curl_socket_t socket, int events);
     void finishCompleted();
     void processPending();
+    void startDeadline(call_handle call, core::time_point deadline);
+    void onDeadline(call_handle call);
     void finish(call_handle call);
 
     ACE_Reactor &m_reactor;
@@ -83,6 +86,8 @@
     /** Watches closed from within their own event; destroyed by the next processPending(). */
     std::vector<std::unique_ptr<socket_watch>> m_closedWatches;
     std::unordered_map<call_handle, std::unique_ptr<curl_transfer>> m_transfers;
+    /** Not left to libcurl, which ends a call at its deadline before it reads what has arrived. */
+    std::unordered_map<call_handle, reactor_timer> m_deadlines;
     std::vector<call_handle> m_starting;
     std::vector<call_handle> m_resuming;
     std::vector<call_handle> m_ending;
@@ -128,10 +133,12 @@
         const auto found = m_transfers.find(id);
         if (found == m_transfers.end() || found->second->cancelled())
             continue;
-        if (found->second->prepare())
-            curl_multi_add_handle(m_multi.get(), found->second->easy());
-        else
+        if (!found->second->prepare()) {
             m_ending.push_back(id);
+            continue;
+        }
+        startDeadline(id, found->second->deadline());
+        curl_multi_add_handle(m_multi.get(), found->second->easy());
     }
     for (const call_handle id : std::exchange(m_resuming, {})) {
         const auto found = m_transfers.find(id);
@@ -172,8 +179,25 @@
     }
 }
 
+void http_client::implementation::startDeadline(call_handle call, core::time_point deadline)
+{
+    if (deadline == core::time_point::max())
+        return;
+    const auto added = m_deadlines.try_emplace(call, m_reactor, [this, call] { onDeadline(call); });
+    added.first->second.startOnce(deadline - monotonicNow());
+}
+
+void http_client::implementation::onDeadline(call_handle call)
+{
+    curl_transfer &transfer = *m_transfers.at(call);
+    transfer.expire();
+    transfer.setResult(CURLE_OK);
+    finish(call);
+}
+
 void http_client::implementation::finish(call_handle call)
 {
+    m_deadlines.erase(call);
     const auto found = m_transfers.find(call);
     const std::unique_ptr<curl_transfer> transfer = std::move(found->second);
     m_transfers.erase(found);
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -8,8 +8,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 
 using namespace comfreypass;
 using namespace comfreypass::tests;
@@ -30,6 +32,7 @@
     CPPUNIT_TEST(connectionLostAfterRequestIsReported);
     CPPUNIT_TEST(postIsNeverResentOnAReusedConnection);
     CPPUNIT_TEST(deadlineEndsTheCall);
+    CPPUNIT_TEST(responseThatArrivedBeforeTheDeadlineIsRead);
     CPPUNIT_TEST(expiredDeadlineSendsNoByte);
     CPPUNIT_TEST(cancelClosesTheConnection);
     CPPUNIT_TEST(cancelWithinAnEventEndsTheCall);
@@ -165,6 +168,23 @@
         CPPUNIT_ASSERT(events->result().requestBytesMayHaveLeft);
     }
 
+    // Guards against a timeout for a response that arrived in time while the process was paused.
+    void responseThatArrivedBeforeTheDeadlineIsRead()
+    {
+        listening_socket upstream;
+        http_call call = post(upstream.port());
+        call.deadline = monotonicNow() + std::chrono::milliseconds(500);
+        const auto events = std::make_shared<recorded_call>();
+        m_client.start(std::move(call), events);
+        m_loopback.waitFor("the connection", [&] { return upstream.pending(); });
+        raw_socket connection = upstream.accept();
+        m_loopback.waitFor("the request", [&] { return !connection.receive().empty(); });
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+        m_loopback.waitFor("the end of the call", [&] { return events->done(); });
+        CPPUNIT_ASSERT(events->result().complete);
+    }
+
     // Guards against sending a request after its deadline.
     void expiredDeadlineSendsNoByte()
     {
