Order the queue once when several requests are passed over

Cause: each request that is passed over made the queue be searched again, and each search compared every queued request with all that had been passed over. The cost of one poll grew with the third power of the requests that exclude engines, of which there are many while engines are silent, and delayed all other work of the node.

Change: wait_queue::inOrder() returns the order once for a poll; the order itself is unchanged.

No test shows the cost.

Conclusion: the selection of an engine is still made once for each request that is passed over.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -168,26 +168,24 @@
                              std::vector<admission_grant> &grants, core::time_point now)
 {
     std::size_t granted = 0;
-    std::vector<core::request_id> passedOver;
-    while (granted < maxGrants) {
-        const auto next = state.queue.next(now, passedOver);
-        if (!next)
-            break;
-        const admission_request &request = m_requests.at(next->id);
+    if (maxGrants == 0)
+        return granted;
+    for (const core::request_id id : state.queue.inOrder(now)) {
+        const admission_request &request = m_requests.at(id);
         const engine_selection basis = choose(state, request, engines, now);
         if (basis.outcome != selection_outcome::Selected) {
             // The free slots may all be at engines that only this request excludes.
             if (!request.restrictsEngines())
                 break;
-            passedOver.push_back(next->id);
             continue;
         }
-        ++granted;
-        grants.push_back({next->id, *basis.engine, basis});
+        grants.push_back({id, *basis.engine, basis});
         m_registry.onStart(basis.engine->id, now);
         recordEvent(state.startsPerSecond, state.startsUpdatedAt, now);
-        state.queue.remove(next->id);
-        m_requests.erase(next->id);
+        state.queue.remove(id);
+        m_requests.erase(id);
+        if (++granted == maxGrants)
+            break;
     }
     return granted;
 }
--- a/src/dispatch/wait_queue.cpp
+++ b/src/dispatch/wait_queue.cpp
@@ -10,22 +10,29 @@
     ++m_size;
 }
 
-std::optional<waiting_request> wait_queue::next(core::time_point now,
-                                                std::span<const core::request_id> passedOver) const
+std::optional<waiting_request> wait_queue::next(core::time_point now) const
 {
-    const auto isCandidate = [passedOver](const waiting_request &each) {
-        return std::ranges::find(passedOver, each.id) == passedOver.end();
-    };
+    if (m_byPriority.empty())
+        return std::nullopt;
+    const std::deque<waiting_request> &queued = m_byPriority.begin()->second;
+    const auto onTime = std::ranges::find_if(
+        queued, [now](const waiting_request &each) { return each.objectiveAt > now; });
+    return onTime == queued.end() ? queued.front() : *onTime;
+}
+
+std::vector<core::request_id> wait_queue::inOrder(core::time_point now) const
+{
+    std::vector<core::request_id> ids;
+    ids.reserve(m_size);
     for (const auto &[priority, queued] : m_byPriority) {
-        const auto first = std::ranges::find_if(queued, isCandidate);
-        if (first == queued.end())
-            continue;
-        const auto onTime = std::find_if(first, queued.end(), [&](const waiting_request &each) {
-            return each.objectiveAt > now && isCandidate(each);
-        });
-        return onTime == queued.end() ? *first : *onTime;
+        for (const bool onTime : {true, false}) {
+            for (const waiting_request &each : queued) {
+                if ((each.objectiveAt > now) == onTime)
+                    ids.push_back(each.id);
+            }
+        }
     }
-    return std::nullopt;
+    return ids;
 }
 
 bool wait_queue::remove(core::request_id id)
--- a/src/dispatch/wait_queue.h
+++ b/src/dispatch/wait_queue.h
@@ -8,7 +8,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <span>
 #include <vector>
 
 namespace comfreypass::dispatch {
@@ -38,9 +37,11 @@
 public:
     void push(const waiting_request &request);
 
-    /** Returns the next request that is not in `passedOver`; nothing if there is none. */
-    std::optional<waiting_request> next(core::time_point now,
-                                        std::span<const core::request_id> passedOver = {}) const;
+    /** Returns the next request; nothing if the queue is empty. */
+    std::optional<waiting_request> next(core::time_point now) const;
+
+    /** Returns the ids of all requests in the order in which slots are offered to them. */
+    std::vector<core::request_id> inOrder(core::time_point now) const;
 
     /** Removes a request; returns false if it is not queued. */
     bool remove(core::request_id id);
--- a/tests/dispatch/wait_queue_test.cpp
+++ b/tests/dispatch/wait_queue_test.cpp
@@ -64,10 +64,7 @@
         queue.push({2, 0, m_now - 1s, m_now + 2s});
         queue.push({3, 0, m_now + 1s, m_now + 2s});
         queue.push({4, 1, m_now + 1s, m_now + 2s});
-        std::vector<core::request_id> order;
-        while (const auto next = queue.next(m_now, order))
-            order.push_back(next->id);
-        CPPUNIT_ASSERT(order == std::vector<core::request_id>({1, 3, 2, 4}));
+        CPPUNIT_ASSERT(queue.inOrder(m_now) == std::vector<core::request_id>({1, 3, 2, 4}));
     }
 
     // Guards against requests that stay queued after their deadline.
