Name the class that marks the input in a comment

Cause: the comment named a function, markInput(), that does not exist.

Change: the comment alone; no code.

--- a/src/transport/epoll_reactor.cpp
+++ b/src/transport/epoll_reactor.cpp
@@ -63,7 +63,7 @@
     /** All input that had arrived by then has been handled. */
     void onInputHandled(const ACE_Time_Value &time) { m_inputHandledUntil = time; }
 
-    /** Must be called before each event. Returns true if markInput() must be called. */
+    /** Must be called before each event. Returns true if input_mark must be triggered. */
     bool limitDelay(const ACE_Time_Value &now)
     {
         const ACE_Time_Value sinceEvent = now - m_lastEventAt;
