Log the time since a stream's last event when it ends

So a stream that is cut too early and one whose caller has left look the same.

Change: since_event_ms, from the last forwarded event to the end of the request.

--- a/src/gateway/flow_log.cpp
+++ b/src/gateway/flow_log.cpp
@@ -49,6 +49,7 @@
               {"waited_ms", milliseconds(record.waited)},
               {"first_ms", milliseconds(record.firstByte)},
               {"total_ms", milliseconds(record.total)},
+              {"since_event_ms", milliseconds(record.sinceLastEvent)},
               {"objective_ms", milliseconds(record.objective)},
               {"events", std::to_string(record.events)},
               {"units", std::to_string(static_cast<std::int64_t>(record.units))}});
--- a/src/gateway/flow_record.h
+++ b/src/gateway/flow_record.h
@@ -56,6 +56,8 @@
     /** Time to the first event or the complete response; zero if there was none. */
     core::duration firstByte{};
     core::duration total{};
+    /** Time from the last event that was forwarded to the end; zero if there was none. */
+    core::duration sinceLastEvent{};
     core::duration objective{};
     std::uint64_t events = 0;
     double units = 0;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -981,7 +981,10 @@
     m_record.outcome = outcome;
     m_record.reason = reason;
     m_record.events = m_events.eventCount();
-    m_record.total = m_context.now() - m_arrivedAt;
+    const core::time_point now = m_context.now();
+    m_record.total = now - m_arrivedAt;
+    if (m_lastForwardedAt != core::time_point())
+        m_record.sinceLastEvent = now - m_lastForwardedAt;
     m_context.done(m_id, m_record);
 }
 
