Read the longest pause of a route for its callers' patience

Cause: callers abandon a stream after 2 s, four objectives or eight times the longest pause of its route (GapTargetMs), whichever is longest.

Change: the route holds the longest pause, and callerPatience counts it.

Measured: silent_engine_test::brokenStreamIsNotCutWhileItsRouteAllowsLongPauses (400 ms, a slot freed after 2.6 s) failed 1 of 1 times with the formula before and passed 1 of 1 times after. test_platform (27), request_flow_test (31) and resumed_stream_test (7) pass.

--- a/src/dispatch/route.h
+++ b/src/dispatch/route.h
@@ -21,9 +21,13 @@
     bool operator==(const route_target &) const = default;
 };
 
-/** Callers abandon a stream after a pause of this time or of so many objectives, the longer one. */
+/**
+ * Callers abandon a stream after a pause of this time, of so many objectives or of so many of the
+ * route's longest pauses, whichever is longest.
+ */
 constexpr core::duration minCallerPatience = std::chrono::seconds(2);
 constexpr int patienceObjectives = 4;
+constexpr int patiencePauses = 8;
 
 /** Maps requests to upstreams and defines their limits and objectives. */
 struct route
@@ -37,6 +41,8 @@
     core::duration timeout{};
     /** Latency objective of the whole response, or of the first event of a stream. */
     core::duration objective{};
+    /** Longest pause between two events of a stream that is on time; zero if not declared. */
+    core::duration longestPause{};
     /** 0 is the highest priority. */
     std::uint32_t priority = 0;
     /** Maximum number of engines at which one request may run. */
@@ -56,7 +62,8 @@
     /** Returns the shortest pause between two events after which callers abandon a stream. */
     core::duration callerPatience() const noexcept
     {
-        return std::max<core::duration>(minCallerPatience, patienceObjectives * objective);
+        return std::max<core::duration>(
+            {minCallerPatience, patienceObjectives * objective, patiencePauses * longestPause});
     }
 
     bool operator==(const route &) const = default;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -107,6 +107,10 @@
                        makeRoute("once", request_kind::NonIdempotent, false),
                        makeRoute("stream", request_kind::Streaming, true),
                        makeRoute("fragile", request_kind::Streaming, false)};
+    for (dispatch::route &each : settings.routes) {
+        if (each.kind == request_kind::Streaming)
+            each.longestPause = longestPause;
+    }
     settings.upstreams = std::move(upstreams);
     settings.teams = std::move(teams);
     node.write(gateway::collection_id::Operators, "configuration", ++revision, std::move(settings));
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -78,6 +78,8 @@
     std::uint64_t revision = 0;
     /** Limits of the next configuration. */
     dispatch::caller_limits limits;
+    /** Longest pause that the streaming routes of the next configuration declare. */
+    core::duration longestPause{};
 
 private:
     std::unique_ptr<test_node> startedNode();
--- a/tests/gateway/silent_engine_test.cpp
+++ b/tests/gateway/silent_engine_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(silentStreamDoesNotRunAfterItsCallerHasLeft);
     CPPUNIT_TEST(largeResponseIsNotAbandonedWhileItIsForwarded);
     CPPUNIT_TEST(brokenStreamIsNotCutWhileItsCallerWaits);
+    CPPUNIT_TEST(brokenStreamIsNotCutWhileItsRouteAllowsLongPauses);
     CPPUNIT_TEST(brokenStreamIsNotCutWhenAnEngineRejectsIt);
     CPPUNIT_TEST(brokenStreamDoesNotRunAfterItsCallersPatience);
     CPPUNIT_TEST_SUITE_END();
@@ -261,6 +262,20 @@
         assertBothEnginesAreFree(listener, other);
     }
 
+    // Guards against a stream that is cut after 2 s although its route's callers wait longer.
+    void brokenStreamIsNotCutWhileItsRouteAllowsLongPauses()
+    {
+        m_gateway.longestPause = 400ms;
+        raw_socket engine = beginStream();
+        listening_socket &listener = m_gateway.addEngine("e2", 1);
+        raw_socket other = occupy(listener);
+        engine.close();
+        m_gateway.loop.runFor(2'600ms);
+        other.send(response("9", "done"));
+        assertResumedAt(other);
+        assertBothEnginesAreFree(listener, other);
+    }
+
     // Guards against a stream that is cut because full engines reject it a few times.
     void brokenStreamIsNotCutWhenAnEngineRejectsIt()
     {
--- a/tests/platform/platform_records_test.cpp
+++ b/tests/platform/platform_records_test.cpp
@@ -56,6 +56,7 @@
         CPPUNIT_ASSERT(stream.kind == dispatch::request_kind::Streaming);
         CPPUNIT_ASSERT(stream.retryable());
         CPPUNIT_ASSERT(stream.timeout == 15s && stream.objective == 500ms);
+        CPPUNIT_ASSERT(stream.longestPause == 300ms && stream.callerPatience() == 2'400ms);
         CPPUNIT_ASSERT_EQUAL(2U, stream.maxAttempts);
         CPPUNIT_ASSERT_EQUAL(90.0, stream.targets.at(0).weight);
         CPPUNIT_ASSERT_EQUAL(std::string("s2"), stream.targets.at(1).upstream);
