Let an interrupted stream return to the engine it left for its silence

Cause: a stream is moved from a silent engine when the node grants it a slot at another one. That is not yet a place: if the other engine rejected the stream or could not be reached, the engine that was left stayed excluded, and with no third engine the stream was cut when its caller's patience ended, although the first engine, which had only been silent, would have taken it again. The class of fault is that of: something is given up before its replacement is sure.

Change: when the engine that took a begun stream over has not run it, the one that was left may be chosen again, on a new connection and with Last-Event-Id. Its failure still counts against it, so a sound engine is preferred. The attempts of the route bound the runs as before, and a try after a rejection still spends the retry budget.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -476,6 +476,7 @@
     endAttempt(dispatch::attempt_result::Failed, false);
     m_events.discardIncompleteEvent();
     m_triedEngines.push_back(m_record.engine);
+    m_silentEngine = m_record.engine;
     startAttempt(engine, basis);
     return true;
 }
@@ -820,6 +821,9 @@
     // A full engine may have free slots again before the caller of an interrupted stream leaves.
     if (!responseStarted() || !reachedEngine)
         m_triedEngines.push_back(m_record.engine);
+    // The engine that was left has not failed, and may serve the rest of an interrupted stream.
+    if (responseStarted())
+        std::erase(m_triedEngines, std::exchange(m_silentEngine, {}));
     if ((mayTryMore || callerWaits) && now < m_deadline
         && (!reachedEngine || consumeRetryBudget())) {
         submit();
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -181,6 +181,8 @@
     bool m_budgetSpent = false;
 
     std::vector<std::string> m_triedEngines;
+    /** Id of the engine that was last left because it was silent; empty if there is none. */
+    std::string m_silentEngine;
     std::vector<http1::endpoint> m_triedAddresses;
     /** Attempts that ran, are running or may have run. */
     std::uint32_t m_runAttempts = 0;
--- a/tests/gateway/silent_engine_test.cpp
+++ b/tests/gateway/silent_engine_test.cpp
@@ -36,6 +36,9 @@
 
 const std::string streamEnd = "0\r\n\r\n";
 
+const std::string rejection = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nNot-Run: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+
 bool contains(const std::string &text, const std::string &part)
 {
     return text.find(part) != std::string::npos;
@@ -69,6 +72,8 @@
     CPPUNIT_TEST(brokenStreamIsNotCutWhileItsRouteAllowsLongPauses);
     CPPUNIT_TEST(brokenStreamIsNotCutWhenAnEngineRejectsIt);
     CPPUNIT_TEST(brokenStreamDoesNotRunAfterItsCallersPatience);
+    CPPUNIT_TEST(movedStreamIsNotCutWhenItsSuccessorRejectsIt);
+    CPPUNIT_TEST(movedStreamIsNotCutWhenItsSuccessorIsUnreachable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -289,8 +294,7 @@
             CPPUNIT_ASSERT(contains(m_gateway.requestAt(rejecting), "Resume: 1\r\n"));
             m_caller->receive();
             CPPUNIT_ASSERT(!m_caller->ended());
-            rejecting.send("HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nNot-Run: 1\r\n"
-                           "Content-Length: 0\r\n\r\n");
+            rejecting.send(rejection);
         }
         raw_socket other = m_gateway.acceptAt(listener);
         assertResumedAt(other);
@@ -312,6 +316,30 @@
         assertBothEnginesAreFree(listener, other);
     }
 
+    // Guards against a stream that is cut because the only engine that has left it a slot is full.
+    void movedStreamIsNotCutWhenItsSuccessorRejectsIt()
+    {
+        raw_socket engine = beginStream();
+        listening_socket &listener = m_gateway.addEngine("e2", 1);
+        raw_socket other = m_gateway.acceptAt(listener);
+        CPPUNIT_ASSERT(contains(m_gateway.requestAt(other), "Resume: 1\r\n"));
+        other.send(rejection);
+        raw_socket again = m_gateway.acceptAt(*m_listener);
+        assertResumedAt(again);
+        again.close();
+        m_gateway.loop.runFor(50ms);
+        assertBothEnginesAreFree(listener, other);
+    }
+
+    // Guards against a stream that is cut because the engine that it was moved to is gone.
+    void movedStreamIsNotCutWhenItsSuccessorIsUnreachable()
+    {
+        raw_socket engine = beginStream();
+        m_gateway.stopEngine(m_gateway.addEngine("e2", 1));
+        raw_socket again = m_gateway.acceptAt(*m_listener);
+        assertResumedAt(again);
+    }
+
 private:
     void assertResumedAt(raw_socket &other)
     {
