--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -499,6 +499,11 @@
         m_engines, [](const auto &each) { return each.second.statement.isLeaving; }));
 }
 
+std::size_t engine_registry::engineCount(std::string_view upstream) const
+{
+    return enginesOf(upstream).size();
+}
+
 bool engine_registry::areAllLeaving(std::string_view upstream) const
 {
     const std::vector<engine *> &engines = enginesOf(upstream);
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -184,6 +184,9 @@
     /** Returns the number of listed engines that stated that they are leaving. */
     std::size_t leavingCount() const noexcept;
 
+    /** Returns the number of listed engines of an upstream, usable or not. */
+    std::size_t engineCount(std::string_view upstream) const;
+
     /** Returns true if engines serve the upstream and all of them are leaving. */
     bool areAllLeaving(std::string_view upstream) const;
 
--- /dev/null
+++ b/src/dispatch/quarantine_report.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "dispatch/engine_registry.h"
+#include "dispatch/request_feature.h"
+
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/** An engine that ended while it ran a request without an answer. */
+struct crash_report
+{
+    engine_key engine = 0;
+    /** Segments of the request from the start of its prompt, then the request itself. */
+    std::vector<request_feature> features;
+    /** Time since the engine ended. */
+    core::duration age{};
+    /** The upstream has no other engine. */
+    bool isOnlyEngine = false;
+};
+
+/** A feature whose requests are refused. */
+struct quarantined_feature
+{
+    request_feature feature;
+    core::duration remaining{};
+    /** Crashes that it explains. */
+    std::size_t crashes = 0;
+};
+
+/** What a node knows about requests that may crash engines, as sent to its peers. */
+struct quarantine_report
+{
+    std::vector<crash_report> crashes;
+    std::vector<quarantined_feature> quarantined;
+    /** Suspected features that an engine has answered. */
+    std::vector<request_feature> answered;
+
+    bool empty() const noexcept
+    {
+        return crashes.empty() && quarantined.empty() && answered.empty();
+    }
+};
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/request_quarantine.cpp
@@ -0,0 +1,517 @@
+#include "dispatch/request_quarantine.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace comfreypass::dispatch {
+
+namespace {
+
+constexpr std::size_t maxBrokenPerEngine = 64;
+constexpr std::size_t maxCrashes = 512;
+constexpr std::size_t maxQuarantined = 256;
+constexpr std::size_t maxAnsweredPerGeneration = 8'192;
+constexpr std::size_t maxEngines = 4'096;
+
+/** Limits of a summary, so that it fits two datagrams. */
+constexpr std::size_t maxReportedCrashes = 16;
+constexpr std::size_t maxReportedFeatures = 64;
+
+/** Engines that must crash, so that an engine which fails by itself proves nothing. */
+constexpr std::size_t requiredEngines = 2;
+
+/** Crashes of one request, or of one more specific feature, that count against a segment. */
+constexpr std::size_t maxMomentsOfOneCause = 2;
+
+/** Other crashes count as the usual ones if they came at most this long before the first one. */
+constexpr core::duration backgroundWindow = std::chrono::minutes(1);
+
+/** Answered requests that are assumed in addition, so that a node which has just started does not
+ * take a few crashes for the usual fate of requests. */
+constexpr double assumedAnswers = 256;
+
+/** How much evidence against a feature of a kind is enough. */
+struct conviction_threshold
+{
+    std::size_t moments;
+    /** Maximum probability that a harmless feature is present in all of the crashes. */
+    double falseAlarmProbability;
+    /** Crashes of several engines within this time count once. */
+    core::duration sameMoment;
+};
+
+// Many requests share a segment. A request is sent to one engine after the other, so its crashes
+// may follow one another at once; a false alarm refuses only this request.
+constexpr std::array<conviction_threshold, 2> thresholds = {{
+    {.moments = 4, .falseAlarmProbability = 1e-7, .sameMoment = request_quarantine::sameMoment},
+    {.moments = 3, .falseAlarmProbability = 1e-3, .sameMoment = core::duration::zero()},
+}};
+
+const conviction_threshold &thresholdOf(feature_kind kind)
+{
+    return thresholds.at(static_cast<std::size_t>(kind));
+}
+
+/** The nodes try a quarantined feature one after the other, so that the crash which one of them
+ * causes is known to the others. */
+constexpr core::duration trialIntervalPerNode = std::chrono::milliseconds(500);
+constexpr core::duration maxTrialSpread = request_quarantine::quarantineTime / 2;
+
+/** A trial without a result after this time does not hold up the next one. */
+constexpr core::duration trialTimeout = std::chrono::seconds(5);
+
+/** Time after a quarantine in which one crash is enough to start it again. */
+constexpr core::duration probationTime = request_quarantine::quarantineTime;
+
+template<typename Left, typename Right>
+bool isSameCrash(const Left &left, const Right &right)
+{
+    return left.engine == right.engine
+           && std::max(left.at, right.at) - std::min(left.at, right.at)
+                  <= request_quarantine::confirmationWindow;
+}
+
+bool contains(std::span<const request_feature> features, const request_feature &feature)
+{
+    return std::ranges::find(features, feature) != features.end();
+}
+
+/** Several crashes at the same time, with the requests or features that may have caused them. */
+struct crash_moment
+{
+    core::time_point at;
+    std::set<request_feature> causes;
+};
+
+/** Returns the number of moments if each cause explains a few of them at most. */
+std::size_t countMoments(std::span<const crash_moment> moments, std::size_t maxPerCause)
+{
+    std::map<request_feature, std::size_t> counts;
+    std::size_t total = 0;
+    for (const crash_moment &each : moments) {
+        if (each.causes.empty()) {
+            ++total;
+            continue;
+        }
+        const auto least = std::ranges::min_element(
+            each.causes, {}, [&](const request_feature &cause) { return counts[cause]; });
+        if (counts[*least] >= maxPerCause)
+            continue;
+        ++counts[*least];
+        ++total;
+    }
+    return total;
+}
+
+} // namespace
+
+void request_quarantine::onBroken(engine_key engine, std::span<const request_feature> features,
+                                  bool isOnlyEngine, core::time_point now)
+{
+    if (features.empty())
+        return;
+    const std::vector<request_feature> copy(features.begin(), features.end());
+    const auto down = m_downAt.find(engine);
+    if (down != m_downAt.end() && now - down->second <= confirmationWindow) {
+        recordCrash({engine, copy, now, isOnlyEngine}, now);
+        return;
+    }
+    if (m_broken.size() >= maxEngines)
+        m_broken.clear();
+    std::vector<broken_request> &broken = m_broken[engine];
+    std::erase_if(broken,
+                  [now](const broken_request &each) { return now - each.at > confirmationWindow; });
+    if (broken.size() < maxBrokenPerEngine)
+        broken.push_back({copy, now, isOnlyEngine});
+}
+
+void request_quarantine::onEngineDown(engine_key engine, core::time_point now)
+{
+    if (m_downAt.size() >= maxEngines)
+        m_downAt.clear();
+    m_downAt[engine] = now;
+    const auto found = m_broken.find(engine);
+    if (found == m_broken.end())
+        return;
+    const std::vector<broken_request> broken = std::move(found->second);
+    m_broken.erase(found);
+    for (const broken_request &each : broken) {
+        if (now - each.at <= confirmationWindow)
+            recordCrash({engine, each.features, each.at, each.isOnlyEngine}, now);
+    }
+}
+
+void request_quarantine::onAttempt(std::span<const request_feature> features, core::time_point now)
+{
+    for (const request_feature &each : features) {
+        const auto found = m_quarantined.find(each);
+        if (found != m_quarantined.end())
+            found->second.trialStartedAt = now;
+    }
+}
+
+void request_quarantine::onAnswered(std::span<const request_feature> features, core::time_point now)
+{
+    ++m_answeredCount;
+    for (const request_feature &each : features) {
+        recordAnswer(each, now);
+        if (clear(each))
+            m_news.answered.push_back(each);
+    }
+}
+
+quarantine_report request_quarantine::onPeerReport(const quarantine_report &report,
+                                                   core::time_point now)
+{
+    quarantine_report result;
+    for (const request_feature &each : report.answered) {
+        recordAnswer(each, now);
+        clear(each);
+    }
+    for (const crash_report &each : report.crashes) {
+        for (const request_feature &feature : each.features) {
+            if (answeredSince(feature, now - each.age))
+                result.answered.push_back(feature);
+        }
+        if (!addCrash({each.engine, each.features, now - each.age, each.isOnlyEngine}, now))
+            continue;
+        if (const auto quarantined = judge(each.features, now))
+            result.quarantined.push_back(*quarantined);
+    }
+    for (const quarantined_feature &each : report.quarantined) {
+        const core::time_point start = now - (quarantineTime - each.remaining);
+        const auto known = m_quarantined.find(each.feature);
+        if (answeredSince(each.feature, start)) {
+            result.answered.push_back(each.feature);
+        } else if (known == m_quarantined.end()) {
+            quarantine(each.feature, now + each.remaining, each.crashes);
+            result.quarantined.push_back(each);
+        } else {
+            extendQuarantine(each.feature, now + each.remaining);
+        }
+    }
+    return result;
+}
+
+std::optional<quarantined_feature>
+request_quarantine::find(std::span<const request_feature> features, core::time_point now) const
+{
+    for (const request_feature &each : features) {
+        const auto found = m_quarantined.find(each);
+        if (found == m_quarantined.end())
+            continue;
+        const quarantine_state &state = found->second;
+        core::time_point end = state.trialAt;
+        if (state.trialStartedAt)
+            end = std::max(end, *state.trialStartedAt + trialTimeout);
+        if (end > now)
+            return quarantined_feature{each, end - now, state.crashes};
+    }
+    return std::nullopt;
+}
+
+quarantine_report request_quarantine::summary(core::time_point now, core::duration crashAge) const
+{
+    quarantine_report report;
+    for (auto each = m_crashes.rbegin();
+         each != m_crashes.rend() && report.crashes.size() < maxReportedCrashes; ++each) {
+        if (!each->cause && now - each->at <= crashAge)
+            report.crashes.push_back(
+                {each->engine, each->features, now - each->at, each->isOnlyEngine});
+    }
+    std::ranges::reverse(report.crashes);
+    for (const auto &[feature, state] : m_quarantined) {
+        if (state.until > now && report.quarantined.size() < maxReportedFeatures)
+            report.quarantined.push_back({feature, state.until - now, state.crashes});
+    }
+    return report;
+}
+
+std::size_t request_quarantine::quarantinedCount(feature_kind kind, core::time_point now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_quarantined, [&](const auto &entry) {
+        return entry.first.kind == kind && entry.second.until > now;
+    }));
+}
+
+void request_quarantine::recordCrash(crash seen, core::time_point now)
+{
+    crash_report report{seen.engine, seen.features, now - seen.at, seen.isOnlyEngine};
+    if (!addCrash(std::move(seen), now))
+        return;
+    m_news.crashes.push_back(std::move(report));
+    if (const auto quarantined = judge(m_news.crashes.back().features, now))
+        m_news.quarantined.push_back(*quarantined);
+}
+
+bool request_quarantine::addCrash(crash added, core::time_point now)
+{
+    dropExpired(now);
+    std::erase_if(added.features,
+                  [&](const request_feature &each) { return answeredSince(each, added.at); });
+    const auto quarantined = std::ranges::find_if(
+        added.features, [&](const request_feature &each) { return m_quarantined.contains(each); });
+    bool hasOtherCause = false;
+    for (const explained_crash &each : m_explained) {
+        if (!isSameCrash(each, added))
+            continue;
+        if (contains(added.features, each.cause))
+            added.cause = each.cause;
+        hasOtherCause = true;
+    }
+    if (quarantined != added.features.end())
+        added.cause = *quarantined;
+    else if (hasOtherCause && !added.cause)
+        return false;
+    const bool known = std::ranges::any_of(m_crashes, [&](const crash &each) {
+        return isSameCrash(each, added) && each.features == added.features;
+    });
+    if (known)
+        return false;
+    if (quarantined != added.features.end()) {
+        quarantine_state &state = m_quarantined.at(*quarantined);
+        ++state.crashes;
+        extendQuarantine(*quarantined, added.at + quarantineTime);
+        explain(added.engine, added.at, *quarantined, thresholdOf(quarantined->kind).moments);
+    }
+    if (m_crashes.size() >= maxCrashes)
+        dropOne();
+    added.answeredBefore = m_answeredCount;
+    m_crashes.push_back(std::move(added));
+    return true;
+}
+
+void request_quarantine::dropOne()
+{
+    const auto explained
+        = std::ranges::find_if(m_crashes, [](const crash &each) { return each.cause.has_value(); });
+    m_crashes.erase(explained == m_crashes.end() ? m_crashes.begin() : explained);
+}
+
+void request_quarantine::dropExpired(core::time_point now)
+{
+    std::erase_if(m_crashes, [now](const crash &each) { return now - each.at > memory; });
+    std::erase_if(m_explained,
+                  [now](const explained_crash &each) { return now - each.at > memory; });
+    std::erase_if(m_quarantined,
+                  [now](const auto &entry) { return entry.second.until + probationTime <= now; });
+    std::erase_if(m_broken, [now](const auto &entry) {
+        return entry.second.empty() || now - entry.second.back().at > confirmationWindow;
+    });
+}
+
+std::optional<quarantined_feature>
+request_quarantine::judge(std::span<const request_feature> features, core::time_point now)
+{
+    for (const request_feature &each : features) {
+        const std::optional<request_feature> suspect = suspectFor(each);
+        if (!suspect || m_quarantined.contains(*suspect))
+            continue;
+        const std::size_t crashes = evidenceAgainst(*suspect).moments;
+        quarantine(*suspect, now + quarantineTime, crashes);
+        return quarantined_feature{*suspect, quarantineTime, crashes};
+    }
+    return std::nullopt;
+}
+
+// Where a segment always occurs with a more specific one, fewer sound requests share the latter.
+std::optional<request_feature> request_quarantine::suspectFor(const request_feature &feature) const
+{
+    const evidence against = evidenceAgainst(feature);
+    if (!isConvincing(feature, against))
+        return std::nullopt;
+    if (feature.kind == feature_kind::Request)
+        return feature;
+    std::set<request_feature> specific;
+    for (const crash *each : crashesOf(feature)) {
+        const auto found = std::ranges::find(each->features, feature);
+        std::copy_if(
+            found + 1, each->features.end(), std::inserter(specific, specific.end()),
+            [](const request_feature &other) { return other.kind == feature_kind::Segment; });
+    }
+    for (const request_feature &candidate : specific) {
+        const evidence other = evidenceAgainst(candidate);
+        if (isConvincing(candidate, other))
+            return candidate;
+        // Other reports of the last crash may still arrive.
+        if (other.moments + 1 >= against.moments)
+            return std::nullopt;
+    }
+    return feature;
+}
+
+std::vector<const request_quarantine::crash *>
+request_quarantine::crashesOf(const request_feature &feature) const
+{
+    std::vector<const crash *> own;
+    for (const crash &each : m_crashes) {
+        if (contains(each.features, feature))
+            own.push_back(&each);
+    }
+    return own;
+}
+
+// Several requests report one crash, and one cause may end several engines at about the same time.
+request_quarantine::evidence
+request_quarantine::evidenceAgainst(const request_feature &feature) const
+{
+    std::vector<const crash *> own = crashesOf(feature);
+    const bool isRequest = feature.kind == feature_kind::Request;
+    if (isRequest)
+        std::erase_if(own,
+                      [&](const crash *each) { return each->cause.value_or(feature) != feature; });
+    evidence result;
+    if (own.empty())
+        return result;
+    std::ranges::sort(own, {}, &crash::at);
+    result.first = own.front()->at;
+    std::map<engine_key, core::time_point> lastOfEngine;
+    std::vector<crash_moment> moments;
+    const core::duration sameMoment = thresholdOf(feature.kind).sameMoment;
+    for (const crash *each : own) {
+        const auto known = lastOfEngine.find(each->engine);
+        const bool isKnown
+            = known != lastOfEngine.end() && each->at - known->second <= confirmationWindow;
+        if (!isKnown) {
+            lastOfEngine[each->engine] = each->at;
+            if (moments.empty() || each->at - moments.back().at >= sameMoment)
+                moments.push_back({.at = each->at, .causes = {}});
+        }
+        const request_feature cause = each->cause.value_or(each->features.back());
+        if (!isRequest && cause != feature)
+            moments.back().causes.insert(cause);
+    }
+    result.moments = countMoments(moments, maxMomentsOfOneCause);
+    result.concernsUpstream
+        = lastOfEngine.size() >= requiredEngines
+          || std::ranges::all_of(own, [](const crash *each) { return each->isOnlyEngine; });
+    return result;
+}
+
+bool request_quarantine::isConvincing(const request_feature &feature, const evidence &against) const
+{
+    const conviction_threshold &threshold = thresholdOf(feature.kind);
+    if (!against.concernsUpstream || against.moments < threshold.moments)
+        return false;
+    const double rate = backgroundCrashRate(feature, against.first);
+    return std::pow(rate, static_cast<double>(against.moments - 1))
+           <= threshold.falseAlarmProbability;
+}
+
+double request_quarantine::backgroundCrashRate(const request_feature &feature,
+                                               core::time_point first) const
+{
+    const std::vector<const crash *> own = crashesOf(feature);
+    double others = 1;
+    std::uint64_t answeredBefore = m_answeredCount;
+    for (const crash &each : m_crashes) {
+        if (each.at < first - backgroundWindow)
+            continue;
+        answeredBefore = std::min(answeredBefore, each.answeredBefore);
+        const bool isOwn = std::ranges::any_of(
+            own, [&](const crash *other) { return isSameCrash(*other, each); });
+        if (!isOwn && !each.cause)
+            ++others;
+    }
+    const auto answered = static_cast<double>((m_answeredCount - answeredBefore) * m_nodeCount);
+    return others / (others + answered + assumedAnswers - 1);
+}
+
+bool request_quarantine::isSuspectedAsMuch(const crash &candidate, std::size_t moments) const
+{
+    return std::ranges::any_of(candidate.features, [&](const request_feature &each) {
+        return evidenceAgainst(each).moments >= moments;
+    });
+}
+
+void request_quarantine::quarantine(const request_feature &feature, core::time_point until,
+                                    std::size_t crashes)
+{
+    if (m_quarantined.size() >= maxQuarantined)
+        m_quarantined.erase(std::ranges::min_element(
+            m_quarantined, {}, [](const auto &entry) { return entry.second.until; }));
+    quarantine_state &state = m_quarantined[feature];
+    state = {.until = until, .trialAt = until, .crashes = crashes};
+    drawTrialTime(state);
+    std::vector<std::pair<engine_key, core::time_point>> explained;
+    for (const crash *each : crashesOf(feature))
+        explained.emplace_back(each->engine, each->at);
+    for (const auto &[engine, at] : explained)
+        explain(engine, at, feature, std::max(crashes, thresholdOf(feature.kind).moments));
+}
+
+void request_quarantine::extendQuarantine(const request_feature &feature, core::time_point until)
+{
+    quarantine_state &state = m_quarantined.at(feature);
+    if (until <= state.until + trialTimeout)
+        return;
+    state.until = until;
+    state.trialStartedAt.reset();
+    drawTrialTime(state);
+}
+
+void request_quarantine::drawTrialTime(quarantine_state &state)
+{
+    const core::duration spread = std::min<core::duration>(
+        maxTrialSpread, trialIntervalPerNode * static_cast<int>(m_nodeCount));
+    const double part = std::uniform_real_distribution<double>(0, 1)(m_random);
+    state.trialAt = state.until
+                    - std::chrono::duration_cast<core::duration>(
+                        std::chrono::duration<double>(spread) * part);
+}
+
+void request_quarantine::explain(engine_key engine, core::time_point at,
+                                 const request_feature &cause, std::size_t moments)
+{
+    const explained_crash explained{engine, at, cause};
+    if (m_explained.size() >= maxCrashes)
+        m_explained.erase(m_explained.begin());
+    m_explained.push_back(explained);
+    std::vector<bool> isUnrelated(m_crashes.size());
+    for (std::size_t i = 0; i < m_crashes.size(); ++i) {
+        crash &each = m_crashes[i];
+        if (!isSameCrash(each, explained))
+            continue;
+        if (contains(each.features, cause))
+            each.cause = cause;
+        else
+            isUnrelated[i] = !isSuspectedAsMuch(each, moments);
+    }
+    std::size_t index = 0;
+    std::erase_if(m_crashes, [&](const crash &) { return isUnrelated[index++]; });
+}
+
+bool request_quarantine::answeredSince(const request_feature &feature, core::time_point since) const
+{
+    for (const auto *generation : {&m_answered, &m_answeredBefore}) {
+        const auto found = generation->find(feature);
+        if (found != generation->end())
+            return found->second >= since;
+    }
+    return false;
+}
+
+void request_quarantine::recordAnswer(const request_feature &feature, core::time_point now)
+{
+    if (m_answered.size() >= maxAnsweredPerGeneration)
+        m_answeredBefore = std::exchange(m_answered, {});
+    m_answered[feature] = now;
+}
+
+bool request_quarantine::clear(const request_feature &feature)
+{
+    bool suspected = m_quarantined.erase(feature) > 0;
+    for (crash &each : m_crashes) {
+        suspected = std::erase(each.features, feature) > 0 || suspected;
+        if (each.cause == feature)
+            each.cause.reset();
+    }
+    std::erase_if(m_explained, [&](const explained_crash &each) { return each.cause == feature; });
+    return suspected;
+}
+
+} // namespace comfreypass::dispatch
--- /dev/null
+++ b/src/dispatch/request_quarantine.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "dispatch/engine_registry.h"
+#include "dispatch/quarantine_report.h"
+#include "dispatch/request_feature.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace comfreypass::dispatch {
+
+/**
+ * Finds requests that crash each engine that begins to answer them, and quarantines what they have
+ * in common: a segment of their prompts or, if one request is sent again and again, the request
+ * itself.
+ *
+ * A crash counts against the features of a request if its response broke off before its second
+ * event and the engine then refused connections; a response that is merely lost does not count. A
+ * feature is quarantined after several crashes of several engines if it was not answered since the
+ * first one and if a harmless feature would hardly ever be present in all of them, given how many
+ * other requests were answered and how many ended in crashes without it. One fault that ends
+ * several engines at once is one crash. Of segments that always occur together the most specific
+ * one is taken.
+ *
+ * Each crash is explained once: what a quarantined feature explains no longer counts against the
+ * other requests of the engine, and counts at most twice against the less specific features of its
+ * own requests, as the crashes of one request do. Thus a request that is repeated does not
+ * quarantine its segments, and a segment whose requests are repeated is still found.
+ *
+ * At the end of a quarantine the feature is on probation: each node tries one request at a time,
+ * the nodes one after the other, and one more crash quarantines it again.
+ *
+ * Nodes share crashes, answers and quarantines, since each of them sees only some of the crashes.
+ * Not thread-safe.
+ */
+class request_quarantine
+{
+public:
+    /** Events of a response from which on its request cannot have crashed the engine. */
+    static constexpr std::uint64_t harmlessEvents = 2;
+
+    /** An engine that refuses connections within this time of a broken response has crashed. */
+    static constexpr core::duration confirmationWindow = std::chrono::seconds(1);
+
+    /** Crashes of several engines within this time have the same cause. */
+    static constexpr core::duration sameMoment = std::chrono::milliseconds(100);
+
+    /** Crashes are forgotten after this time; rare requests crash an engine every few minutes. */
+    static constexpr core::duration memory = std::chrono::minutes(30);
+
+    /** A quarantined feature is tried again after this time, which costs an engine. */
+    static constexpr core::duration quarantineTime = std::chrono::minutes(2);
+
+    /** `seed` selects when this node tries a quarantined feature again; differs between nodes. */
+    explicit request_quarantine(std::uint32_t seed) : m_random(seed) { }
+
+    /** Sets the number of nodes that share the requests of the fleet. Precondition: count > 0. */
+    void setNodeCount(std::size_t count) { m_nodeCount = count; }
+
+    /**
+     * A response of a request with these features broke off before its second event.
+     * `isOnlyEngine`: the upstream has no other engine.
+     */
+    void onBroken(engine_key engine, std::span<const request_feature> features, bool isOnlyEngine,
+                  core::time_point now);
+
+    /** The engine refuses connections, as this node or a peer found. */
+    void onEngineDown(engine_key engine, core::time_point now);
+
+    /** A request with these features, which find() does not refuse, is sent to an engine. */
+    void onAttempt(std::span<const request_feature> features, core::time_point now);
+
+    /** An engine answered a request with these features. */
+    void onAnswered(std::span<const request_feature> features, core::time_point now);
+
+    /**
+     * Applies what a peer reported. Returns the features in it that this node has seen answered
+     * since, for the peer alone, and those that this node has quarantined by it, for the log: if
+     * all nodes told all others, messages would grow with the square of the fleet.
+     */
+    quarantine_report onPeerReport(const quarantine_report &report, core::time_point now);
+
+    /** Returns the feature among these for which a request is refused, if any. */
+    std::optional<quarantined_feature> find(std::span<const request_feature> features,
+                                            core::time_point now) const;
+
+    bool hasNews() const noexcept { return !m_news.empty(); }
+
+    /** Returns and clears what the peers do not know yet. */
+    quarantine_report takeNews() { return std::exchange(m_news, {}); }
+
+    /** Returns what this node knows, with the crashes of the last `crashAge`, for peers that may
+     * have missed it. */
+    quarantine_report summary(core::time_point now, core::duration crashAge = memory) const;
+
+    /** Returns the number of quarantined features of a kind. */
+    std::size_t quarantinedCount(feature_kind kind, core::time_point now) const;
+
+private:
+    struct broken_request
+    {
+        std::vector<request_feature> features;
+        core::time_point at;
+        bool isOnlyEngine = false;
+    };
+
+    struct crash
+    {
+        engine_key engine = 0;
+        std::vector<request_feature> features;
+        core::time_point at;
+        bool isOnlyEngine = false;
+        /** The quarantined feature of this request that has caused the crash. */
+        std::optional<request_feature> cause = {};
+        /** Requests that this node had seen answered by then. */
+        std::uint64_t answeredBefore = 0;
+    };
+
+    /** A crash whose cause is known. */
+    struct explained_crash
+    {
+        engine_key engine = 0;
+        core::time_point at;
+        request_feature cause;
+    };
+
+    /** Crashes that count against a feature. */
+    struct evidence
+    {
+        std::size_t moments = 0;
+        /** Several engines crashed, or the upstream has only one. */
+        bool concernsUpstream = false;
+        core::time_point first;
+    };
+
+    struct quarantine_state
+    {
+        core::time_point until;
+        /** When this node may try the feature again. */
+        core::time_point trialAt;
+        std::optional<core::time_point> trialStartedAt = {};
+        std::size_t crashes = 0;
+    };
+
+    /** Adds a crash that this node has seen, and reports it. */
+    void recordCrash(crash seen, core::time_point now);
+    /** Returns false if the crash is known, or has another cause. */
+    bool addCrash(crash added, core::time_point now);
+    /** Removes a crash to make room, one with a known cause first. */
+    void dropOne();
+    void dropExpired(core::time_point now);
+    /** Quarantines a feature if a crash of these features has completed the evidence. */
+    std::optional<quarantined_feature> judge(std::span<const request_feature> features,
+                                             core::time_point now);
+    /** Returns the feature to be quarantined if there is enough evidence against this one. */
+    std::optional<request_feature> suspectFor(const request_feature &feature) const;
+    evidence evidenceAgainst(const request_feature &feature) const;
+    bool isConvincing(const request_feature &feature, const evidence &against) const;
+    /** Returns the share of all requests that ended in crashes without the feature. */
+    double backgroundCrashRate(const request_feature &feature, core::time_point first) const;
+    std::vector<const crash *> crashesOf(const request_feature &feature) const;
+    bool isSuspectedAsMuch(const crash &candidate, std::size_t moments) const;
+    void quarantine(const request_feature &feature, core::time_point until, std::size_t crashes);
+    void extendQuarantine(const request_feature &feature, core::time_point until);
+    void drawTrialTime(quarantine_state &state);
+    /** Records the cause of a crash; other requests of the engine are suspected no longer, unless
+     * as many crashes count against them. */
+    void explain(engine_key engine, core::time_point at, const request_feature &cause,
+                 std::size_t moments);
+    bool answeredSince(const request_feature &feature, core::time_point since) const;
+    void recordAnswer(const request_feature &feature, core::time_point now);
+    /** Returns true if the feature was suspected. */
+    bool clear(const request_feature &feature);
+
+    using answer_times
+        = std::unordered_map<request_feature, core::time_point, request_feature_hash>;
+
+    std::minstd_rand m_random;
+    std::size_t m_nodeCount = 1;
+    std::unordered_map<engine_key, std::vector<broken_request>> m_broken;
+    std::unordered_map<engine_key, core::time_point> m_downAt;
+    /** In the order of their arrival; without features if all of them have been answered. */
+    std::vector<crash> m_crashes;
+    std::vector<explained_crash> m_explained;
+    std::map<request_feature, quarantine_state> m_quarantined;
+    /** Last answer of each feature, in two generations, of which the older one is dropped. */
+    answer_times m_answered;
+    answer_times m_answeredBefore;
+    std::uint64_t m_answeredCount = 0;
+    quarantine_report m_news;
+};
+
+} // namespace comfreypass::dispatch
--- a/src/gateway/flow_context.h
+++ b/src/gateway/flow_context.h
@@ -4,9 +4,9 @@
 #include "core/time_point.h"
 #include "dispatch/admission.h"
 #include "dispatch/quota_pool.h"
+#include "dispatch/request_quarantine.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/routing_index.h"
-#include "dispatch/segment_quarantine.h"
 #include "gateway/engine_connection_pool.h"
 #include "gateway/flow_record.h"
 #include "gateway/protocol.h"
@@ -30,7 +30,7 @@
     dispatch::admission &admission;
     dispatch::quota_pool &quotas;
     dispatch::retry_budget &retries;
-    dispatch::segment_quarantine &quarantine;
+    dispatch::request_quarantine &quarantine;
     engine_connection_pool &engineConnections;
     std::minstd_rand &random;
     std::function<core::time_point()> now;
--- a/src/gateway/flow_log.cpp
+++ b/src/gateway/flow_log.cpp
@@ -1,5 +1,6 @@
 #include "gateway/flow_log.h"
 
+#include "gateway/quarantine_log.h"
 #include "observe/log_setup.h"
 
 #include <chrono>
@@ -35,6 +36,7 @@
              {{"request", record.attemptId},
               {"outcome", toString(record.outcome)},
               {"reason", record.reason},
+              {"quarantined", record.quarantined ? featureText(*record.quarantined) : ""},
               {"status", std::to_string(record.status)},
               {"route", record.route},
               {"upstream", record.upstream},
--- a/src/gateway/flow_record.h
+++ b/src/gateway/flow_record.h
@@ -2,9 +2,11 @@
 
 #include "core/time_point.h"
 #include "dispatch/engine_registry.h"
+#include "dispatch/request_feature.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -46,6 +48,8 @@
     flow_outcome outcome = flow_outcome::Answered;
     /** Stable name of the cause of the outcome. */
     std::string reason;
+    /** The quarantined feature for which the request was refused. */
+    std::optional<dispatch::request_feature> quarantined;
     std::uint32_t attempts = 0;
     std::uint64_t configurationVersion = 0;
     /** Load of the engine when it was selected for the last attempt. */
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_node.h"
 
 #include "dispatch/caller_addresses.h"
+#include "gateway/quarantine_log.h"
 #include "gateway/status_codec.h"
 #include "gateway/value_compression.h"
 #include "observe/log_setup.h"
@@ -44,8 +45,12 @@
  * the next full status. */
 constexpr std::uint64_t changedUsageRepeats = 4;
 
-/** A report on segments follows this many statuses, so that a lost datagram delays it little. */
-constexpr std::uint64_t segmentReportRepeats = 4;
+/** A report on quarantined requests follows this many statuses, so that a lost datagram delays it
+ * little. */
+constexpr std::uint64_t quarantineReportRepeats = 4;
+
+/** Older crashes are reported only to nodes that have just started. */
+constexpr core::duration repeatedCrashAge = 1min;
 
 /** Engines whose latency one status reports; a node measures a few between two statuses. */
 constexpr std::size_t maxLatenciesPerStatus = 4;
@@ -173,7 +178,7 @@
       m_subsetting(m_settings.peers.address, m_registry),
       m_admission(m_registry, m_fleet, static_cast<std::uint32_t>(m_random())),
       m_retries({m_settings.retryRatio, m_settings.retryExtra, m_settings.retryWindow}),
-      m_engineConnections(reactor, m_deleter),
+      m_quarantine(static_cast<std::uint32_t>(m_random())), m_engineConnections(reactor, m_deleter),
       m_catalogue(decoder, m_registry, [this] { onCatalogueChanged(); }),
       m_context{.reactor = reactor,
                 .callerProtocol = callerProtocol,
@@ -336,6 +341,13 @@
                   static_cast<double>(m_registry.leavingCount()));
     m_metrics.set(metric::GatewayExcludedEngines, {"paused"},
                   static_cast<double>(m_registry.pausedCount(now)));
+    m_metrics.set(
+        metric::GatewayQuarantined, {"segments"},
+        static_cast<double>(m_quarantine.quarantinedCount(dispatch::feature_kind::Segment, now)));
+    m_metrics.set(
+        metric::GatewayQuarantined, {"requests"},
+        static_cast<double>(m_quarantine.quarantinedCount(dispatch::feature_kind::Request, now)));
+    m_metrics.set(metric::GatewaySuspectedCrashes, {}, static_cast<double>(m_suspectedCrashes));
     m_metrics.set(metric::GatewayConnections, {}, static_cast<double>(m_connections.size()));
     m_metrics.set(metric::GatewayConfigurationVersion, {},
                   static_cast<double>(m_catalogue.configurationVersion()));
@@ -535,8 +547,8 @@
         m_catalogue.onPeerUpdate(*update, from.address, monotonicNow());
     else if (const auto *update = std::get_if<dispatch::engine_update>(&decoded.value()))
         onPeerEngineUpdate(from, *update);
-    else if (const auto *report = std::get_if<peer_segment_report>(&decoded.value()))
-        onPeerSegments(from, *report);
+    else if (const auto *report = std::get_if<peer_quarantine_report>(&decoded.value()))
+        onPeerQuarantine(from, *report);
 }
 
 void gateway_node::onPeerEngineUpdate(const http1::endpoint &from,
@@ -554,68 +566,47 @@
     sendEngineUpdatesSoon();
 }
 
-void gateway_node::onPeerSegments(const http1::endpoint &from, const peer_segment_report &received)
+void gateway_node::onPeerQuarantine(const http1::endpoint &from,
+                                    const peer_quarantine_report &received)
 {
     if (received.address != from.address)
         return;
     const core::time_point now = monotonicNow();
-    dispatch::segment_report changes;
-    for (const dispatch::segment_key &each : received.report.answered) {
+    dispatch::quarantine_report changes;
+    for (const dispatch::request_feature &each : received.report.answered) {
         if (m_quarantine.find({&each, 1}, now))
             changes.answered.push_back(each);
     }
-    dispatch::segment_report result = m_quarantine.onPeerReport(received.report, now);
+    dispatch::quarantine_report result = m_quarantine.onPeerReport(received.report, now);
     changes.quarantined = std::exchange(result.quarantined, {});
     if (!result.empty())
-        m_peerSocket.send(from, encodeSegmentReport({m_settings.peers.address, result}));
-    logSegments(changes, addressText(from.address));
+        m_peerSocket.send(from, encodeQuarantineReport({m_settings.peers.address, result}));
+    logQuarantine(changes, addressText(from.address));
     sendEngineUpdatesSoon();
 }
 
-void gateway_node::sendSegmentNews()
+void gateway_node::sendQuarantineNews()
 {
     if (!m_quarantine.hasNews())
         return;
-    const dispatch::segment_report news = m_quarantine.takeNews();
-    logSegments(news, "");
-    m_segmentRepeats = segmentReportRepeats;
-    sendToPeers(encodeSegmentReport({m_settings.peers.address, news}));
+    const dispatch::quarantine_report news = m_quarantine.takeNews();
+    logQuarantine(news, "");
+    m_suspectedCrashes += news.crashes.size();
+    m_quarantineRepeats = quarantineReportRepeats;
+    sendToPeers(encodeQuarantineReport({m_settings.peers.address, news}));
 }
 
-void gateway_node::repeatSegmentReport(bool full)
+void gateway_node::repeatQuarantineReport(bool full)
 {
-    if (!full && m_segmentRepeats == 0)
+    if (!full && m_quarantineRepeats == 0)
         return;
-    if (m_segmentRepeats > 0)
-        --m_segmentRepeats;
-    const dispatch::segment_report summary = m_quarantine.summary(monotonicNow());
+    if (m_quarantineRepeats > 0)
+        --m_quarantineRepeats;
+    const dispatch::quarantine_report summary
+        = m_quarantine.summary(monotonicNow(), repeatedCrashAge);
     if (summary.empty())
         return;
-    sendToPeers(encodeSegmentReport({m_settings.peers.address, summary}));
-}
-
-void gateway_node::logSegments(const dispatch::segment_report &report, std::string_view origin)
-{
-    const auto hexadecimal = [](dispatch::segment_key key) {
-        std::ostringstream text;
-        text << std::hex << key;
-        return text.str();
-    };
-    for (const dispatch::crash_report &each : report.crashes) {
-        std::string segments;
-        for (const dispatch::segment_key segment : each.segments)
-            segments += (segments.empty() ? "" : ",") + hexadecimal(segment);
-        logEvent(log_level::Warning, "engine_crash_suspected",
-                 "an engine ended while it ran a request that had no answer yet",
-                 {{"engine_key", std::to_string(each.engine)}, {"segments", segments}});
-    }
-    for (const dispatch::quarantined_segment &each : report.quarantined)
-        logEvent(log_level::Warning, "segment_quarantined",
-                 "requests with this segment crash engines and are refused",
-                 {{"segment", hexadecimal(each.segment)}, {"peer", origin}});
-    for (const dispatch::segment_key segment : report.answered)
-        logEvent(log_level::Info, "segment_cleared", "an engine has answered a suspected segment",
-                 {{"segment", hexadecimal(segment)}, {"peer", origin}});
+    sendToPeers(encodeQuarantineReport({m_settings.peers.address, summary}));
 }
 
 void gateway_node::sendEngineUpdatesSoon()
@@ -635,7 +626,7 @@
         update.sequence = ++m_sequence;
         m_peerSocket.send({peer, m_settings.peers.port}, encodeEngineUpdate(update));
     }
-    sendSegmentNews();
+    sendQuarantineNews();
 }
 
 void gateway_node::onPeerStatus(const http1::endpoint &from, dispatch::node_status received)
@@ -662,9 +653,9 @@
         return;
     if (change.isNew)
         m_peerSocket.send(from, encodeStatus(buildStatus(true)));
-    const dispatch::segment_report summary = m_quarantine.summary(now);
+    const dispatch::quarantine_report summary = m_quarantine.summary(now);
     if (!summary.empty())
-        m_peerSocket.send(from, encodeSegmentReport({m_settings.peers.address, summary}));
+        m_peerSocket.send(from, encodeQuarantineReport({m_settings.peers.address, summary}));
 }
 
 void gateway_node::sendToPeers(std::string_view bytes)
@@ -679,12 +670,13 @@
     dispatch::node_status status = buildStatus(full);
     status.latencies = m_registry.takeNewLatencies(maxLatenciesPerStatus);
     sendToPeers(encodeStatus(status));
-    repeatSegmentReport(full);
+    repeatQuarantineReport(full);
     m_admission.onPeerLoadsUpdated();
     const core::duration interval = statusInterval();
     m_fleet.setStatusInterval(interval);
     // On average, half the interval has passed since a peer's last status.
     m_admission.setLoadAge(interval / 2);
+    m_quarantine.setNodeCount(m_fleet.share(monotonicNow()).reachable);
     m_statusTimer.startOnce(interval);
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -7,8 +7,8 @@
 #include "dispatch/engine_subsetting.h"
 #include "dispatch/fleet_view.h"
 #include "dispatch/quota_pool.h"
+#include "dispatch/request_quarantine.h"
 #include "dispatch/retry_budget.h"
-#include "dispatch/segment_quarantine.h"
 #include "gateway/catalogue.h"
 #include "gateway/engine_connection_pool.h"
 #include "gateway/flow_context.h"
@@ -120,10 +120,9 @@
     void onPeerEngineUpdate(const http1::endpoint &from, const dispatch::engine_update &update);
     void sendEngineUpdates();
     void sendEngineUpdatesSoon();
-    void onPeerSegments(const http1::endpoint &from, const peer_segment_report &received);
-    void sendSegmentNews();
-    void repeatSegmentReport(bool full);
-    void logSegments(const dispatch::segment_report &report, std::string_view origin);
+    void onPeerQuarantine(const http1::endpoint &from, const peer_quarantine_report &received);
+    void sendQuarantineNews();
+    void repeatQuarantineReport(bool full);
 
     void sendToPeers(std::string_view bytes);
     void sendStatus();
@@ -156,7 +155,7 @@
     dispatch::admission m_admission;
     dispatch::quota_pool m_quotas;
     dispatch::retry_budget m_retries;
-    dispatch::segment_quarantine m_quarantine;
+    dispatch::request_quarantine m_quarantine;
     engine_connection_pool m_engineConnections;
     catalogue m_catalogue;
     flow_log m_log;
@@ -173,8 +172,9 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_statusCount = 0;
     bool m_engineUpdatesPending = false;
-    /** Statuses that are still followed by a report on segments. */
-    std::uint64_t m_segmentRepeats = 0;
+    /** Statuses that are still followed by a report on quarantined requests. */
+    std::uint64_t m_quarantineRepeats = 0;
+    std::uint64_t m_suspectedCrashes = 0;
     struct reported_usage
     {
         double total = 0;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_flow.h"
 
 #include "core/parse_unsigned.h"
+#include "gateway/request_digest.h"
 #include "http1/forwarded_headers.h"
 
 #include <algorithm>
@@ -139,6 +140,7 @@
         return;
     m_upstream = chooseTarget();
     m_record.upstream = m_upstream;
+    m_features = findFeatures();
     m_context.retries.onRequest(m_upstream, m_arrivedAt);
     m_deadlineTimer.startOnce(timeout + deadlineSlack);
     submit();
@@ -239,13 +241,30 @@
         m_context.now());
 }
 
+std::vector<dispatch::request_feature> request_flow::findFeatures() const
+{
+    std::vector<dispatch::request_feature> features;
+    features.reserve(m_metadata.sharedSegments.size() + 1);
+    for (const std::uint64_t key : m_metadata.sharedSegments)
+        features.push_back({dispatch::feature_kind::Segment, key});
+    features.push_back({dispatch::feature_kind::Request, requestDigest({.method = m_head.method,
+                                                                        .host = m_metadata.host,
+                                                                        .target = m_head.target,
+                                                                        .team = m_record.team,
+                                                                        .body = m_body})});
+    return features;
+}
+
 // Checked before each attempt, since a request that has crashed an engine would crash the next one.
 bool request_flow::refuseQuarantined()
 {
-    const auto found = m_context.quarantine.find(m_metadata.sharedSegments, m_context.now());
+    const auto found = m_context.quarantine.find(m_features, m_context.now());
     if (!found)
         return false;
-    constexpr std::string_view reason = "quarantined_prompt";
+    m_record.quarantined = found->feature;
+    const std::string_view reason = found->feature.kind == dispatch::feature_kind::Request
+                                        ? "quarantined_request"
+                                        : "quarantined_prompt";
     if (responseStarted())
         abortResponse(reason);
     else if (m_mayHaveRun)
@@ -257,20 +276,21 @@
 
 bool request_flow::isQuarantined() const
 {
-    return m_context.quarantine.find(m_metadata.sharedSegments, m_context.now()).has_value();
+    return m_context.quarantine.find(m_features, m_context.now()).has_value();
 }
 
 // The connection has ended before the engine could prove that the request is harmless.
 void request_flow::onBrokenOff()
 {
-    if (m_attemptEvents < dispatch::segment_quarantine::harmlessEvents)
-        m_context.quarantine.onBroken(dispatch::engine_registry::keyOf(m_engine->id),
-                                      m_metadata.sharedSegments, m_context.now());
+    if (m_attemptEvents < dispatch::request_quarantine::harmlessEvents)
+        m_context.quarantine.onBroken(dispatch::engine_registry::keyOf(m_engine->id), m_features,
+                                      m_context.registry.engineCount(m_upstream) == 1,
+                                      m_context.now());
 }
 
 void request_flow::onAnswered()
 {
-    m_context.quarantine.onAnswered(m_metadata.sharedSegments, m_context.now());
+    m_context.quarantine.onAnswered(m_features, m_context.now());
 }
 
 core::duration request_flow::maxQueueTime() const
@@ -374,6 +394,7 @@
     m_foreignResponseSeen = false;
     m_connection = connectionForAttempt(now);
     m_triedAddresses.push_back(*m_engineAddress);
+    m_context.quarantine.onAttempt(m_features, now);
     m_connection.connection->start(buildRequest(engine), *this);
     m_attemptTimer.startOnce(m_connection.connection->connected() ? stallTimeout()
                                                                   : connectTimeout);
@@ -629,8 +650,8 @@
     if (m_events.completeEvents().empty())
         return;
     const std::uint64_t attemptEvents = m_events.eventCount() - m_eventsBefore;
-    if (m_attemptEvents < dispatch::segment_quarantine::harmlessEvents
-        && attemptEvents >= dispatch::segment_quarantine::harmlessEvents)
+    if (m_attemptEvents < dispatch::request_quarantine::harmlessEvents
+        && attemptEvents >= dispatch::request_quarantine::harmlessEvents)
         onAnswered();
     m_attemptEvents = attemptEvents;
     const core::time_point now = m_context.now();
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "dispatch/admission.h"
+#include "dispatch/request_feature.h"
 #include "gateway/event_splitter.h"
 #include "gateway/flow_context.h"
 #include "gateway/flow_record.h"
@@ -81,6 +82,7 @@
     void submit();
     dispatch::admission_decision requestEngine(std::span<const std::string> excluded,
                                                core::time_point queueDeadline);
+    std::vector<dispatch::request_feature> findFeatures() const;
     bool isQuarantined() const;
     bool refuseQuarantined();
     void refuseAfterWaiting();
@@ -149,6 +151,8 @@
     const dispatch::route *m_route = nullptr;
     const dispatch::team *m_team = nullptr;
     std::string m_upstream;
+    /** What the quarantine knows the request by; the segments first. */
+    std::vector<dispatch::request_feature> m_features;
     core::time_point m_arrivedAt;
     core::time_point m_deadline;
     bool m_quotaCharged = false;
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -119,20 +119,59 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
-peer_segment_report readSegmentReport(const fleet::SegmentReport &message)
+std::vector<dispatch::request_feature> readFeatures(const fleet::CrashReport &message)
 {
+    std::vector<dispatch::request_feature> features;
+    for (const std::uint64_t segment : message.segments())
+        features.push_back({dispatch::feature_kind::Segment, segment});
+    if (message.has_request())
+        features.push_back({dispatch::feature_kind::Request, message.request()});
+    return features;
+}
+
+peer_quarantine_report readQuarantineReport(const fleet::SegmentReport &message)
+{
+    using dispatch::feature_kind;
     using std::chrono::milliseconds;
-    peer_segment_report result{.address = message.address()};
+    peer_quarantine_report result{.address = message.address()};
     for (const fleet::CrashReport &entry : message.crashes())
-        result.report.crashes.push_back({entry.engine(),
-                                         {entry.segments().begin(), entry.segments().end()},
-                                         milliseconds(entry.age_ms())});
+        result.report.crashes.push_back({entry.engine(), readFeatures(entry),
+                                         milliseconds(entry.age_ms()), entry.only_engine()});
     for (const fleet::QuarantinedSegment &entry : message.quarantined())
-        result.report.quarantined.push_back({entry.segment(), milliseconds(entry.remaining_ms())});
-    result.report.answered.assign(message.answered().begin(), message.answered().end());
+        result.report.quarantined.push_back({{feature_kind::Segment, entry.segment()},
+                                             milliseconds(entry.remaining_ms()),
+                                             entry.crashes()});
+    for (const fleet::QuarantinedRequest &entry : message.quarantined_requests())
+        result.report.quarantined.push_back({{feature_kind::Request, entry.request()},
+                                             milliseconds(entry.remaining_ms()),
+                                             entry.crashes()});
+    for (const std::uint64_t segment : message.answered())
+        result.report.answered.push_back({feature_kind::Segment, segment});
+    for (const std::uint64_t request : message.answered_requests())
+        result.report.answered.push_back({feature_kind::Request, request});
     return result;
 }
 
+void writeCrash(const dispatch::crash_report &crash, fleet::CrashReport &entry)
+{
+    entry.set_engine(crash.engine);
+    for (const dispatch::request_feature &each : crash.features) {
+        if (each.kind == dispatch::feature_kind::Request)
+            entry.set_request(each.key);
+        else
+            entry.add_segments(each.key);
+    }
+    entry.set_age_ms(toMilliseconds(crash.age));
+    entry.set_only_engine(crash.isOnlyEngine);
+}
+
+template<typename Entry>
+void writeQuarantined(const dispatch::quarantined_feature &quarantined, Entry &entry)
+{
+    entry.set_remaining_ms(toMilliseconds(quarantined.remaining));
+    entry.set_crashes(static_cast<std::uint32_t>(quarantined.crashes));
+}
+
 } // namespace
 
 std::string encodeStatus(const dispatch::node_status &status)
@@ -213,25 +252,30 @@
     return wrapper.SerializeAsString();
 }
 
-std::string encodeSegmentReport(const peer_segment_report &report)
+std::string encodeQuarantineReport(const peer_quarantine_report &report)
 {
     fleet::PeerMessage wrapper;
     fleet::SegmentReport &message = *wrapper.mutable_segments();
     message.set_address(report.address);
-    for (const dispatch::crash_report &each : report.report.crashes) {
-        fleet::CrashReport &entry = *message.add_crashes();
-        entry.set_engine(each.engine);
-        for (const dispatch::segment_key segment : each.segments)
-            entry.add_segments(segment);
-        entry.set_age_ms(toMilliseconds(each.age));
+    for (const dispatch::crash_report &each : report.report.crashes)
+        writeCrash(each, *message.add_crashes());
+    for (const dispatch::quarantined_feature &each : report.report.quarantined) {
+        if (each.feature.kind == dispatch::feature_kind::Request) {
+            fleet::QuarantinedRequest &entry = *message.add_quarantined_requests();
+            entry.set_request(each.feature.key);
+            writeQuarantined(each, entry);
+        } else {
+            fleet::QuarantinedSegment &entry = *message.add_quarantined();
+            entry.set_segment(each.feature.key);
+            writeQuarantined(each, entry);
+        }
     }
-    for (const dispatch::quarantined_segment &each : report.report.quarantined) {
-        fleet::QuarantinedSegment &entry = *message.add_quarantined();
-        entry.set_segment(each.segment);
-        entry.set_remaining_ms(toMilliseconds(each.remaining));
+    for (const dispatch::request_feature &each : report.report.answered) {
+        if (each.kind == dispatch::feature_kind::Request)
+            message.add_answered_requests(each.key);
+        else
+            message.add_answered(each.key);
     }
-    for (const dispatch::segment_key segment : report.report.answered)
-        message.add_answered(segment);
     return wrapper.SerializeAsString();
 }
 
@@ -251,7 +295,7 @@
     if (message.has_news() && message.news().address() != 0)
         return peer_message(readEngineUpdate(message.news()));
     if (message.has_segments() && message.segments().address() != 0)
-        return peer_message(readSegmentReport(message.segments()));
+        return peer_message(readQuarantineReport(message.segments()));
     return parseError("datagram of a peer");
 }
 
--- a/src/gateway/status_codec.h
+++ b/src/gateway/status_codec.h
@@ -3,8 +3,8 @@
 #include "core/result.h"
 #include "core/time_point.h"
 #include "dispatch/fleet_member.h"
+#include "dispatch/quarantine_report.h"
 #include "dispatch/record_collection.h"
-#include "dispatch/segment_report.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -29,22 +29,22 @@
     bool removed = false;
 };
 
-/** What a peer knows about segments that may crash engines. */
-struct peer_segment_report
+/** What a peer knows about requests that may crash engines. */
+struct peer_quarantine_report
 {
     std::uint32_t address = 0;
-    dispatch::segment_report report = {};
+    dispatch::quarantine_report report = {};
 };
 
 /** Content of a datagram. */
 using peer_message = std::variant<dispatch::node_status, record_update, dispatch::engine_update,
-                                  peer_segment_report>;
+                                  peer_quarantine_report>;
 
 /** Encodes one datagram. Thread-safe. */
 std::string encodeStatus(const dispatch::node_status &status);
 std::string encodeRecordUpdate(const record_update &update);
 std::string encodeEngineUpdate(const dispatch::engine_update &update);
-std::string encodeSegmentReport(const peer_segment_report &report);
+std::string encodeQuarantineReport(const peer_quarantine_report &report);
 
 /** Error: ParseFailed. Thread-safe. */
 core::result<peer_message> decodeMessage(std::string_view bytes);
--- a/src/observe/metric_info.h
+++ b/src/observe/metric_info.h
@@ -44,6 +44,8 @@
     GatewayPeers,
     GatewayEngines,
     GatewayExcludedEngines,
+    GatewayQuarantined,
+    GatewaySuspectedCrashes,
     GatewayConnections,
     GatewayConfigurationVersion,
     GatewayRecordCalls,
--- a/tests/dispatch/quarantine_load/quarantine_load_test.cpp
+++ b/tests/dispatch/quarantine_load/quarantine_load_test.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/segment_quarantine.h"
+#include "dispatch/request_quarantine.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -23,18 +23,21 @@
     // every 300 ms, six requests each, 100 segments, 200 requests per second.
     void constantEngineFailuresQuarantineNothing()
     {
-        constexpr segment_key shared = 7;
+        constexpr std::uint64_t shared = 7;
         core::time_point now{10h};
         for (std::uint32_t seed = 1; seed <= 50; ++seed) {
             std::minstd_rand random(seed);
-            segment_quarantine node;
+            request_quarantine node(seed);
             for (int i = 0; i < 6'000; ++i) {
                 now += 5ms;
-                const std::vector<segment_key> segments = {shared, 100 + random() % 100};
+                const std::vector<request_feature> segments
+                    = {{feature_kind::Segment, shared},
+                       {feature_kind::Segment, 100 + random() % 100},
+                       {feature_kind::Request, static_cast<std::uint64_t>(i)}};
                 const auto engine = static_cast<engine_key>(random() % 20);
                 const auto failed = static_cast<engine_key>(i / 60 % 20);
                 if (i % 60 < 6) {
-                    node.onBroken(failed, segments, now);
+                    node.onBroken(failed, segments, false, now);
                     node.onEngineDown(failed, now);
                 } else if (engine != failed) {
                     node.onAnswered(segments, now);
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -344,7 +344,7 @@
                                           : "\n" + name + (info.labelCount() > 0 ? "{" : " ");
             CPPUNIT_ASSERT_MESSAGE(name, contains(text.str(), first));
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, checked);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{14}, checked);
     }
 
     // Guards against running a non-resumable stream twice, and against ending it as if complete.
@@ -576,7 +576,7 @@
         for (int i = 1; i <= 4; ++i) {
             const std::string id = "e" + std::to_string(i);
             listening_socket &listener = m_gateway.addEngine(id);
-            const auto caller = m_gateway.call("/fragile/x", "1", "Segments: 7 9\r\n");
+            const auto caller = m_gateway.call("/fragile/x" + id, "1", "Segments: 7 9\r\n");
             raw_socket engine = m_gateway.acceptAt(listener);
             m_gateway.requestAt(engine);
             m_gateway.stopEngine(listener);
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -21,7 +21,7 @@
     CPPUNIT_TEST(onlyMissingChangesAreEncoded);
     CPPUNIT_TEST(updateRoundTrips);
     CPPUNIT_TEST(engineUpdateRoundTrips);
-    CPPUNIT_TEST(segmentReportRoundTrips);
+    CPPUNIT_TEST(quarantineReportRoundTrips);
     CPPUNIT_TEST(erasRoundTrip);
     CPPUNIT_TEST(messagesWithoutErasAreRead);
     CPPUNIT_TEST(invalidMessageIsRejected);
@@ -159,21 +159,38 @@
     }
 
     // Guards against a quarantine that peers do not learn.
-    void segmentReportRoundTrips()
+    void quarantineReportRoundTrips()
     {
-        peer_segment_report sent{.address = 0x0a010019};
-        sent.report.crashes = {{3, {7, 0xffff'ffff'ffff'ffff}, 20ms}};
-        sent.report.quarantined = {{9, 100s}};
-        sent.report.answered = {8};
-        const auto decoded = decodeMessage(encodeSegmentReport(sent));
+        using dispatch::feature_kind;
+        constexpr std::uint64_t largest = 0xffff'ffff'ffff'ffff;
+        peer_quarantine_report sent{.address = 0x0a010019};
+        sent.report.crashes = {{3,
+                                {{feature_kind::Segment, 7},
+                                 {feature_kind::Segment, largest},
+                                 {feature_kind::Request, largest}},
+                                20ms,
+                                true},
+                               {4, {{feature_kind::Segment, 7}}, 10ms}};
+        sent.report.quarantined
+            = {{{feature_kind::Segment, 9}, 100s, 4}, {{feature_kind::Request, 9}, 90s, 3}};
+        sent.report.answered = {{feature_kind::Segment, 8}, {feature_kind::Request, 6}};
+        const auto decoded = decodeMessage(encodeQuarantineReport(sent));
         CPPUNIT_ASSERT(decoded);
-        const auto &received = std::get<peer_segment_report>(decoded.value());
+        const auto &received = std::get<peer_quarantine_report>(decoded.value());
         CPPUNIT_ASSERT_EQUAL(sent.address, received.address);
         CPPUNIT_ASSERT_EQUAL(3U, received.report.crashes.at(0).engine);
-        CPPUNIT_ASSERT(sent.report.crashes[0].segments == received.report.crashes[0].segments);
+        CPPUNIT_ASSERT(received.report.crashes[0].isOnlyEngine);
+        CPPUNIT_ASSERT(!received.report.crashes.at(1).isOnlyEngine);
+        for (std::size_t i = 0; i < sent.report.crashes.size(); ++i)
+            CPPUNIT_ASSERT(sent.report.crashes[i].features == received.report.crashes[i].features);
         CPPUNIT_ASSERT(received.report.crashes[0].age == 20ms);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, received.report.quarantined.at(0).segment);
-        CPPUNIT_ASSERT(received.report.quarantined[0].remaining == 100s);
+        for (std::size_t i = 0; i < sent.report.quarantined.size(); ++i) {
+            const auto &expected = sent.report.quarantined[i];
+            const auto &actual = received.report.quarantined.at(i);
+            CPPUNIT_ASSERT(expected.feature == actual.feature);
+            CPPUNIT_ASSERT(expected.remaining == actual.remaining);
+            CPPUNIT_ASSERT_EQUAL(expected.crashes, actual.crashes);
+        }
         CPPUNIT_ASSERT(sent.report.answered == received.report.answered);
     }
 
