--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -373,15 +373,17 @@
     std::vector<crash_moment> moments;
     const core::duration sameMoment = thresholdOf(feature.kind).sameMoment;
     for (const crash *each : own) {
+        const request_feature cause = each->cause.value_or(each->features.back());
         const auto known = lastOfEngine.find(each->engine);
         const bool isKnown
             = known != lastOfEngine.end() && each->at - known->second <= confirmationWindow;
         if (!isKnown) {
             lastOfEngine[each->engine] = each->at;
-            if (moments.empty() || each->at - moments.back().at >= sameMoment)
+            // A request that is repeated has crashed one engine after the other.
+            if (moments.empty() || each->at - moments.back().at >= sameMoment
+                || moments.back().causes.contains(cause))
                 moments.push_back({.at = each->at, .causes = {}});
         }
-        const request_feature cause = each->cause.value_or(each->features.back());
         if (!isRequest && cause != feature)
             moments.back().causes.insert(cause);
     }
--- a/src/observe/request_timeline.cpp
+++ b/src/observe/request_timeline.cpp
@@ -80,8 +80,11 @@
     std::string_view event;
     /** Only the latest event of a topic is returned; without a topic, every recent event is. */
     std::string_view topic;
-    /** Events of an engine are returned if the request used it, or needed one of its upstream. */
-    enum class relation : std::uint8_t { Any, SameEngine, SameUpstream };
+    /**
+     * Events of an engine are returned if the request used it, or needed one of its upstream;
+     * those of a quarantine if the request was refused for it.
+     */
+    enum class relation : std::uint8_t { Any, SameEngine, SameUpstream, SameQuarantine };
     relation scope;
 };
 
@@ -110,6 +113,12 @@
 {
     if (rule.scope == state_event_rule::relation::Any)
         return true;
+    if (rule.scope == state_event_rule::relation::SameQuarantine) {
+        const std::string_view segment = stateEvent.field("segment");
+        const std::string_view feature = segment.empty() ? stateEvent.field("digest") : segment;
+        return std::ranges::any_of(
+            m_own, [&](const log_entry &own) { return own.field("quarantined") == feature; });
+    }
     const std::string_view name
         = rule.scope == state_event_rule::relation::SameEngine ? "engine" : "upstream";
     return std::ranges::any_of(m_own, [&](const log_entry &own) {
@@ -120,7 +129,7 @@
 std::vector<log_entry> request_timeline::stateEvents() const
 {
     using enum state_event_rule::relation;
-    static constexpr std::array<state_event_rule, 17> rules = {{
+    static constexpr std::array<state_event_rule, 19> rules = {{
         {"node_started", "process", Any},
         {"node_stopping", "process", Any},
         {"configuration_applied", "configuration", Any},
@@ -133,6 +142,8 @@
         {"engine_leaving", "", SameUpstream},
         {"engine_paused", "", SameUpstream},
         {"engine_pause_ignored", "", SameEngine},
+        {"segment_quarantined", "quarantine", SameQuarantine},
+        {"request_quarantined", "quarantine", SameQuarantine},
         {"domain_evacuated", "", Any},
         {"domain_restored", "", Any},
         {"peer_silent", "", Any},
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(repeatsWithinMillisecondsCount);
     CPPUNIT_TEST(repeatedRequestDoesNotQuarantineItsSegments);
     CPPUNIT_TEST(segmentOfRepeatedRequestsIsFound);
+    CPPUNIT_TEST(repeatAtOnceCountsAgainstTheSegment);
     CPPUNIT_TEST(otherRequestsAtTheCrashedEnginesAreCleared);
     CPPUNIT_TEST(soundRequestWithTwoCrashesIsServed);
     CPPUNIT_TEST(equalSoundRequestsAreServed);
@@ -310,6 +311,23 @@
         CPPUNIT_ASSERT(!isQuarantined(shared));
     }
 
+    // Guards against taking a request that is repeated at once, and its repeat, for one crash.
+    void repeatAtOnceCountsAgainstTheSegment()
+    {
+        engine_key engine = 0;
+        for (int i = 0; i < 2; ++i) {
+            const features deadly = request({shared, poison});
+            for (int attempt = 0; attempt < 2; ++attempt) {
+                m_now += 60ms;
+                m_node.onBroken(++engine, deadly, false, m_now);
+                m_node.onEngineDown(engine, m_now);
+            }
+            m_node.onAnswered(request({shared}), m_now);
+            m_now += 5s;
+        }
+        CPPUNIT_ASSERT(isQuarantined(poison));
+    }
+
     // Guards against counting crashes with a known cause against other requests at the engine.
     void otherRequestsAtTheCrashedEnginesAreCleared()
     {
--- a/tests/observe/request_timeline_test.cpp
+++ b/tests/observe/request_timeline_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(listsOnlyEventsTheNodeKnewAtTheTime);
     CPPUNIT_TEST(omitsEventsOfOtherEngines);
     CPPUNIT_TEST(listsStatementsOfEnginesOfTheUpstream);
+    CPPUNIT_TEST(namesTheQuarantineOfARefusedRequest);
     CPPUNIT_TEST(countsMalformedLines);
     CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +80,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string_view("e1"), stateEvents.at(0).field("engine"));
     }
 
+    // Guards against a refusal whose quarantine began too long before the request to be listed.
+    void namesTheQuarantineOfARefusedRequest()
+    {
+        request_timeline timeline("r1");
+        timeline.feed(line("09:58:30.000", "a", "segment_quarantined", R"("segment":"5a")"));
+        timeline.feed(line("09:58:40.000", "a", "request_quarantined", R"("digest":"7b")"));
+        timeline.feed(line("10:00:03.000", "a", "request_ended",
+                           R"("request":"r1","quarantined":"5a","reason":"quarantined_prompt")"));
+        const auto stateEvents = timeline.stateEvents();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stateEvents.size());
+        CPPUNIT_ASSERT_EQUAL(std::string_view("5a"), stateEvents.at(0).field("segment"));
+    }
+
     // Guards against a truncated line that stops parsing, and against a collector's prefix that
     // makes lines unparsable.
     void countsMalformedLines()
