Refuse requests that cannot end before a leaving node does

A leaving node took every request for 2.5 s, however long its kind takes, and started queued and repeated ones until the very end. Their callers could not use another node any more.

The end of the grace period is now a deadline of the requests. While the node leaves, a request starts only if its own deadline lies before that end, or if at most 1 % of its route's requests (5 % if it may be repeated) take longer than the time that is left. Others get 503 at once, also from the queue, and 502 if they may have run.

The new tests requestThatCannotEndInTimeIsRefused and queuedRequestIsNotPassedOnTooLate fail on (test_gateway: the first is passed on, the second, too); requestThatUsuallyEndsInTimeIsPassedOn guards the other side and passes there.

--- a/src/gateway/flow_context.h
+++ b/src/gateway/flow_context.h
@@ -10,6 +10,7 @@
 #include "gateway/engine_connection_pool.h"
 #include "gateway/flow_record.h"
 #include "gateway/protocol.h"
+#include "gateway/request_durations.h"
 
 #include <ace/Reactor.h>
 
@@ -36,6 +37,9 @@
     std::function<core::time_point()> now;
     /** Returns the active configuration; null while none is known. */
     std::function<std::shared_ptr<const dispatch::routing_index>()> routes;
+    const request_durations &durations;
+    /** Returns the time at which the node ends all requests; unlimited unless it is leaving. */
+    std::function<core::time_point()> requestsEndAt;
     /** Called when an attempt has ended, so that a slot of the upstream may be free. */
     std::function<void(const std::string &upstream)> slotFreed;
     /** Called when an engine has stated for the first time that it is leaving. */
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -187,6 +187,8 @@
                 .random = m_random,
                 .now = [] { return monotonicNow(); },
                 .routes = [this] { return m_catalogue.routes(); },
+                .durations = m_durations,
+                .requestsEndAt = [this] { return requestsEndAt(); },
                 .slotFreed =
                     [this](const std::string &upstream) {
                         startQueued(upstream, dispatch::poll_trigger::OwnCompletion);
@@ -270,6 +272,12 @@
     sendStatus();
 }
 
+core::time_point gateway_node::requestsEndAt() const
+{
+    return m_leaving ? m_leavingSince + m_settings.gracePeriod - killMargin
+                     : core::time_point::max();
+}
+
 bool gateway_node::hasLeft() const
 {
     if (!m_leaving)
@@ -282,6 +290,16 @@
                m_connections, [](const auto &entry) { return entry.second->unsentBytes() == 0; });
 }
 
+void gateway_node::refuseWaitingTooLong()
+{
+    std::vector<std::shared_ptr<request_flow>> flows;
+    flows.reserve(m_flows.size());
+    for (const auto &[id, flow] : m_flows)
+        flows.push_back(flow);
+    for (const auto &flow : flows)
+        flow->refuseIfWaitingTooLong();
+}
+
 std::vector<std::string> gateway_node::callerAddresses(std::string_view domain,
                                                        std::size_t maxCount)
 {
@@ -363,7 +381,9 @@
                                                std::move(body));
     m_flows.emplace(id, flow);
     m_flowOfConnection[&connection] = id;
-    const bool tooLate = m_leaving && monotonicNow() - m_leavingSince > lateRequestPeriod;
+    const core::time_point now = monotonicNow();
+    const bool tooLate
+        = m_leaving && now > std::min(m_leavingSince + lateRequestPeriod, requestsEndAt());
     if (tooLate)
         flow->refuseWhileLeaving();
     else
@@ -399,6 +419,8 @@
     m_metrics.add(observe::metric::GatewayRequests,
                   {record.upstream, std::to_string(record.priority), toString(record.outcome),
                    record.reason});
+    if (record.outcome == flow_outcome::Answered || record.outcome == flow_outcome::TimedOut)
+        m_durations.record(record.route, record.total - record.waited);
     if (record.outcome == flow_outcome::Answered)
         m_metrics.record(
             observe::metric::GatewayFirstByte,
@@ -736,6 +758,8 @@
         if (request_flow *flow = findFlow(id))
             flow->onQueueTimeout();
     }
+    if (m_leaving)
+        refuseWaitingTooLong();
     if (m_admission.queuedCount() > 0)
         startAllQueued();
     const bool hasConfiguration = m_catalogue.routes() != nullptr;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -18,6 +18,7 @@
 #include "gateway/record_catch_up.h"
 #include "gateway/record_decoder.h"
 #include "gateway/record_source.h"
+#include "gateway/request_durations.h"
 #include "gateway/request_flow.h"
 #include "gateway/source_monitor.h"
 #include "gateway/transfer_pacer.h"
@@ -135,6 +136,9 @@
     void catchUpWithPeers(core::time_point now);
     void fetchFromPeer(std::uint32_t peer);
     void notifyPeersBehind();
+    /** Returns the time at which unfinished requests are ended; unlimited unless leaving. */
+    core::time_point requestsEndAt() const;
+    void refuseWaitingTooLong();
     void startQueued(const std::string &upstream, dispatch::poll_trigger trigger);
     void startAllQueued();
     request_flow *findFlow(core::request_id id);
@@ -160,6 +164,7 @@
     engine_connection_pool m_engineConnections;
     catalogue m_catalogue;
     flow_log m_log;
+    request_durations m_durations;
     flow_context m_context;
 
     http1::listener m_listener;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -83,6 +83,14 @@
 /** The engine stops at the deadline by itself; allows time for its response to arrive. */
 constexpr core::duration deadlineSlack = 40ms;
 
+/**
+ * A node that is leaving starts a request if at most this share of its route's requests takes
+ * longer than the node has left. Others are refused at once, and their callers use another node.
+ * A cut request that must not be repeated is lost.
+ */
+constexpr double cutShareRetryable = 0.05;
+constexpr double cutShareNonRetryable = 0.01;
+
 /** Short, so that a caller soon retries at another node that has a configuration. */
 constexpr core::duration retryAfterWithoutConfiguration = 200ms;
 
@@ -198,8 +206,43 @@
     return targets.back().upstream;
 }
 
+// Without earlier requests of the route, only the deadline limits the duration.
+bool request_flow::canEndInTime() const
+{
+    const core::time_point now = m_context.now();
+    const core::time_point end = m_context.requestsEndAt();
+    if (now >= end)
+        return false;
+    if (m_deadline <= end)
+        return true;
+    const auto duration = m_context.durations.quantile(
+        m_route->name, m_route->retryable() ? cutShareRetryable : cutShareNonRetryable);
+    return duration && now + *duration <= end;
+}
+
+// A stream that has begun continues for as long as the node runs.
+bool request_flow::refuseIfTooLate()
+{
+    if (responseStarted() || canEndInTime())
+        return false;
+    constexpr std::string_view reason = "node_leaving";
+    if (m_mayHaveRun)
+        respondLocally(badGateway, flow_outcome::Failed, reason);
+    else
+        respondRefused(unavailable, reason, 0s);
+    return true;
+}
+
+void request_flow::refuseIfWaitingTooLong()
+{
+    if (!m_ended && m_queued && !m_engine)
+        refuseIfTooLate();
+}
+
 void request_flow::submit()
 {
+    if (refuseIfTooLate())
+        return;
     if (refuseQuarantined())
         return;
     const dispatch::admission_decision decision = requestEngine(m_triedEngines, queueDeadline());
@@ -300,6 +343,10 @@
             returnSlot(grant.engine);
         return;
     }
+    if (refuseIfTooLate()) {
+        returnSlot(grant.engine);
+        return;
+    }
     if (refuseQuarantined()) {
         returnSlot(grant.engine);
         return;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -49,6 +49,9 @@
     /** Handles the timeout of a queued request. */
     void onQueueTimeout();
 
+    /** Refuses a waiting request that would not end before the node does. */
+    void refuseIfWaitingTooLong();
+
     /** Resumes the engine's response once the caller has taken the output sent so far. */
     void onOutputSent();
 
@@ -79,6 +82,8 @@
     bool chargeQuota();
     const std::string &chooseTarget();
     void submit();
+    bool canEndInTime() const;
+    bool refuseIfTooLate();
     dispatch::admission_decision requestEngine(std::span<const std::string> excluded,
                                                core::time_point queueDeadline);
     bool isQuarantined() const;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -14,7 +14,8 @@
 namespace {
 
 gateway::node_settings settingsOf(std::uint32_t address, std::uint16_t callerPort,
-                                  std::uint16_t peerPort, std::vector<std::uint32_t> seeds)
+                                  std::uint16_t peerPort, std::vector<std::uint32_t> seeds,
+                                  core::duration gracePeriod)
 {
     gateway::node_settings settings;
     settings.name = "n" + std::to_string(address & 0xff);
@@ -24,7 +25,7 @@
     settings.seeds = std::move(seeds);
     settings.retryRatio = 0.2;
     settings.retryExtra = 50;
-    settings.gracePeriod = 8s;
+    settings.gracePeriod = gracePeriod;
     return settings;
 }
 
@@ -46,10 +47,11 @@
 } // namespace
 
 test_node::test_node(ACE_Reactor &reactor, std::uint32_t address, std::uint16_t callerPort,
-                     std::uint16_t peerPort, std::vector<std::uint32_t> seeds)
+                     std::uint16_t peerPort, std::vector<std::uint32_t> seeds,
+                     core::duration gracePeriod)
     : metrics({core::node_name("n"), 1}),
       node(std::make_unique<gateway::gateway_node>(
-          reactor, settingsOf(address, callerPort, peerPort, std::move(seeds)), callerProtocol,
+          reactor, settingsOf(address, callerPort, peerPort, std::move(seeds), gracePeriod), callerProtocol,
           decoder, source, metrics))
 { }
 
@@ -62,14 +64,14 @@
 }
 
 // A free port may be taken before the node binds it, or be in use by a UDP socket.
-std::unique_ptr<test_node> gateway_fixture::startedNode()
+std::unique_ptr<test_node> gateway_fixture::startedNode(core::duration gracePeriod)
 {
     constexpr int maxAttempts = 20;
     for (int attempt = 0; attempt < maxAttempts; ++attempt) {
         callerPort = transport::freePort();
         auto started
             = std::make_unique<test_node>(loop.reactor(), INADDR_LOOPBACK, callerPort,
-                                          transport::freePort(), std::vector<std::uint32_t>());
+                                          transport::freePort(), std::vector<std::uint32_t>(), gracePeriod);
         if (started->node->start())
             return started;
     }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -7,6 +7,7 @@
 #include "support/loopback.h"
 #include "support/raw_socket.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -20,7 +21,8 @@
 {
 public:
     test_node(ACE_Reactor &reactor, std::uint32_t address, std::uint16_t callerPort,
-              std::uint16_t peerPort, std::vector<std::uint32_t> seeds);
+              std::uint16_t peerPort, std::vector<std::uint32_t> seeds,
+              core::duration gracePeriod = std::chrono::seconds(8));
 
     /** Returns the receiver for events of this node's source. */
     gateway::record_source_events &events() { return *node; }
@@ -39,6 +41,10 @@
 class gateway_fixture
 {
 public:
+    explicit gateway_fixture(core::duration gracePeriod = std::chrono::seconds(8))
+        : owner(startedNode(gracePeriod))
+    { }
+
     /** Adds an engine whose responses the test writes, and publishes its entry to the node. */
     tests::listening_socket &addEngine(const std::string &id, std::uint32_t slots = 4,
                                        core::duration coldRemaining = {});
@@ -73,14 +79,14 @@
 
     loopback loop;
     std::uint16_t callerPort = 0;
-    std::unique_ptr<test_node> owner = startedNode();
+    std::unique_ptr<test_node> owner;
     test_node &node = *owner;
     std::uint64_t revision = 0;
     /** Limits of the next configuration. */
     dispatch::caller_limits limits;
 
 private:
-    std::unique_ptr<test_node> startedNode();
+    std::unique_ptr<test_node> startedNode(core::duration gracePeriod);
 
     std::vector<std::unique_ptr<listening_socket>> m_engines;
 };
--- a/tests/gateway/leaving_node_test.cpp
+++ b/tests/gateway/leaving_node_test.cpp
@@ -30,6 +30,9 @@
 {
     CPPUNIT_TEST_SUITE(leaving_node_test);
     CPPUNIT_TEST(nodeSendsBufferedOutputBeforeItEnds);
+    CPPUNIT_TEST(requestThatCannotEndInTimeIsRefused);
+    CPPUNIT_TEST(requestThatUsuallyEndsInTimeIsPassedOn);
+    CPPUNIT_TEST(queuedRequestIsNotPassedOnTooLate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,7 +73,68 @@
         m_gateway.waitFor("end", [&] { return m_gateway.node.node->hasLeft(); });
     }
 
+    // Guards against starting a request that may run only once and is cut at the end.
+    void requestThatCannotEndInTimeIsRefused()
+    {
+        gateway_fixture gateway(3s);
+        listening_socket &listener = gateway.addEngine("e1");
+        gateway.configure(1);
+        gateway.node.node->leave();
+        const auto caller = gateway.call("/fragile/", "1");
+        CPPUNIT_ASSERT(gateway.responseOf(*caller).starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
+    // Guards against refusing a short request only because its timeout is long.
+    void requestThatUsuallyEndsInTimeIsPassedOn()
+    {
+        gateway_fixture gateway(3s);
+        listening_socket &listener = gateway.addEngine("e1");
+        gateway.configure(1);
+        const auto before = gateway.call("/once/", "1");
+        raw_socket engine = gateway.acceptAt(listener);
+        answerOnce(gateway, engine, *before, "1");
+        gateway.node.node->leave();
+        const auto late = gateway.call("/once/", "2");
+        raw_socket second = gateway.acceptAt(listener);
+        answerOnce(gateway, second, *late, "2");
+        CPPUNIT_ASSERT(late->receive().starts_with("HTTP/1.1 200 "));
+    }
+
+    // Guards against a request that waits in the queue, starts at the end and is cut.
+    void queuedRequestIsNotPassedOnTooLate()
+    {
+        gateway_fixture gateway(3s);
+        listening_socket &listener = gateway.addEngine("e1", 1);
+        gateway.configure(1);
+        const auto before = gateway.call("/once/", "1");
+        raw_socket engine = gateway.acceptAt(listener);
+        gateway.requestAt(engine);
+        gateway.loop.runFor(800ms);
+        answerOnce(gateway, engine, *before, "1");
+        const auto running = gateway.call("/once/", "2");
+        raw_socket second = gateway.acceptAt(listener);
+        gateway.requestAt(second);
+        gateway.node.node->leave();
+        gateway.loop.runFor(1'200ms);
+        const auto queued = gateway.call("/once/", "3");
+        gateway.loop.runFor(800ms);
+        answerOnce(gateway, second, *running, "2");
+        CPPUNIT_ASSERT(gateway.responseOf(*queued).starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
 private:
+    /** Completes a request; the node cannot use the engine's connection again. */
+    static void answerOnce(gateway_fixture &gateway, raw_socket &engine, raw_socket &caller,
+                           const std::string &id)
+    {
+        gateway.requestAt(engine);
+        engine.send("HTTP/1.1 200 OK\r\nId: " + id
+                    + "\r\nSigned: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+        gateway.waitFor("response", [&] { return caller.receive().ends_with("ok"); });
+    }
+
     gateway_fixture m_gateway;
 };
 
