Answer unfinished requests before a leaving node exits

At the end of the grace period the process exited with its requests: callers saw a closed connection, also those whose request waited in the queue and had certainly not run, so that they may not repeat one that is not idempotent. The margin before the kill and the time for which requests are taken did not follow from the grace period: with 1 s, requests were cut after 0.4 s and would have been taken for 2.5 s.

Requests now end before the process: 503 node_stopped if nothing has run, 502 if it may have, and a stream that has begun ends without its last chunk, after the bytes so far. The process then exits once the output is sent. The margin is 0.6 s and at most an eighth of the grace period, and nothing is taken within it.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -89,8 +89,15 @@
 /** Callers cache addresses for up to three times their TTL. */
 constexpr core::duration staleAddressPeriod = 4s;
 
-/** Running requests are aborted this long before the process is killed. */
-constexpr core::duration killMargin = 600ms;
+/**
+ * Unfinished requests are ended this long before the process is killed; it exits once their
+ * responses are sent. Short grace periods leave a share of them.
+ */
+constexpr core::duration maxKillMargin = 600ms;
+constexpr int killMarginsPerGracePeriod = 8;
+
+/** The process exits within the last part of the margin even if a caller takes no output. */
+constexpr int exitMarginsPerKillMargin = 4;
 
 /** Share of the descriptors for callers; the rest is left for engines and peers. */
 constexpr int callerDescriptorPercent = 60;
@@ -272,9 +279,15 @@
     sendStatus();
 }
 
+core::duration gateway_node::killMargin() const
+{
+    return std::min<core::duration>(maxKillMargin,
+                                    m_settings.gracePeriod / killMarginsPerGracePeriod);
+}
+
 core::time_point gateway_node::requestsEndAt() const
 {
-    return m_leaving ? m_leavingSince + m_settings.gracePeriod - killMargin
+    return m_leaving ? m_leavingSince + m_settings.gracePeriod - killMargin()
                      : core::time_point::max();
 }
 
@@ -282,15 +295,16 @@
 {
     if (!m_leaving)
         return false;
-    const core::duration since = monotonicNow() - m_leavingSince;
-    if (since > m_settings.gracePeriod - killMargin)
+    const core::time_point now = monotonicNow();
+    if (now >= requestsEndAt() + killMargin() - killMargin() / exitMarginsPerKillMargin)
         return true;
-    return m_flows.empty() && since > staleAddressPeriod
+    return m_flows.empty() && now > std::min(m_leavingSince + staleAddressPeriod, requestsEndAt())
            && std::ranges::all_of(
                m_connections, [](const auto &entry) { return entry.second->unsentBytes() == 0; });
 }
 
-void gateway_node::refuseWaitingTooLong()
+// Waiting requests go first, so that none of them starts in the slot of one that is ended.
+void gateway_node::endRequests(core::time_point now)
 {
     std::vector<std::shared_ptr<request_flow>> flows;
     flows.reserve(m_flows.size());
@@ -298,6 +312,10 @@
         flows.push_back(flow);
     for (const auto &flow : flows)
         flow->refuseIfWaitingTooLong();
+    if (now < requestsEndAt())
+        return;
+    for (const auto &flow : flows)
+        flow->endForExit();
 }
 
 std::vector<std::string> gateway_node::callerAddresses(std::string_view domain,
@@ -759,7 +777,7 @@
             flow->onQueueTimeout();
     }
     if (m_leaving)
-        refuseWaitingTooLong();
+        endRequests(now);
     if (m_admission.queuedCount() > 0)
         startAllQueued();
     const bool hasConfiguration = m_catalogue.routes() != nullptr;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -136,9 +136,11 @@
     void catchUpWithPeers(core::time_point now);
     void fetchFromPeer(std::uint32_t peer);
     void notifyPeersBehind();
+    /** Returns the time before the kill at which unfinished requests are ended. */
+    core::duration killMargin() const;
     /** Returns the time at which unfinished requests are ended; unlimited unless leaving. */
     core::time_point requestsEndAt() const;
-    void refuseWaitingTooLong();
+    void endRequests(core::time_point now);
     void startQueued(const std::string &upstream, dispatch::poll_trigger trigger);
     void startAllQueued();
     request_flow *findFlow(core::request_id id);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -239,6 +239,29 @@
         refuseIfTooLate();
 }
 
+void request_flow::endForExit()
+{
+    if (m_ended)
+        return;
+    constexpr std::string_view reason = "node_stopped";
+    const bool mayRun = mayHaveRun();
+    endAttempt(dispatch::attempt_result::Neutral, false);
+    if (responseStarted()) {
+        m_record.status = m_responseHead.status;
+        m_caller.endIncomplete();
+        finish(flow_outcome::BrokenOff, reason);
+    } else if (mayRun) {
+        respondLocally(badGateway, flow_outcome::Failed, reason);
+    } else {
+        respondRefused(unavailable, reason, 0s);
+    }
+}
+
+bool request_flow::mayHaveRun() const
+{
+    return m_mayHaveRun || (m_engine && m_connection.connection->connected());
+}
+
 void request_flow::submit()
 {
     if (refuseIfTooLate())
@@ -973,7 +996,7 @@
         onQueueTimeout();
         return;
     }
-    const bool mayRun = m_mayHaveRun || (m_engine && m_connection.connection->connected());
+    const bool mayRun = mayHaveRun();
     endAttempt(dispatch::attempt_result::Neutral, false);
     if (responseStarted())
         abortResponse("deadline");
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -52,6 +52,9 @@
     /** Refuses a waiting request that would not end before the node does. */
     void refuseIfWaitingTooLong();
 
+    /** Ends the flow because the node is about to exit; the caller learns what may have run. */
+    void endForExit();
+
     /** Resumes the engine's response once the caller has taken the output sent so far. */
     void onOutputSent();
 
@@ -84,6 +87,7 @@
     void submit();
     bool canEndInTime() const;
     bool refuseIfTooLate();
+    bool mayHaveRun() const;
     dispatch::admission_decision requestEngine(std::span<const std::string> excluded,
                                                core::time_point queueDeadline);
     bool isQuarantined() const;
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -88,6 +88,12 @@
     closeNow();
 }
 
+void server_connection::endIncomplete()
+{
+    m_closeAnnounced = true;
+    finishResponse();
+}
+
 void server_connection::checkTimeouts(core::time_point now)
 {
     if (m_responsePending || m_closed || unsentBytes() > 0)
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -71,6 +71,12 @@
     /** Resets the connection, so that the caller cannot mistake a partial response for complete. */
     void abort();
 
+    /**
+     * Closes the connection once the output so far is sent, without the final chunk, so that the
+     * caller sees a partial response. Precondition: beginStream was called.
+     */
+    void endIncomplete();
+
     /**
      * Closes the connection after the first response whose header can announce it: the current
      * one, or the next one if the current response has begun.
--- a/tests/gateway/leaving_node_test.cpp
+++ b/tests/gateway/leaving_node_test.cpp
@@ -30,9 +30,13 @@
 {
     CPPUNIT_TEST_SUITE(leaving_node_test);
     CPPUNIT_TEST(nodeSendsBufferedOutputBeforeItEnds);
+    CPPUNIT_TEST(runningRequestIsAnsweredAtTheEndOfTheGracePeriod);
+    CPPUNIT_TEST(queuedRequestIsRefusedAtTheEndOfTheGracePeriod);
+    CPPUNIT_TEST(interruptedStreamDoesNotLookComplete);
     CPPUNIT_TEST(requestThatCannotEndInTimeIsRefused);
     CPPUNIT_TEST(requestThatUsuallyEndsInTimeIsPassedOn);
     CPPUNIT_TEST(queuedRequestIsNotPassedOnTooLate);
+    CPPUNIT_TEST(requestsAreRefusedAfterAShortGracePeriod);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +77,56 @@
         m_gateway.waitFor("end", [&] { return m_gateway.node.node->hasLeft(); });
     }
 
+    // Guards against closing a connection without a response when the process ends.
+    void runningRequestIsAnsweredAtTheEndOfTheGracePeriod()
+    {
+        gateway_fixture gateway(1s);
+        listening_socket &listener = gateway.addEngine("e1");
+        gateway.configure(1);
+        const auto caller = gateway.call("/once/", "1");
+        raw_socket engine = gateway.acceptAt(listener);
+        gateway.requestAt(engine);
+        gateway.node.node->leave();
+        gateway.waitFor("end", [&] { return gateway.node.node->hasLeft(); });
+        CPPUNIT_ASSERT(caller->receive().starts_with("HTTP/1.1 502 "));
+    }
+
+    // Guards against dropping a request that has not run, which its caller may not repeat.
+    void queuedRequestIsRefusedAtTheEndOfTheGracePeriod()
+    {
+        gateway_fixture gateway(1s);
+        listening_socket &listener = gateway.addEngine("e1", 1);
+        gateway.configure(1);
+        const auto running = gateway.call("/once/", "1");
+        raw_socket engine = gateway.acceptAt(listener);
+        gateway.requestAt(engine);
+        const auto queued = gateway.call("/once/", "2");
+        gateway.loop.runFor(50ms);
+        gateway.node.node->leave();
+        gateway.waitFor("end", [&] { return gateway.node.node->hasLeft(); });
+        CPPUNIT_ASSERT(queued->receive().starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
+    // Guards against a partial stream that its caller takes for a whole one.
+    void interruptedStreamDoesNotLookComplete()
+    {
+        gateway_fixture gateway(1s);
+        listening_socket &listener = gateway.addEngine("e1");
+        gateway.configure(1);
+        const auto caller = gateway.call("/stream/", "1");
+        raw_socket engine = gateway.acceptAt(listener);
+        gateway.requestAt(engine);
+        engine.send("HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nContent-Type: text/event-stream\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+        gateway.waitFor("event", [&] { return caller->receive().find("data: a") != std::string::npos; });
+        gateway.node.node->leave();
+        gateway.waitFor("end", [&] { return gateway.node.node->hasLeft(); });
+        caller->receive();
+        CPPUNIT_ASSERT(caller->ended());
+        CPPUNIT_ASSERT(!caller->receive().ends_with("0\r\n\r\n"));
+    }
+
     // Guards against starting a request that may run only once and is cut at the end.
     void requestThatCannotEndInTimeIsRefused()
     {
@@ -124,6 +178,22 @@
         CPPUNIT_ASSERT(!listener.pending());
     }
 
+    // Guards against accepting requests for a fixed time that is longer than the grace period.
+    void requestsAreRefusedAfterAShortGracePeriod()
+    {
+        gateway_fixture gateway(1s);
+        listening_socket &listener = gateway.addEngine("e1");
+        gateway.configure(1);
+        const auto before = gateway.call("/once/", "1");
+        raw_socket engine = gateway.acceptAt(listener);
+        answerOnce(gateway, engine, *before, "1");
+        gateway.node.node->leave();
+        gateway.loop.runFor(950ms);
+        const auto late = gateway.call("/once/", "2");
+        CPPUNIT_ASSERT(gateway.responseOf(*late).starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
 private:
     /** Completes a request; the node cannot use the engine's connection again. */
     static void answerOnce(gateway_fixture &gateway, raw_socket &engine, raw_socket &caller,
