--- a/src/gateway/request_durations.cpp
+++ b/src/gateway/request_durations.cpp
@@ -27,7 +27,8 @@
     }
     distribution &target = found->second;
     const double ratio = std::max(1.0, milliseconds(duration).count());
-    const auto bucket = static_cast<std::size_t>(std::ceil(std::log(ratio) / std::log(bucketRatio)));
+    const auto bucket
+        = static_cast<std::size_t>(std::ceil(std::log(ratio) / std::log(bucketRatio)));
     target.counts[std::min(bucket, bucketCount - 1)] += 1;
     target.total += 1;
     if (target.total < maxTotal)
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -51,8 +51,8 @@
                      core::duration gracePeriod)
     : metrics({core::node_name("n"), 1}),
       node(std::make_unique<gateway::gateway_node>(
-          reactor, settingsOf(address, callerPort, peerPort, std::move(seeds), gracePeriod), callerProtocol,
-          decoder, source, metrics))
+          reactor, settingsOf(address, callerPort, peerPort, std::move(seeds), gracePeriod),
+          callerProtocol, decoder, source, metrics))
 { }
 
 void test_node::write(gateway::collection_id collection, const std::string &key,
@@ -69,9 +69,9 @@
     constexpr int maxAttempts = 20;
     for (int attempt = 0; attempt < maxAttempts; ++attempt) {
         callerPort = transport::freePort();
-        auto started
-            = std::make_unique<test_node>(loop.reactor(), INADDR_LOOPBACK, callerPort,
-                                          transport::freePort(), std::vector<std::uint32_t>(), gracePeriod);
+        auto started = std::make_unique<test_node>(loop.reactor(), INADDR_LOOPBACK, callerPort,
+                                                   transport::freePort(),
+                                                   std::vector<std::uint32_t>(), gracePeriod);
         if (started->node->start())
             return started;
     }
--- a/tests/gateway/leaving_node_test.cpp
+++ b/tests/gateway/leaving_node_test.cpp
@@ -119,7 +119,8 @@
         gateway.requestAt(engine);
         engine.send("HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nContent-Type: text/event-stream\r\n"
                     "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
-        gateway.waitFor("event", [&] { return caller->receive().find("data: a") != std::string::npos; });
+        gateway.waitFor("event",
+                        [&] { return caller->receive().find("data: a") != std::string::npos; });
         gateway.node.node->leave();
         gateway.waitFor("end", [&] { return gateway.node.node->hasLeft(); });
         caller->receive();
