--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -94,8 +94,15 @@
 /** Callers cache addresses for up to three times their TTL. */
 constexpr core::duration staleAddressPeriod = 4s;
 
-/** Running requests are aborted this long before the process is killed. */
-constexpr core::duration killMargin = 600ms;
+/**
+ * Unfinished requests are ended this long before the process is killed; it exits once their
+ * responses are sent. Short grace periods leave a share of them.
+ */
+constexpr core::duration maxKillMargin = 600ms;
+constexpr int killMarginsPerGracePeriod = 8;
+
+/** The process exits within the last part of the margin even if a caller takes no output. */
+constexpr int exitMarginsPerKillMargin = 4;
 
 /** Share of the descriptors for callers; the rest is left for engines and peers. */
 constexpr int callerDescriptorPercent = 60;
@@ -192,6 +199,8 @@
                 .random = m_random,
                 .now = [] { return monotonicNow(); },
                 .routes = [this] { return m_catalogue.routes(); },
+                .durations = m_durations,
+                .requestsEndAt = [this] { return requestsEndAt(); },
                 .slotFreed =
                     [this](const std::string &upstream) {
                         startQueued(upstream, dispatch::poll_trigger::OwnCompletion);
@@ -275,18 +284,45 @@
     sendStatus();
 }
 
+core::duration gateway_node::killMargin() const
+{
+    return std::min<core::duration>(maxKillMargin,
+                                    m_settings.gracePeriod / killMarginsPerGracePeriod);
+}
+
+core::time_point gateway_node::requestsEndAt() const
+{
+    return m_leaving ? m_leavingSince + m_settings.gracePeriod - killMargin()
+                     : core::time_point::max();
+}
+
 bool gateway_node::hasLeft() const
 {
     if (!m_leaving)
         return false;
-    const core::duration since = monotonicNow() - m_leavingSince;
-    if (since > m_settings.gracePeriod - killMargin)
+    const core::time_point now = monotonicNow();
+    if (now >= requestsEndAt() + killMargin() - killMargin() / exitMarginsPerKillMargin)
         return true;
-    return m_flows.empty() && since > staleAddressPeriod
+    return m_flows.empty() && now > std::min(m_leavingSince + staleAddressPeriod, requestsEndAt())
            && std::ranges::all_of(
                m_connections, [](const auto &entry) { return entry.second->unsentBytes() == 0; });
 }
 
+// Waiting requests go first, so that none of them starts in the slot of one that is ended.
+void gateway_node::endRequests(core::time_point now)
+{
+    std::vector<std::shared_ptr<request_flow>> flows;
+    flows.reserve(m_flows.size());
+    for (const auto &[id, flow] : m_flows)
+        flows.push_back(flow);
+    for (const auto &flow : flows)
+        flow->refuseIfWaitingTooLong();
+    if (now < requestsEndAt())
+        return;
+    for (const auto &flow : flows)
+        flow->endForExit();
+}
+
 std::vector<std::string> gateway_node::callerAddresses(std::string_view domain,
                                                        std::size_t maxCount)
 {
@@ -375,7 +411,9 @@
                                                std::move(body));
     m_flows.emplace(id, flow);
     m_flowOfConnection[&connection] = id;
-    const bool tooLate = m_leaving && monotonicNow() - m_leavingSince > lateRequestPeriod;
+    const core::time_point now = monotonicNow();
+    const bool tooLate
+        = m_leaving && now > std::min(m_leavingSince + lateRequestPeriod, requestsEndAt());
     if (tooLate)
         flow->refuseWhileLeaving();
     else
@@ -411,6 +449,8 @@
     m_metrics.add(observe::metric::GatewayRequests,
                   {record.upstream, std::to_string(record.priority), toString(record.outcome),
                    record.reason});
+    if (record.outcome == flow_outcome::Answered || record.outcome == flow_outcome::TimedOut)
+        m_durations.record(record.route, record.total - record.waited);
     if (record.outcome == flow_outcome::Answered)
         m_metrics.record(
             observe::metric::GatewayFirstByte,
@@ -728,6 +768,8 @@
         if (request_flow *flow = findFlow(id))
             flow->onQueueTimeout();
     }
+    if (m_leaving)
+        endRequests(now);
     if (m_admission.queuedCount() > 0)
         startAllQueued();
     const bool hasConfiguration = m_catalogue.routes() != nullptr;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -50,6 +50,12 @@
     /** Handles the timeout of a queued request. */
     void onQueueTimeout();
 
+    /** Refuses a waiting request that would not end before the node does. */
+    void refuseIfWaitingTooLong();
+
+    /** Ends the flow because the node is about to exit; the caller learns what may have run. */
+    void endForExit();
+
     /** Resumes the engine's response once the caller has taken the output sent so far. */
     void onOutputSent();
 
@@ -80,6 +86,9 @@
     bool chargeQuota();
     const std::string &chooseTarget();
     void submit();
+    bool canEndInTime() const;
+    bool refuseIfTooLate();
+    bool mayHaveRun() const;
     dispatch::admission_decision requestEngine(std::span<const std::string> excluded,
                                                core::time_point queueDeadline);
     std::vector<dispatch::request_feature> findFeatures() const;
