Read numbers of published records within named bounds

Cause: numbers were read as floating point and cast to the type of the field. Above its range that is undefined: Slots of 1e300 or 2^32 named an engine with slots on arm64, and another number on x86-64; with such an engine the sum of the slots of an upstream wraps. ColdLeftMs of 1e300 gave a time whose sum with the clock overflows; TimeoutMs, the limits and negative sizes likewise. Revisions and versions above 2^53 were rounded.

In an engine's entry a number that is of another type, has a fraction where it must not, or is out of range names no engine: slots from 1 to 65,535, times up to 24 h, start time and sequence up to 2^53 - 1 (missing ones stay 0). In the configuration, which the store checks, a number out of range is taken as the nearest bound, so that the rest of it stays in force; a version has to be whole.

Deep nesting (10,000 and 1,000,000 levels, closed and not) and ports out of range were refused before too; tests keep that.

--- a/tests/platform/platform_records_test.cpp
+++ b/tests/platform/platform_records_test.cpp
@@ -2,9 +2,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 using namespace comfreypass;
 using namespace comfreypass::platform;
@@ -32,6 +36,36 @@
     return text.replace(text.find(from), from.size(), to);
 }
 
+/** Values that another writer may leave in place of a number. */
+const std::vector<std::string> oddNumbers = {
+    "-1",
+    "0",
+    "0.5",
+    "-1e300",
+    "1e300",
+    "1e400",
+    "2147483648",
+    "4294967296",
+    "4294967297",
+    "9007199254740993",
+    "9223372036854775808",
+    "18446744073709551615",
+    "18446744073709551616",
+    "\"NaN\"",
+    "\"Infinity\"",
+    "\"18\"",
+    "NaN",
+    "null",
+    "true",
+    "[]",
+    "{}",
+};
+
+std::string nested(std::size_t depth, bool closed)
+{
+    return std::string(depth, '[') + (closed ? std::string(depth, ']') : "");
+}
+
 } // namespace
 
 class platform_records_test : public CppUnit::TestFixture
@@ -40,6 +74,11 @@
     CPPUNIT_TEST(configurationIsParsed);
     CPPUNIT_TEST(engineEntryIsParsed);
     CPPUNIT_TEST(invalidEngineEntriesAreRejected);
+    CPPUNIT_TEST(oddNumberInAnEngineEntryNamesNoEngine);
+    CPPUNIT_TEST(wholeNumbersAreReadExactly);
+    CPPUNIT_TEST(oddNumberInTheConfigurationStaysWithinBounds);
+    CPPUNIT_TEST(deeplyNestedEntryIsRefused);
+    CPPUNIT_TEST(portOutOfRangeIsRefused);
     CPPUNIT_TEST(evacuationIsParsed);
     CPPUNIT_TEST(unrelatedKeysAreIgnored);
     CPPUNIT_TEST_SUITE_END();
@@ -111,6 +150,108 @@
             CPPUNIT_ASSERT_MESSAGE(value, !m_records.decode({"servers/i-1", 1, value}));
     }
 
+    // Guards against a number that is read differently on another processor, or overflows later on.
+    void oddNumberInAnEngineEntryNamesNoEngine()
+    {
+        using texts = std::vector<std::string>;
+        struct field
+        {
+            std::string sound;
+            std::string name;
+            /** Odd values of other fields that are possible here. */
+            texts allowed;
+        };
+        const std::vector<field> fields = {
+            {R"("Slots":18)", "Slots", {}},
+            {R"("ColdLeftMs":1500)", "ColdLeftMs", {"0", "0.5"}},
+            {R"("Seq":4)", "Seq", {"0", "2147483648", "4294967296", "4294967297"}},
+            {R"("born":1790000000123)", "born", {"0", "2147483648", "4294967296", "4294967297"}},
+        };
+        for (const field &each : fields) {
+            for (const std::string &number : oddNumbers) {
+                const std::string entry
+                    = with(engineText, each.sound, "\"" + each.name + "\":" + number);
+                const bool allowed = std::ranges::find(each.allowed, number) != each.allowed.end();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    entry, allowed, m_records.decode({"servers/i-1", 1, entry}).has_value());
+            }
+        }
+    }
+
+    // Guards against two starts or entries of an engine that look the same after a conversion.
+    void wholeNumbersAreReadExactly()
+    {
+        std::string text = with(engineText, "1790000000123", "9007199254740991");
+        text = with(text, R"("Seq":4)", R"("Seq":4294967297)");
+        text = with(text, "18", "1.8e1");
+        const auto content = m_records.decode({"servers/i-1", 1, text});
+        CPPUNIT_ASSERT(content);
+        const auto &entry = std::get<dispatch::engine_entry>(content.value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9'007'199'254'740'991}, entry.startedAt);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4'294'967'297}, entry.sequence);
+        CPPUNIT_ASSERT_EQUAL(18U, entry.slots);
+        const auto settings = platform_records::readConfiguration(
+            with(configurationText, R"("Version":7)", R"("Version":9007199254740993)"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9'007'199'254'740'993}, settings.value().version);
+    }
+
+    // Guards against a time or size of the operator that overflows when it is used.
+    void oddNumberInTheConfigurationStaysWithinBounds()
+    {
+        const std::vector<std::pair<std::string, std::string>> fields = {
+            {R"("Version":7)", "Version"},
+            {R"("TimeoutMs":15000)", "TimeoutMs"},
+            {R"("AimMs":500)", "AimMs"},
+            {R"("Priority":0)", "Priority"},
+            {R"("MaxAttempts":2)", "MaxAttempts"},
+            {R"("Weight":90)", "Weight"},
+            {R"("MaxConns":620)", "MaxConns"},
+            {R"("ColdS":3.0)", "ColdS"},
+            {R"("ColdPerS":24.0)", "ColdPerS"},
+            {R"("MaxHeaderBytes":100)", "MaxHeaderBytes"},
+            {R"("MaxBodyBytes":200)", "MaxBodyBytes"},
+            {R"("HeaderTimeoutMs":3000)", "HeaderTimeoutMs"},
+            {R"("IdleTimeoutMs":15000)", "IdleTimeoutMs"},
+            {R"("Priority":1)", "Priority"},
+            {R"("PlainTokens":200)", "PlainTokens"},
+            {R"("RatePerS":270192)", "RatePerS"},
+            {R"("Burst":1000)", "Burst"},
+        };
+        for (const auto &[sound, name] : fields) {
+            for (const std::string &number : oddNumbers) {
+                const std::string text
+                    = with(configurationText, sound, "\"" + name + "\":" + number);
+                const auto read = platform_records::readConfiguration(text);
+                if (read)
+                    checkBounds(read.value(), name + " " + number);
+            }
+        }
+    }
+
+    // Guards against a parser that runs out of stack, or is busy for long.
+    void deeplyNestedEntryIsRefused()
+    {
+        for (const std::size_t depth : std::vector<std::size_t>{100, 10'000, 1'000'000}) {
+            for (const bool closed : {true, false}) {
+                const std::string value = nested(depth, closed);
+                const std::string inside = with(engineText, R"("v1")", value);
+                CPPUNIT_ASSERT(!m_records.decode({"servers/i-1", 1, value}));
+                CPPUNIT_ASSERT(!m_records.decode({"servers/i-1", 1, inside}));
+            }
+        }
+    }
+
+    // Guards against a port that becomes another one by a conversion.
+    void portOutOfRangeIsRefused()
+    {
+        for (const std::string port : {"0", "65536", "-1", "99999999999", "73616", "8080x", "+80",
+                                       "8080.0", " 8080", "", "18446744073709559696"}) {
+            const std::string entry = with(engineText, ":8080", ":" + port);
+            CPPUNIT_ASSERT_MESSAGE(entry, !m_records.decode({"servers/i-1", 1, entry}));
+        }
+        CPPUNIT_ASSERT(m_records.decode({"servers/i-1", 1, with(engineText, ":8080", ":65535")}));
+    }
+
     // Guards against sending requests to an evacuated failure domain.
     void evacuationIsParsed()
     {
@@ -130,6 +271,44 @@
     }
 
 private:
+    static void checkTime(core::duration time, const std::string &what)
+    {
+        CPPUNIT_ASSERT_MESSAGE(what, time >= 0s && time <= 24h);
+    }
+
+    static void checkBounds(const dispatch::configuration &settings, const std::string &what)
+    {
+        constexpr double maxValue = 1e15;
+        constexpr std::uint32_t maxCount = 1'000'000;
+        constexpr std::size_t maxBytes = 1'073'741'824;
+        for (const dispatch::route &each : settings.routes) {
+            checkTime(each.timeout, what);
+            checkTime(each.objective, what);
+            CPPUNIT_ASSERT_MESSAGE(what, each.maxAttempts >= 1 && each.maxAttempts <= maxCount);
+            CPPUNIT_ASSERT_MESSAGE(what, each.priority <= maxCount);
+            for (const dispatch::route_target &target : each.targets)
+                CPPUNIT_ASSERT_MESSAGE(what, target.weight >= 0 && target.weight <= maxValue);
+        }
+        for (const dispatch::upstream_settings &each : settings.upstreams) {
+            checkTime(each.coldTime, what);
+            CPPUNIT_ASSERT_MESSAGE(what, each.connectionsPerEngine <= maxCount);
+            CPPUNIT_ASSERT_MESSAGE(what, each.coldRequestsPerSecond >= 0
+                                             && each.coldRequestsPerSecond <= maxValue);
+        }
+        for (const dispatch::team &each : settings.teams) {
+            CPPUNIT_ASSERT_MESSAGE(what, each.priority.value_or(0) <= maxCount);
+            if (!each.quota)
+                continue;
+            for (const double value :
+                 {each.quota->unitsPerSecond, each.quota->burstUnits, each.quota->defaultUnits})
+                CPPUNIT_ASSERT_MESSAGE(what, value >= 0 && value <= maxValue);
+        }
+        checkTime(settings.limits.headerTimeout, what);
+        checkTime(settings.limits.idleTimeout, what);
+        CPPUNIT_ASSERT_MESSAGE(what, settings.limits.headerBytes <= maxBytes);
+        CPPUNIT_ASSERT_MESSAGE(what, settings.limits.bodyBytes <= maxBytes);
+    }
+
     platform_records m_records;
 };
 
