--- a/tests/platform/platform_records_test.cpp
+++ b/tests/platform/platform_records_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(oddNumberInTheConfigurationStaysWithinBounds);
     CPPUNIT_TEST(deeplyNestedEntryIsRefused);
     CPPUNIT_TEST(portOutOfRangeIsRefused);
+    CPPUNIT_TEST(idThatFitsNoHeaderFieldIsRefused);
     CPPUNIT_TEST(evacuationIsParsed);
     CPPUNIT_TEST(unrelatedKeysAreIgnored);
     CPPUNIT_TEST_SUITE_END();
@@ -252,6 +253,15 @@
         CPPUNIT_ASSERT(m_records.decode({"servers/i-1", 1, with(engineText, ":8080", ":65535")}));
     }
 
+    // Guards against a request whose header is changed by the id of the selected engine.
+    void idThatFitsNoHeaderFieldIsRefused()
+    {
+        using namespace std::string_literals;
+        for (const std::string &id :
+             {"i-1\r\nComfreypass-Tenant: t"s, "i-1\n"s, "i 1"s, "i-1\0"s, "\x7f"s, "\xc3\xa9"s})
+            CPPUNIT_ASSERT_MESSAGE(id, !m_records.decode({"servers/" + id, 1, engineText}));
+    }
+
     // Guards against sending requests to an evacuated failure domain.
     void evacuationIsParsed()
     {
