--- a/tests/platform/platform_records_test.cpp
+++ b/tests/platform/platform_records_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(deeplyNestedEntryIsRefused);
     CPPUNIT_TEST(portOutOfRangeIsRefused);
     CPPUNIT_TEST(idThatFitsNoHeaderFieldIsRefused);
+    CPPUNIT_TEST(errorOfAnOddEntryIsShort);
     CPPUNIT_TEST(evacuationIsParsed);
     CPPUNIT_TEST(unrelatedKeysAreIgnored);
     CPPUNIT_TEST_SUITE_END();
@@ -262,6 +263,16 @@
             CPPUNIT_ASSERT_MESSAGE(id, !m_records.decode({"servers/" + id, 1, engineText}));
     }
 
+    // Guards against a log that is filled by one entry.
+    void errorOfAnOddEntryIsShort()
+    {
+        const std::string entry
+            = with(engineText, "draining", std::string(1'000'000, 'x') + R"(\r\n)");
+        const auto content = m_records.decode({"servers/i-1", 1, entry});
+        CPPUNIT_ASSERT(!content);
+        CPPUNIT_ASSERT(describe(content.error()).size() < 300);
+    }
+
     // Guards against sending requests to an evacuated failure domain.
     void evacuationIsParsed()
     {
