--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(requestFieldsAreParsed);
     CPPUNIT_TEST(sharedPromptPartsAreParsed);
     CPPUNIT_TEST(invalidFieldsAreIgnored);
+    CPPUNIT_TEST(hugeNumbersOfCallersDoNotOverflow);
+    CPPUNIT_TEST(hugeIdleTimeoutOfAnEngineIsNotCutOff);
     CPPUNIT_TEST(reservedFieldsAreReplacedForTheEngine);
     CPPUNIT_TEST(responsesAreClassified);
     CPPUNIT_TEST(pausesAreParsed);
@@ -98,6 +100,37 @@
         CPPUNIT_ASSERT(!metadata.resumeAfter);
     }
 
+    // Guards against a huge time or size that becomes a small or negative one.
+    void hugeNumbersOfCallersDoNotOverflow()
+    {
+        for (const std::string number :
+             {"9007199254740993", "9223372036854775", "9223372036854776", "9223372036854775807",
+              "9223372036854775808", "18446744073709551615"}) {
+            http1::message_head head;
+            head.headers = {{"Comfreypass-Deadline-Ms", number},
+                            {"Comfreypass-Token-Counts", number + ",1"},
+                            {"Comfreypass-Length-Hint", number}};
+            const gateway::request_metadata metadata = m_protocol.readRequest(head);
+            CPPUNIT_ASSERT_MESSAGE(number, metadata.timeout == 24h);
+            constexpr double maxTokens = 1e9;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, maxTokens, *metadata.promptTokens);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, maxTokens + 1, *metadata.tokens);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, maxTokens, *metadata.expectedOutputTokens);
+        }
+    }
+
+    // Guards against an idle connection that is closed at once, or used for longer than stated.
+    void hugeIdleTimeoutOfAnEngineIsNotCutOff()
+    {
+        for (const std::string number : {"4294967296", "4294967297", "18446744073709551615"}) {
+            http1::message_head head;
+            head.status = 200;
+            head.headers = {{"Keep-Alive", "timeout=" + number}};
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, 86'400U,
+                                         m_protocol.readResponse(head).keepAliveSeconds);
+        }
+    }
+
     // Guards against forwarding keys and forged fields to an engine.
     void reservedFieldsAreReplacedForTheEngine()
     {
