--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -75,6 +75,8 @@
     CPPUNIT_TEST(answerOfAnEarlierEraIsNotApplied);
     CPPUNIT_TEST(otherCollectionNoticesTheNewEra);
     CPPUNIT_TEST(answerWithoutEraIsTakenAsOfTheLastOne);
+    CPPUNIT_TEST(oddEntryInAPageHidesNoOther);
+    CPPUNIT_TEST(oddChangeDoesNotEndTheWatch);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -260,7 +262,78 @@
         CPPUNIT_ASSERT(m_events.has("removed servers/a 9@3"));
     }
 
+    // Guards against engines that are not found because of one entry of another writer.
+    void oddEntryInAPageHidesNoOther()
+    {
+        for (const std::string &item : oddItems) {
+            tearDown();
+            setUp();
+            m_events.lines.clear();
+            m_listBody = R"({"HasMore":false,"AsOf":700,"Entries":[)";
+            for (int i = 0; i < entryCount; ++i) {
+                m_listBody += i == 0 ? "" : ",";
+                m_listBody += i == entryCount / 2 ? item
+                                                  : R"({"Key":"servers/)" + std::to_string(i)
+                                                        + R"(","Value":"eA==","Rev":)"
+                                                        + std::to_string(i + 1) + "}";
+            }
+            m_listBody += "]}";
+            m_client->start(m_events, {});
+            m_loop.waitFor(item.substr(0, 80), [&] { return m_events.lines.size() >= 2; });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.substr(0, 80), std::string("available"),
+                                         m_events.lines.at(0));
+            const bool whole = m_events.has("snapshot " + std::to_string(entryCount) + " at 700");
+            const bool without
+                = m_events.has("snapshot " + std::to_string(entryCount - 1) + " at 700");
+            CPPUNIT_ASSERT_MESSAGE(item.substr(0, 80), whole || without);
+        }
+    }
+
+    // Guards against a watch that is lost, or repeated without end, because of one change.
+    void oddChangeDoesNotEndTheWatch()
+    {
+        for (const std::string &item : oddItems) {
+            tearDown();
+            setUp();
+            m_events.lines.clear();
+            m_watched.clear();
+            m_watchBody = R"({"events":[{"Key":"servers/d","Value":"eA==","Rev":8},)" + item
+                          + R"(,{"Key":"servers/a","Rev":9,"Deleted":true}],"AsOf":9})";
+            m_client->start(m_events, {});
+            m_loop.waitFor(item.substr(0, 80), [&] { return m_watched.size() >= 2; });
+            CPPUNIT_ASSERT_MESSAGE(item.substr(0, 80), m_events.has("written servers/d=x"));
+            CPPUNIT_ASSERT_MESSAGE(item.substr(0, 80), m_events.has("removed servers/a 9"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.substr(0, 80), std::string("9"), m_watched.at(1));
+            CPPUNIT_ASSERT_MESSAGE(item.substr(0, 80), !m_events.has("lost"));
+        }
+    }
+
 private:
+    static constexpr int entryCount = 600;
+
+    /** Items that another writer may cause, and some that only a faulty store sends. */
+    const std::vector<std::string> oddItems = {
+        R"({"Key":"servers/x","Value":"not base64!","Rev":8})",
+        R"({"Key":"servers/x","Value":"eA","Rev":8})",
+        R"({"Key":"servers/x","Value":5,"Rev":8})",
+        R"({"Key":"servers/x","Value":null,"Rev":8})",
+        R"({"Key":"servers/x","Rev":8})",
+        R"({"Key":"servers/x","Value":")" + std::string(1'398'100, 'W') + R"(","Rev":8})",
+        R"({"Key":5,"Value":"eA==","Rev":8})",
+        R"({"Value":"eA==","Rev":8})",
+        R"({"Key":"servers/x","Value":"eA==","Rev":-1})",
+        R"({"Key":"servers/x","Value":"eA==","Rev":"8"})",
+        R"({"Key":"servers/x","Value":"eA==","Rev":8,"Lease":1e300,"Created":{}})",
+        R"({"Key":"servers/x\u0000\r\n","Value":"eA==","Rev":8})",
+        R"({"Key":"servers/\udcff","Value":"eA==","Rev":8})",
+        "{\"Key\":\"servers/\xff\",\"Value\":\"eA==\",\"Rev\":8}",
+        R"({"Key":"servers/x","Value":)" + std::string(10'000, '[') + std::string(10'000, ']')
+            + R"(,"Rev":8})",
+        R"({"Key":"servers/x","Value":"eA==","Rev":8,"Lease":1e99999})",
+        "null",
+        "[]",
+    };
+
     /** Returns the header fields of the next answer about engines. */
     transport::http_headers eraFields()
     {
@@ -308,6 +381,11 @@
             exchange.respond(m_listStatus, {}, "");
             return;
         }
+        if (!m_listBody.empty()) {
+            ++m_lists;
+            exchange.respond(200, eraFields(), m_listBody);
+            return;
+        }
         const auto after = exchange.request().arguments.find("After");
         if (after == exchange.request().arguments.end()) {
             ++m_lists;
@@ -335,6 +413,8 @@
         }
         if (m_watchStatus != 200)
             exchange.respond(m_watchStatus, {}, "");
+        else if (!m_watchBody.empty() && m_watched.size() == 1)
+            exchange.respond(200, eraFields(), m_watchBody);
         else if (m_watched.size() == 1)
             exchange.respond(200, eraFields(),
                              R"({"events":[{"Key":"servers/d","Value":"eA==","Rev":8},)"
@@ -350,6 +430,9 @@
     recorded_events m_events;
     std::vector<std::string> m_watched;
     std::vector<int> m_watchMilliseconds;
+    /** Body of each list, and of the first watch, if not empty. */
+    std::string m_listBody;
+    std::string m_watchBody;
     unsigned m_listStatus = 200;
     unsigned m_watchStatus = 200;
     bool m_holdsLongWatches = false;
