--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -77,6 +77,8 @@
     CPPUNIT_TEST(answerWithoutEraIsTakenAsOfTheLastOne);
     CPPUNIT_TEST(oddEntryInAPageHidesNoOther);
     CPPUNIT_TEST(oddChangeDoesNotEndTheWatch);
+    CPPUNIT_TEST(revisionIsReadExactly);
+    CPPUNIT_TEST(pageThatLeadsNowhereIsNotRepeatedWithoutPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -308,6 +310,35 @@
         }
     }
 
+    // Guards against a watch from a revision that was rounded: it skips or repeats a change.
+    void revisionIsReadExactly()
+    {
+        m_listBody = R"({"Entries":[],"HasMore":false,"AsOf":9007199254740993})";
+        m_client->start(m_events, {});
+        m_loop.waitFor("watch", [&] { return !m_watched.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("9007199254740993"), m_watched.at(0));
+    }
+
+    // Guards against calls without end to a store that repeats a page or names no revision.
+    void pageThatLeadsNowhereIsNotRepeatedWithoutPause()
+    {
+        const std::string item = R"({"Key":"servers/a","Value":"eA==","Rev":2})";
+        for (const std::string &body :
+             {R"({"Entries":[)" + item + R"(],"HasMore":true,"AsOf":7})",
+              R"({"Entries":[)" + item + R"(],"HasMore":false,"AsOf":"7"})",
+              R"({"Entries":[)" + item + R"(],"HasMore":false,"AsOf":1e300})"}) {
+            tearDown();
+            setUp();
+            m_events.lines.clear();
+            m_listBody = body;
+            const int before = m_lists;
+            m_client->start(m_events, {});
+            m_loop.waitFor("loss", [&] { return m_events.has("lost"); });
+            m_loop.runFor(300ms);
+            CPPUNIT_ASSERT_MESSAGE(body, m_lists - before <= 8);
+        }
+    }
+
 private:
     static constexpr int entryCount = 600;
 
@@ -322,6 +353,8 @@
         R"({"Key":5,"Value":"eA==","Rev":8})",
         R"({"Value":"eA==","Rev":8})",
         R"({"Key":"servers/x","Value":"eA==","Rev":-1})",
+        R"({"Key":"servers/x","Value":"eA==","Rev":1e300})",
+        R"({"Key":"servers/x","Value":"eA==","Rev":18446744073709551616})",
         R"({"Key":"servers/x","Value":"eA==","Rev":"8"})",
         R"({"Key":"servers/x","Value":"eA==","Rev":8,"Lease":1e300,"Created":{}})",
         R"({"Key":"servers/x\u0000\r\n","Value":"eA==","Rev":8})",
