Forget the held-back entry of an engine whose entry becomes unreadable

Cause: after a restoration of the store, the entry of an engine that had been removed is held back for 10 s. If another writer overwrote it meanwhile, the held-back one was still used after that time: requests went to an engine that no entry named.

Change: an unreadable entry also ends what is held back for its engine.

--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -195,8 +195,11 @@
                   {"revision", record.revision.text()},
                   {"detail", describe(content.error())}});
         // Another writer may have overwritten the entry, so the engine must not be used.
-        if (const std::string_view id = m_decoder.engineOfKey(record.key); !id.empty())
+        if (const std::string id(m_decoder.engineOfKey(record.key)); !id.empty()) {
+            m_expired.erase(id);
+            m_deferredEntries.erase(id);
             removeEngine(id, "engine entry is invalid");
+        }
         return;
     }
     if (auto *settings = std::get_if<dispatch::configuration>(&content.value()))
--- a/tests/gateway/catalogue_test.cpp
+++ b/tests/gateway/catalogue_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/catalogue.h"
 #include "gateway/plain_protocol.h"
 #include "gateway/source_monitor.h"
+#include "gateway/status_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -22,6 +23,8 @@
     CPPUNIT_TEST(removedEngineIsDroppedImmediately);
     CPPUNIT_TEST(expiredEntriesAreKeptUntilRewritten);
     CPPUNIT_TEST(invalidEntryRemovesEngine);
+    CPPUNIT_TEST(oddEntryAmongManyLeavesTheOthers);
+    CPPUNIT_TEST(oddEntryOfARestoredEngineIsNotUsedLater);
     CPPUNIT_TEST(recordsOfPeersAreApplied);
     CPPUNIT_TEST(lostUpdateIsDetected);
     CPPUNIT_TEST(gapOfPeerIsNotHidden);
@@ -80,6 +83,60 @@
         CPPUNIT_ASSERT(m_registry.find("e1") != nullptr);
     }
 
+    // Guards against a list that is lost or stale because of one entry of another writer.
+    void oddEntryAmongManyLeavesTheOthers()
+    {
+        constexpr std::uint64_t count = 600;
+        std::array<dispatch::record_collection, 2> peer;
+        std::vector<dispatch::published_record> records;
+        for (std::uint64_t i = 1; i <= count; ++i) {
+            const std::string id = "e" + std::to_string(i);
+            records.push_back({"engine/" + id, i, valueOf({id, 1})});
+            writeEngine(id, i);
+        }
+        const auto expectAllBut = [&](const std::string &odd) {
+            for (std::uint64_t i = 1; i <= count; ++i) {
+                const std::string id = "e" + std::to_string(i);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id, id != odd, m_registry.find(id) != nullptr);
+            }
+        };
+        expectAllBut("");
+        m_catalogue.onPeerUpdate(
+            {.collection = 1, .previous = count, .record = {"engine/e300", count + 1, "garbage"}},
+            m_peer, m_now);
+        expectAllBut("e300");
+        writeEngine("e300", count + 2);
+        expectAllBut("");
+        records.at(6).value = "garbage";
+        records.at(6).revision = count + 3;
+        m_catalogue.onSnapshot(collection_id::Engines, records, count + 3, m_now);
+        expectAllBut("e7");
+        writeEngine("e7", count + 4);
+        expectAllBut("");
+        records.at(6) = {"engine/e7", count + 4, valueOf({"e7", 1})};
+        records.at(500).value = "garbage";
+        records.at(500).revision = count + 5;
+        peer.at(1).replaceAll(records, count + 5);
+        const auto received = decodeRecords(encodeRecords(peer, {}, m_now, nullptr), m_now);
+        m_catalogue.onPeerRecords(received.value(), m_peer, m_now);
+        expectAllBut("e501");
+        CPPUNIT_ASSERT(m_catalogue.revisions().at(1) == count + 5);
+        writeEngine("e501", count + 6);
+        expectAllBut("");
+    }
+
+    // Guards against requests to an engine whose entry became odd after a restoration.
+    void oddEntryOfARestoredEngineIsNotUsedLater()
+    {
+        snapshotEngines({{"e1", 1}}, 1);
+        m_catalogue.onRemoved(collection_id::Engines, "engine/e1", {1, 21}, m_now);
+        snapshotEngines({{"e1", 1}}, 2);
+        CPPUNIT_ASSERT(m_registry.find("e1") == nullptr);
+        m_catalogue.onWritten(collection_id::Engines, {"engine/e1", {2, 22}, "garbage"}, m_now);
+        m_catalogue.endGracePeriods(m_now + 1h);
+        CPPUNIT_ASSERT(m_registry.find("e1") == nullptr);
+    }
+
     // Guards against a node that stays outdated while the source refuses its requests.
     void recordsOfPeersAreApplied()
     {
