Read the other records of a peer when one is unreadable

An age above 2^63 us overflowed.

Change: such a record arrives without a value, which names no engine. A single update with such a value is still dropped, since the record is fetched then. Ages count up to 24 h.

Measured: unreadableValueOfARecordHidesNoOther and hugeAgeOfARecordDoesNotOverflow failed before (test_gateway, arm64).

--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -4,7 +4,9 @@
 #include "gateway/record_source.h"
 #include "gateway/value_compression.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace comfreypass::gateway {
@@ -63,8 +65,11 @@
     target.set_value_size(record.value.size());
 }
 
-core::result<dispatch::published_record> readRecord(const fleet::Record &source,
-                                                    core::time_point now = {})
+/** An older record counts as of this age. */
+constexpr std::chrono::milliseconds maxRecordAge = std::chrono::hours(24);
+
+/** Reads a record. A value that cannot be decompressed is empty, as is its compressed form. */
+dispatch::published_record readRecord(const fleet::Record &source, core::time_point now = {})
 {
     dispatch::published_record record;
     record.key = source.key();
@@ -74,12 +79,16 @@
     if (!record.compressedValue.empty()) {
         core::result<std::string> value
             = decompressValue(record.compressedValue, source.value_size());
-        if (!value)
-            return value.error();
-        record.value = std::move(value).value();
+        // The other records of the message must not be lost with this one.
+        if (value)
+            record.value = std::move(value).value();
+        else
+            record.compressedValue.clear();
+    }
+    if (now != core::time_point{}) {
+        constexpr auto maxAge = static_cast<std::uint64_t>(maxRecordAge.count());
+        record.readAt = now - std::chrono::milliseconds(std::min(source.age_ms(), maxAge));
     }
-    if (now != core::time_point{})
-        record.readAt = now - std::chrono::milliseconds(source.age_ms());
     return record;
 }
 
@@ -94,10 +103,10 @@
         update.record.revision = {message.removal().era(), message.removal().revision()};
         return update;
     }
-    core::result<dispatch::published_record> record = readRecord(message.record());
-    if (!record)
-        return record.error();
-    update.record = std::move(record).value();
+    update.record = readRecord(message.record());
+    // The statuses show that the change is missing, and it is fetched.
+    if (update.record.compressedValue.size() != message.record().compressed_value().size())
+        return parseError("value of a record update");
     return update;
 }
 
@@ -299,18 +308,10 @@
         collection_snapshot &target = collections.emplace_back();
         target.revision = {source.era(), source.revision()};
         target.complete = source.whole();
-        for (const fleet::Record &entry : source.records()) {
-            core::result<dispatch::published_record> record = readRecord(entry, now);
-            if (!record)
-                return record.error();
-            target.records.push_back(std::move(record).value());
-        }
-        for (const fleet::Record &entry : source.retained()) {
-            core::result<dispatch::published_record> record = readRecord(entry, now);
-            if (!record)
-                return record.error();
-            target.retained.push_back(std::move(record).value());
-        }
+        for (const fleet::Record &entry : source.records())
+            target.records.push_back(readRecord(entry, now));
+        for (const fleet::Record &entry : source.retained())
+            target.retained.push_back(readRecord(entry, now));
         for (const fleet::Removal &entry : source.removals())
             target.removed[entry.key()] = {entry.era(), entry.revision()};
     }
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -25,6 +25,9 @@
     CPPUNIT_TEST(erasRoundTrip);
     CPPUNIT_TEST(messagesWithoutErasAreRead);
     CPPUNIT_TEST(invalidMessageIsRejected);
+    CPPUNIT_TEST(unreadableValueOfARecordHidesNoOther);
+    CPPUNIT_TEST(updateWithAnUnreadableValueIsNotApplied);
+    CPPUNIT_TEST(hugeAgeOfARecordDoesNotOverflow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -239,6 +242,64 @@
         CPPUNIT_ASSERT(!decodeRecords("\xff\xff\xff", m_now));
     }
 
+    // Guards against a node that fetches the records without end because of one of them.
+    void unreadableValueOfARecordHidesNoOther()
+    {
+        constexpr int count = 600;
+        constexpr int odd = 300;
+        for (const std::uint64_t size : {std::uint64_t{5}, ~std::uint64_t{0}}) {
+            fleet::RecordSnapshot message;
+            fleet::RecordCollection &collection = *message.add_collections();
+            collection.set_revision(count);
+            collection.set_whole(true);
+            for (int i = 0; i < count; ++i) {
+                fleet::Record &record = *collection.add_records();
+                record.set_key("engine/" + std::to_string(i));
+                record.set_revision(static_cast<std::uint64_t>(i) + 1);
+                if (i == odd) {
+                    record.set_compressed_value("not compressed");
+                    record.set_value_size(size);
+                } else {
+                    record.set_value("v");
+                }
+            }
+            const auto decoded = decodeRecords(message.SerializeAsString(), m_now);
+            CPPUNIT_ASSERT(decoded);
+            const auto &records = decoded.value().at(0).records;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{count}, records.size());
+            for (int i = 0; i < count; ++i)
+                CPPUNIT_ASSERT_EQUAL(std::string(i == odd ? "" : "v"),
+                                     records[static_cast<std::size_t>(i)].value);
+        }
+    }
+
+    // Guards against a change that is known here without its value, and so never fetched.
+    void updateWithAnUnreadableValueIsNotApplied()
+    {
+        fleet::PeerMessage message;
+        fleet::Record &record = *message.mutable_update()->mutable_record();
+        record.set_key("engine/e1");
+        record.set_compressed_value("not compressed");
+        record.set_value_size(5);
+        CPPUNIT_ASSERT(!decodeMessage(message.SerializeAsString()));
+    }
+
+    // Guards against a record that seems to have been read in the future.
+    void hugeAgeOfARecordDoesNotOverflow()
+    {
+        for (const std::uint64_t age :
+             {std::uint64_t{1} << 32U, std::uint64_t{9'223'372'036'854'776},
+              std::uint64_t{1} << 63U, ~std::uint64_t{0}}) {
+            fleet::RecordSnapshot message;
+            fleet::Record &record = *message.add_collections()->add_records();
+            record.set_key("engine/e1");
+            record.set_age_ms(age);
+            const auto decoded = decodeRecords(message.SerializeAsString(), m_now);
+            const core::time_point readAt = decoded.value().at(0).records.at(0).readAt;
+            CPPUNIT_ASSERT(m_now - readAt == 24h);
+        }
+    }
+
 private:
     core::time_point m_now{10h};
 };
