Read an engine's response before reporting a failed send

Cause: an engine that answers before it has read a long request and closes resets the connection. The send of the rest failed first, and the connection was closed with the response unread: the exchange failed without a response, for which callers get 502 instead of a whole 413 or a rejection. The kernel reports such an error once, so a receive after a failed send sees an orderly end, which would complete a response without length or chunks.

Change: after a failed send, byte_stream reads on to the end. It reports a reset unless the error was EPIPE, which means that the peer had closed in order before.

Conclusion: the order in which the reactor serves a socket no longer decides whether a response is complete.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -77,7 +77,7 @@
 
 void byte_stream::send(std::string_view bytes)
 {
-    if (!isOpen() || bytes.empty())
+    if (!isOpen() || bytes.empty() || m_sendError != 0)
         return;
     const bool idle = unsentBytes() == 0;
     if (idle && m_connected) {
@@ -86,7 +86,8 @@
             return;
         if (sent > 0)
             bytes.remove_prefix(static_cast<std::size_t>(sent));
-        // Send errors are reported from the reactor, never from within this call.
+        else if (sent < 0 && !wouldBlock(errno))
+            onSendError(errno);
     }
     m_output.append(bytes);
     updateMask();
@@ -155,7 +156,9 @@
             m_input.append(buffer.data(), static_cast<std::size_t>(count));
             m_events.onInput();
         } else if (count == 0) {
-            closeAndReport(stream_end::Closed);
+            // EPIPE: the peer had closed in order before it reset the connection.
+            const bool wasReset = m_sendError != 0 && m_sendError != EPIPE;
+            closeAndReport(wasReset ? stream_end::Reset : stream_end::Closed);
         } else if (!wouldBlock(errno)) {
             closeAndReport(stream_end::Reset);
         }
@@ -202,7 +205,7 @@
         if (sent < 0) {
             if (wouldBlock(errno))
                 break;
-            closeAndReport(stream_end::Reset);
+            onSendError(errno);
             return;
         }
         m_sent += static_cast<std::size_t>(sent);
@@ -220,6 +223,14 @@
     m_events.onSent();
 }
 
+// The peer may have responded before it closed, so the received bytes are read first. The end is
+// reported from handle_input, never from within send().
+void byte_stream::onSendError(int error)
+{
+    m_sendError = error;
+    updateMask();
+}
+
 void byte_stream::closeAndReport(stream_end reason)
 {
     close();
@@ -231,9 +242,10 @@
     if (!isOpen())
         return;
     ACE_Reactor_Mask wanted = ACE_Event_Handler::NULL_MASK;
-    if (m_connected && m_reading)
+    const bool sendFailed = m_sendError != 0;
+    if (m_connected && (m_reading || sendFailed))
         wanted |= ACE_Event_Handler::READ_MASK;
-    if (!m_connected || unsentBytes() > 0)
+    if (!m_connected || (unsentBytes() > 0 && !sendFailed))
         wanted |= ACE_Event_Handler::WRITE_MASK;
     if (wanted == m_mask)
         return;
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -16,7 +16,7 @@
 
 /** How a connection ended. */
 enum class stream_end : std::uint8_t {
-    /** The peer closed its sending side; all received bytes have been read. */
+    /** The peer closed its sending side in order; all received bytes have been read. */
     Closed,
     /** The connection was reset, or the kernel timed it out. */
     Reset,
@@ -97,6 +97,7 @@
 
     void finishConnect();
     void flush();
+    void onSendError(int error);
     void closeAndReport(stream_end reason);
     void updateMask();
 
@@ -107,6 +108,8 @@
     std::size_t m_consumed = 0;
     std::string m_output;
     std::size_t m_sent = 0;
+    /** The first error of a send, which the kernel does not report again; 0 if none failed. */
+    int m_sendError = 0;
     ACE_Reactor_Mask m_mask = ACE_Event_Handler::NULL_MASK;
     bool m_connected = false;
     bool m_reading = true;
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -70,6 +70,9 @@
     CPPUNIT_TEST(bytesAfterCompleteResponseMakeConnectionUnusable);
     CPPUNIT_TEST(interruptedResponsesReportDistinctFailures);
     CPPUNIT_TEST(responseBeforeEndOfRequestClosesConnection);
+    CPPUNIT_TEST(responseBeforeResetOfUnreadRequestIsRead);
+    CPPUNIT_TEST(unframedResponseBeforeResetOfUnreadRequestIsIncomplete);
+    CPPUNIT_TEST(unframedResponseBeforeCloseOfUnreadRequestIsComplete);
     CPPUNIT_TEST(refusedConnectionReportsConnectFailed);
     CPPUNIT_TEST(hopByHopFieldsAreNotForwarded);
     CPPUNIT_TEST_SUITE_END();
@@ -202,6 +205,36 @@
         CPPUNIT_ASSERT(!events.reusable);
     }
 
+    // Guards against losing a response whose engine closes without reading a long request.
+    void responseBeforeResetOfUnreadRequestIsRead()
+    {
+        recording_events events;
+        respondToUnreadRequest(events, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno",
+                               false);
+        CPPUNIT_ASSERT(!events.failure);
+        CPPUNIT_ASSERT_EQUAL(413U, events.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("no"), events.body);
+        CPPUNIT_ASSERT(!events.reusable);
+    }
+
+    // Guards against a reset that looks like an orderly close once a send has reported it.
+    void unframedResponseBeforeResetOfUnreadRequestIsIncomplete()
+    {
+        recording_events events;
+        respondToUnreadRequest(events, "HTTP/1.1 200 OK\r\n\r\npart", false);
+        CPPUNIT_ASSERT(events.failure == exchange_failure::Incomplete);
+    }
+
+    // Guards against a failure for a whole response that is followed by the reset of the request.
+    void unframedResponseBeforeCloseOfUnreadRequestIsComplete()
+    {
+        recording_events events;
+        respondToUnreadRequest(events, "HTTP/1.1 200 OK\r\n\r\nwhole", true);
+        CPPUNIT_ASSERT(!events.failure);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), events.body);
+        CPPUNIT_ASSERT(!events.reusable);
+    }
+
     // Guards against "may have run" for a request that was never sent.
     void refusedConnectionReportsConnectFailed()
     {
@@ -236,6 +269,29 @@
     }
 
 private:
+    /**
+     * Responds to a request that the engine reads no byte of, and closes: after the end of its
+     * sending side, or at once with a reset. The response and the end arrive before the connection
+     * reads or sends anything.
+     */
+    void respondToUnreadRequest(recording_events &events, const std::string &response,
+                                bool endsSending)
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        const std::string body(8'388'608, 'a');
+        connection.start("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                             + std::to_string(body.size()) + "\r\n\r\n" + body,
+                         events);
+        m_loop.waitFor("connection", [&] { return connection.connected(); });
+        m_loop.runFor(20ms);
+        engine.send(response);
+        if (endsSending)
+            engine.closeSending();
+        engine.close();
+        m_loop.waitFor("end", [&] { return events.done; });
+    }
+
     endpoint target() const { return {INADDR_LOOPBACK, m_listener.port()}; }
 
     tests::loopback m_loop;
