Send streams to callers of HTTP/1.0 without chunks

Cause: a caller of HTTP/1.0 got a stream in chunks, which that version does not know: chunk sizes appeared between the events, and with keep-alive the body had no end.

Change: such a stream is sent as it is and ends with its connection; one that breaks off is reset.

--- a/src/http1/message_head.h
+++ b/src/http1/message_head.h
@@ -14,6 +14,8 @@
     /** Requests only: method and target as sent. */
     std::string method;
     std::string target;
+    /** True if the sender understands chunks. */
+    bool isHttp11 = true;
     /** Responses only: status code and reason phrase. */
     unsigned status = 0;
     std::string reason;
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -15,6 +15,9 @@
 namespace beast = boost::beast;
 using beast_error = beast::error_code;
 
+/** Version number that Beast reports for HTTP/1.1. */
+constexpr int http11 = 11;
+
 std::string_view toView(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -77,16 +80,17 @@
 
 private:
     void on_request_impl(beast::http::verb /*method*/, beast::string_view method,
-                         beast::string_view target, int /*version*/,
-                         beast_error & /*error*/) override
+                         beast::string_view target, int version, beast_error & /*error*/) override
     {
+        head.isHttp11 = version >= http11;
         head.method = toView(method);
         head.target = toView(target);
     }
 
-    void on_response_impl(int code, beast::string_view reason, int /*version*/,
+    void on_response_impl(int code, beast::string_view reason, int version,
                           beast_error & /*error*/) override
     {
+        head.isHttp11 = version >= http11;
         head.status = static_cast<unsigned>(code);
         head.reason = toView(reason);
     }
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -56,8 +56,10 @@
 
 void server_connection::beginStream(unsigned status, const transport::http_headers &headers)
 {
+    m_keepAlive = m_keepAlive && m_acceptsChunks;
     std::string response = buildResponseHead(status, headers);
-    appendField(response, "Transfer-Encoding", "chunked");
+    if (m_acceptsChunks)
+        appendField(response, "Transfer-Encoding", "chunked");
     response.append("\r\n");
     m_stream.send(response);
 }
@@ -66,6 +68,10 @@
 {
     if (bytes.empty())
         return;
+    if (!m_acceptsChunks) {
+        m_stream.send(bytes);
+        return;
+    }
     std::array<char, 2 * sizeof(std::size_t)> digits{};
     const auto end
         = std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), 16).ptr;
@@ -77,7 +83,8 @@
 
 void server_connection::finishStream()
 {
-    m_stream.send("0\r\n\r\n");
+    if (m_acceptsChunks)
+        m_stream.send("0\r\n\r\n");
     finishResponse();
 }
 
@@ -166,6 +173,7 @@
         message_head head = m_parser->head();
         m_parser.reset();
         m_keepAlive = head.keepAlive;
+        m_acceptsChunks = head.isHttp11;
         m_responsePending = true;
         m_events.onRequest(*this, std::move(head), std::exchange(m_body, {}));
     }
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -59,13 +59,16 @@
     /** Sends a complete response. Precondition: responsePending(). */
     void respond(unsigned status, const transport::http_headers &headers, std::string_view body);
 
-    /** Starts a chunked response. Precondition: responsePending(). */
+    /**
+     * Starts a response of unknown length: in chunks, or until the end of the connection if the
+     * caller does not understand chunks. Precondition: responsePending().
+     */
     void beginStream(unsigned status, const transport::http_headers &headers);
 
-    /** Sends one chunk. Precondition: beginStream was called. */
+    /** Sends a part of the body. Precondition: beginStream was called. */
     void write(std::string_view bytes);
 
-    /** Sends the final chunk. Precondition: beginStream was called. */
+    /** Ends the response. Precondition: beginStream was called. */
     void finishStream();
 
     /** Resets the connection, so that the caller cannot mistake a partial response for complete. */
@@ -120,6 +123,8 @@
     /** The limit at the start of the current idle period. */
     core::duration m_idleTimeout;
     bool m_responsePending = false;
+    /** The caller understands chunks. */
+    bool m_acceptsChunks = true;
     bool m_keepAlive = true;
     bool m_closeAfterResponse = false;
     /** Whether the header of the current response contains `Connection: close`. */
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -86,6 +86,8 @@
     CPPUNIT_TEST(disconnectIsDetectedWhileRequestIsPending);
     CPPUNIT_TEST(abortedStreamHasNoFinalChunk);
     CPPUNIT_TEST(badRequestsAreRejectedAndConnectionClosed);
+    CPPUNIT_TEST(callerWithoutChunksGetsBareStream);
+    CPPUNIT_TEST(abortedBareStreamIsReset);
     CPPUNIT_TEST(closeAfterResponseSendsConnectionClose);
     CPPUNIT_TEST(requestAfterAnUnannouncedCloseIsAnswered);
     CPPUNIT_TEST(timeoutsDoNotCutAResponseThatIsBeingSent);
@@ -156,6 +158,46 @@
         CPPUNIT_ASSERT(!caller.receive().ends_with("0\r\n\r\n"));
     }
 
+    // Guards against chunk sizes in the body of a caller that does not know chunks.
+    void callerWithoutChunksGetsBareStream()
+    {
+        for (const std::string fields : {"", "Connection: keep-alive\r\n"}) {
+            recording_server server(m_loop.reactor());
+            tests::raw_socket caller(server.port());
+            caller.send("GET /1 HTTP/1.0\r\nHost: x\r\n" + fields + "\r\n");
+            m_loop.waitFor("request", [&] { return server.current != nullptr; });
+            server.current->beginStream(200, {});
+            server.current->write("id: 1\n\n");
+            server.current->write("id: 2\n\n");
+            server.current->finishStream();
+            m_loop.waitFor("end", [&] {
+                caller.receive();
+                return caller.ended();
+            });
+            CPPUNIT_ASSERT_EQUAL(
+                std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nid: 1\n\nid: 2\n\n"),
+                caller.receive());
+        }
+    }
+
+    // Guards against a clean end of a stream that shows its end only by that of its connection.
+    void abortedBareStreamIsReset()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("GET /1 HTTP/1.0\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("request", [&] { return server.current != nullptr; });
+        server.current->beginStream(200, {});
+        server.current->write("id: 1\n\n");
+        m_loop.waitFor("event", [&] { return caller.receive().ends_with("id: 1\n\n"); });
+        server.current->abort();
+        m_loop.waitFor("end", [&] {
+            caller.receive();
+            return caller.ended();
+        });
+        CPPUNIT_ASSERT(caller.wasReset());
+    }
+
     // Guards against a bad request that is delivered or leaves the connection usable.
     void badRequestsAreRejectedAndConnectionClosed()
     {
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -39,7 +39,7 @@
 
 raw_socket::raw_socket(raw_socket &&other) noexcept
     : m_descriptor(std::exchange(other.m_descriptor, -1)), m_received(std::move(other.m_received)),
-      m_ended(other.m_ended)
+      m_ended(other.m_ended), m_reset(other.m_reset)
 { }
 
 std::size_t raw_socket::send(std::string_view bytes)
@@ -58,8 +58,10 @@
             m_received.append(buffer.data(), static_cast<std::size_t>(count));
         else if (count < 0 && errno == EAGAIN)
             break;
-        else
+        else {
             m_ended = true;
+            m_reset = count < 0;
+        }
     }
     return m_received;
 }
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -32,6 +32,9 @@
     /** Returns whether `receive` has seen the end of the stream or an error such as a reset. */
     bool ended() const { return m_ended; }
 
+    /** Returns whether `receive` has seen a reset. */
+    bool wasReset() const { return m_reset; }
+
     void closeSending();
     void close();
 
@@ -44,6 +47,7 @@
     int m_descriptor = -1;
     std::string m_received;
     bool m_ended = false;
+    bool m_reset = false;
 };
 
 } // namespace comfreypass::tests
