Forward responses that have no body by definition

Cause: a response to HEAD was read as if its body followed: callers got 504 after the time-out of the route. They got local responses to HEAD with a body, which the next response on that connection began with. A 204 with the type of an event stream became 502, since it was taken for a stream that ended before its first event.

Change: mayHaveBody() and endsWithConnection() decide by status and method. A request with HEAD goes to a new connection, as a response to another request there would be read without its body.

Conclusion: an end after the header is complete only where no body can follow.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -20,7 +20,6 @@
 /** Number of distinct route priorities within one team priority. */
 constexpr std::uint32_t routePrioritiesPerTeamPriority = 16;
 
-constexpr unsigned noContent = 204;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
 constexpr unsigned tooManyRequests = 429;
@@ -379,11 +378,12 @@
                                                                   : connectTimeout);
 }
 
-// The id tells responses on a reused connection apart, if it was not used there before.
+// The id tells responses on a reused connection apart, if it was not used there before. A response
+// to HEAD is read without a body, so no response to another request may precede it.
 engine_connection request_flow::connectionForAttempt(core::time_point now)
 {
     const bool isDistinct
-        = !m_metadata.attemptId.empty()
+        = !m_metadata.attemptId.empty() && !isHeadRequest()
           && std::ranges::find(m_triedAddresses, *m_engineAddress) == m_triedAddresses.end();
     if (!isDistinct)
         return m_context.engineConnections.connect(*m_engineAddress);
@@ -552,7 +552,9 @@
         m_response.notRun = false;
         m_response.isSigned = false;
     }
-    if (success && m_response.isSigned && m_response.isEventStream && isStreamRoute()) {
+    const bool isStream
+        = m_response.isEventStream && isStreamRoute() && mayHaveBody(head.status, m_head.method);
+    if (success && m_response.isSigned && isStream) {
         m_mode = relay_mode::Events;
         m_resumeCheckPending = responseStarted() || m_events.lastId().has_value();
     }
@@ -716,7 +718,7 @@
 // complete.
 bool request_flow::endsWithConnection() const
 {
-    return !m_responseHead.contentLength && !m_responseHead.chunked;
+    return gateway::endsWithConnection(m_responseHead, m_head.method);
 }
 
 bool request_flow::endsInsideStream() const
@@ -749,7 +751,7 @@
         handleFailure("unsigned_success", dispatch::attempt_result::Failed);
         return;
     }
-    if (success && status != noContent && endsWithConnection() && m_bufferedBody.empty()) {
+    if (success && endsWithConnection() && m_bufferedBody.empty()) {
         handleFailure("ended_before_body", dispatch::attempt_result::Failed);
         return;
     }
@@ -786,8 +788,10 @@
 {
     m_record.status = m_responseHead.status;
     m_record.firstByte = m_context.now() - m_arrivedAt;
-    m_caller.respond(m_responseHead.status, http1::forwardedHeaders(m_responseHead.headers),
-                     m_bufferedBody);
+    transport::http_headers headers = http1::forwardedHeaders(m_responseHead.headers);
+    if (isHeadRequest() && m_responseHead.contentLength)
+        headers.add("Content-Length", std::to_string(*m_responseHead.contentLength));
+    m_caller.respond(m_responseHead.status, headers, m_bufferedBody);
     finish(flow_outcome::Answered,
            m_responseHead.status >= firstErrorStatus ? "engine_status" : "");
 }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -5,6 +5,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/flow_context.h"
 #include "gateway/flow_record.h"
+#include "gateway/response_end.h"
 #include "http1/client_connection.h"
 #include "http1/server_connection.h"
 #include "transport/reactor_timer.h"
@@ -108,6 +109,7 @@
     void writeToCaller(std::string_view bytes);
     void onBufferedBytes(std::string_view bytes);
     bool checkResumedStream();
+    bool isHeadRequest() const noexcept { return m_head.method == "HEAD"; }
     bool endsWithConnection() const;
     bool endsInsideStream() const;
     void completeStream();
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -32,6 +32,7 @@
 void client_connection::start(std::string_view request, client_events &events)
 {
     m_events = &events;
+    m_isHeadRequest = request.starts_with("HEAD ");
     m_headReported = false;
     m_skipping = false;
     m_skippedBytes = 0;
@@ -73,6 +74,8 @@
                                  if (reportHead() && m_events != nullptr)
                                      m_events->onBody(bytes);
                              });
+            if (m_isHeadRequest)
+                m_parser->skipBody();
         }
         const core::result<std::size_t> consumed = m_parser->parse(m_stream.input());
         if (!consumed) {
@@ -119,7 +122,8 @@
     }
     const head_decision decision = m_events->onHead(head);
     m_skipping = decision != head_decision::Accept;
-    if (decision == head_decision::Reject)
+    // A response to an earlier request may have a body, which the parser skips after HEAD.
+    if (decision == head_decision::Reject || (m_skipping && m_isHeadRequest))
         fail(exchange_failure::Unattributed);
     return !m_skipping;
 }
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -102,6 +102,7 @@
 
     client_events *m_events = nullptr;
     std::optional<message_parser> m_parser;
+    bool m_isHeadRequest = false;
     bool m_headReported = false;
     bool m_skipping = false;
     std::size_t m_skippedBytes = 0;
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -35,6 +35,7 @@
 
     virtual std::size_t put(std::string_view bytes, beast_error &error) = 0;
     virtual void putEof(beast_error &error) = 0;
+    virtual void skipBody() = 0;
     virtual bool hasHead() const = 0;
     virtual bool complete() const = 0;
     virtual bool started() const = 0;
@@ -74,6 +75,7 @@
         parser::put_eof(error);
     }
 
+    void skipBody() override { parser::skip(true); }
     bool hasHead() const override { return parser::is_header_done(); }
     bool complete() const override { return parser::is_done(); }
     bool started() const override { return parser::got_some(); }
@@ -152,6 +154,11 @@
 
 message_parser::~message_parser() = default;
 
+void message_parser::skipBody()
+{
+    m_implementation->skipBody();
+}
+
 core::result<std::size_t> message_parser::parse(std::string_view bytes)
 {
     if (bytes.empty() || m_implementation->complete())
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -29,6 +29,11 @@
     message_parser(const message_parser &) = delete;
     message_parser &operator=(const message_parser &) = delete;
 
+    /**
+     * Lets the message end with its header, as a response to HEAD does. Precondition: !started().
+     */
+    void skipBody();
+
     /**
      * Parses from the front of `bytes` and returns the number of bytes consumed. The caller passes
      * the rest again, followed by more input. Consumes nothing beyond the end of the message.
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -47,9 +47,12 @@
                                 std::string_view body)
 {
     std::string response = buildResponseHead(status, headers);
-    if (status != noContent && status != notModified)
+    const bool hasNoBody = status == noContent || status == notModified;
+    if (!hasNoBody && !(m_isHeadRequest && body.empty()))
         appendField(response, "Content-Length", std::to_string(body.size()));
-    response.append("\r\n").append(body);
+    response.append("\r\n");
+    if (!m_isHeadRequest)
+        response.append(body);
     m_stream.send(response);
     finishResponse();
 }
@@ -66,7 +69,7 @@
 
 void server_connection::write(std::string_view bytes)
 {
-    if (bytes.empty())
+    if (bytes.empty() || m_isHeadRequest)
         return;
     if (!m_acceptsChunks) {
         m_stream.send(bytes);
@@ -83,7 +86,7 @@
 
 void server_connection::finishStream()
 {
-    if (m_acceptsChunks)
+    if (m_acceptsChunks && !m_isHeadRequest)
         m_stream.send("0\r\n\r\n");
     finishResponse();
 }
@@ -173,6 +176,7 @@
         message_head head = m_parser->head();
         m_parser.reset();
         m_keepAlive = head.keepAlive;
+        m_isHeadRequest = head.method == "HEAD";
         m_acceptsChunks = head.isHttp11;
         m_responsePending = true;
         m_events.onRequest(*this, std::move(head), std::exchange(m_body, {}));
@@ -197,6 +201,7 @@
 {
     m_parser.reset();
     m_responsePending = true;
+    m_isHeadRequest = false;
     m_keepAlive = false;
     respond(status, {{"Content-Type", "text/plain"}}, std::string(reason) + "\n");
 }
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -56,7 +56,11 @@
     server_connection(ACE_Reactor &reactor, socket_handle connection, const server_limits &limits,
                       clock_function clock, server_events &events);
 
-    /** Sends a complete response. Precondition: responsePending(). */
+    /**
+     * Sends a complete response; the body is left out if the request is HEAD. `headers` may then
+     * contain the Content-Length of a body that the caller of this function does not have.
+     * Precondition: responsePending().
+     */
     void respond(unsigned status, const transport::http_headers &headers, std::string_view body);
 
     /**
@@ -123,6 +127,7 @@
     /** The limit at the start of the current idle period. */
     core::duration m_idleTimeout;
     bool m_responsePending = false;
+    bool m_isHeadRequest = false;
     /** The caller understands chunks. */
     bool m_acceptsChunks = true;
     bool m_keepAlive = true;
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -73,6 +73,8 @@
     CPPUNIT_TEST(responseBeforeResetOfUnreadRequestIsRead);
     CPPUNIT_TEST(unframedResponseBeforeResetOfUnreadRequestIsIncomplete);
     CPPUNIT_TEST(unframedResponseBeforeCloseOfUnreadRequestIsComplete);
+    CPPUNIT_TEST(responseToHeadHasNoBody);
+    CPPUNIT_TEST(foreignResponseOnConnectionOfHeadFails);
     CPPUNIT_TEST(refusedConnectionReportsConnectFailed);
     CPPUNIT_TEST(hopByHopFieldsAreNotForwarded);
     CPPUNIT_TEST_SUITE_END();
@@ -235,6 +237,38 @@
         CPPUNIT_ASSERT(!events.reusable);
     }
 
+    // Guards against waiting for the body that a response to HEAD only describes.
+    void responseToHeadHasNoBody()
+    {
+        for (const std::string framing :
+             {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+            client_connection connection(m_loop.reactor(), target());
+            tests::raw_socket engine = m_listener.accept();
+            for (int i = 0; i < 2; ++i) {
+                recording_events events;
+                connection.start("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n", events);
+                engine.send("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + framing
+                            + "\r\n");
+                m_loop.waitFor("response", [&] { return events.done; });
+                CPPUNIT_ASSERT(!events.failure);
+                CPPUNIT_ASSERT(events.reusable && connection.usable());
+            }
+        }
+    }
+
+    // Guards against reading the body of a foreign response as the response to HEAD.
+    void foreignResponseOnConnectionOfHeadFails()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        connection.start("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n", events);
+        engine.send("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 38\r\n\r\n"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        m_loop.waitFor("failure", [&] { return events.done; });
+        CPPUNIT_ASSERT(events.failure == exchange_failure::Unattributed);
+    }
+
     // Guards against "may have run" for a request that was never sent.
     void refusedConnectionReportsConnectFailed()
     {
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(disconnectIsDetectedWhileRequestIsPending);
     CPPUNIT_TEST(abortedStreamHasNoFinalChunk);
     CPPUNIT_TEST(badRequestsAreRejectedAndConnectionClosed);
+    CPPUNIT_TEST(responseToHeadHasNoBody);
     CPPUNIT_TEST(callerWithoutChunksGetsBareStream);
     CPPUNIT_TEST(abortedBareStreamIsReset);
     CPPUNIT_TEST(closeAfterResponseSendsConnectionClose);
@@ -158,6 +159,22 @@
         CPPUNIT_ASSERT(!caller.receive().ends_with("0\r\n\r\n"));
     }
 
+    // Guards against a body after a response to HEAD, which a caller takes for the next response.
+    void responseToHeadHasNoBody()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("HEAD /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("request", [&] { return server.heads.size() == 1; });
+        server.current->respond(200, {}, "body");
+        m_loop.waitFor("second request", [&] { return server.heads.size() == 2; });
+        server.current->respond(200, {}, "body");
+        m_loop.waitFor("responses", [&] { return caller.receive().ends_with("body"); });
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"),
+                             caller.receive());
+    }
+
     // Guards against chunk sizes in the body of a caller that does not know chunks.
     void callerWithoutChunksGetsBareStream()
     {
