Break off event streams inside an event on plain routes

Cause: an event stream without length or chunks was checked for its last event on streaming routes only. Elsewhere, one that an engine closed inside an event reached the caller with a length, or with a final chunk if it was larger than the buffer, and looked complete.

Change: event_end_detector follows the events of buffered and relayed bodies; such an end counts as broken off, so it is repeated where the route allows it, else answered with 502 or reset.

Conclusion: the check no longer depends on the kind of the route.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -368,6 +368,7 @@
     m_response = {};
     m_mode = relay_mode::Buffer;
     m_bufferedBody.clear();
+    m_eventEnd = {};
     m_bytesSinceProgress = 0;
     m_engineReadPaused = false;
     m_foreignResponseSeen = false;
@@ -573,6 +574,7 @@
         relayEvents();
         return;
     case relay_mode::Bytes:
+        m_eventEnd.feed(bytes);
         m_context.registry.onBytes(m_engine->id, m_context.now());
         writeToCaller(bytes);
         return;
@@ -586,6 +588,7 @@
 {
     const core::time_point now = m_context.now();
     m_bufferedBody.append(bytes);
+    m_eventEnd.feed(bytes);
     m_bytesSinceProgress += bytes.size();
     if (m_bytesSinceProgress >= minProgressBytes) {
         m_bytesSinceProgress = 0;
@@ -683,7 +686,7 @@
 
 void request_flow::onComplete(bool reusable)
 {
-    if (m_mode == relay_mode::Events && endsInsideStream()) {
+    if (endsInsideStream()) {
         m_mayHaveRun = true;
         onBrokenOff();
         handleFailure("ended_inside_stream", dispatch::attempt_result::Failed);
@@ -723,6 +726,9 @@
 
 bool request_flow::endsInsideStream() const
 {
+    if (m_mode != relay_mode::Events)
+        return m_response.isEventStream && !m_response.notRun && endsWithConnection()
+               && m_responseHead.status < firstErrorStatus && !m_eventEnd.atEventEnd();
     const bool hasIncompleteEvent
         = m_events.incompleteEvent().find_first_not_of("\r\n") != std::string_view::npos;
     return hasIncompleteEvent || (endsWithConnection() && m_attemptEvents == 0);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -171,6 +171,8 @@
     std::uint64_t m_attemptEvents = 0;
     relay_mode m_mode = relay_mode::Buffer;
     std::string m_bufferedBody;
+    /** Events of a body that is not forwarded event by event. */
+    event_end_detector m_eventEnd;
     /** Bytes of a buffered body since the last progress; see minProgressBytes. */
     std::size_t m_bytesSinceProgress = 0;
     /** The engine's response is paused until the caller has taken the output. */
--- a/src/gateway/response_end.cpp
+++ b/src/gateway/response_end.cpp
@@ -25,4 +25,13 @@
            && !response.chunked;
 }
 
+void event_end_detector::feed(std::string_view bytes) noexcept
+{
+    for (const char each : bytes) {
+        const bool endsLine = each == '\n';
+        m_atEventEnd = endsLine && m_lineIsEmpty;
+        m_lineIsEmpty = endsLine || (m_lineIsEmpty && each == '\r');
+    }
+}
+
 } // namespace comfreypass::gateway
--- a/tests/gateway/unframed_response_test.cpp
+++ b/tests/gateway/unframed_response_test.cpp
@@ -91,6 +91,8 @@
     CPPUNIT_TEST(plainResponseThatIsResetIsRepeated);
     CPPUNIT_TEST(wholeResponseIsForwardedInEachFraming);
     CPPUNIT_TEST(relayedBodyThatIsResetNeverLooksComplete);
+    CPPUNIT_TEST(eventStreamOnPlainRouteNeverLooksCompleteInsideAnEvent);
+    CPPUNIT_TEST(relayedEventStreamNeverLooksCompleteInsideAnEvent);
     CPPUNIT_TEST(connectionIsNeverReused);
     CPPUNIT_TEST(responseWithoutBodyByItsStatusIsForwarded);
     CPPUNIT_TEST(responseToHeadRequestIsForwarded);
@@ -213,6 +215,43 @@
         }
     }
 
+    // Guards against a clean end of a stream inside an event on a route that declares no streams.
+    void eventStreamOnPlainRouteNeverLooksCompleteInsideAnEvent()
+    {
+        const std::string head = unframedHeads(eventField).front();
+        for (const event_stream &stream : eventStreams()) {
+            for (std::size_t cut = 0; cut <= stream.bytes.size(); ++cut) {
+                const received_response received
+                    = receive("/once/", head + stream.bytes.substr(0, cut), closed);
+                const std::string message = "cut at " + std::to_string(cut);
+                if (!stream.endsAnEvent(cut)) {
+                    checkIncomplete(received, message);
+                    continue;
+                }
+                CPPUNIT_ASSERT_MESSAGE(message, received.complete && received.status == 200);
+                CPPUNIT_ASSERT_EQUAL(stream.bytes.substr(0, cut), received.body);
+            }
+        }
+    }
+
+    // Guards against a final chunk inside an event of a stream that is too large for the buffer.
+    void relayedEventStreamNeverLooksCompleteInsideAnEvent()
+    {
+        const std::string head = unframedHeads(eventField).front();
+        const std::string whole = "data: " + std::string(relayedBytes, 'a') + "\n\ndata: b\r\n\r\n";
+        constexpr std::size_t lastEventBytes = 11;
+        const std::size_t firstEnd = whole.size() - lastEventBytes;
+        for (std::size_t cut = firstEnd - 1; cut <= whole.size(); ++cut) {
+            const received_response received
+                = receive("/once/", head + whole.substr(0, cut), closed);
+            const std::string message = "cut at " + std::to_string(cut);
+            if (cut == firstEnd || cut == whole.size())
+                CPPUNIT_ASSERT_MESSAGE(message, received.complete);
+            else
+                checkIncomplete(received, message);
+        }
+    }
+
     // Guards against a request on a connection whose end completes the response before it.
     void connectionIsNeverReused()
     {
