Play responses that end with their connection in the soak

Cause: no soak showed what callers get of a response that has neither a length nor chunks. The proxy closed connections in order after it had lost data or its target had reset, which no network does and which would make such a response look whole. Callers read the id of an event that was cut within it as an error of the soak.

The proxy passes a reset on as one and sends nothing after lost data. A stream is complete at its callers only with the end of its last event.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -114,9 +114,10 @@
             text = b""
             async for chunk in read_chunks(reader):
                 text += chunk
-                outcome.events = [int(line[4:]) for line in text.split(b"\n")
+                outcome.events = [int(line[4:]) for line in text.split(b"\n")[:-1]
                                   if line.startswith(b"id: ")]
-            outcome.complete = outcome.events[-1:] == [STREAM_EVENT_COUNT]
+            outcome.complete = (outcome.events[-1:] == [STREAM_EVENT_COUNT]
+                                and text.endswith(b"\n\n"))
         else:
             body = await reader.readexactly(int(headers.get("content-length", "0")))
             outcome.complete = outcome.status != 200 or body == outcome.attempt_id.encode()
--- a/tests/platform/soak/engine.py
+++ b/tests/platform/soak/engine.py
@@ -1,4 +1,7 @@
-"""Stand-in for an engine: plain responses and resumable event streams; records each run."""
+"""Stand-in for an engine: plain responses and resumable event streams; records each run.
+
+On demand, its responses have neither a length nor chunks and end with their connection.
+"""
 
 import asyncio
 import collections
@@ -6,11 +9,15 @@
 import time
 
 from http_io import encode, read_message
+from proxy import abort_connection
 
 SLOTS = 6
 STREAM_EVENT_COUNT = 8
 EVENT_INTERVAL_SECONDS = 0.03
 PLAIN_RESPONSE_SECONDS = 0.015
+# Share of the responses without framing that end in each way: a cut is an orderly close inside an
+# event, or before the body of a plain response, and a reset happens at any byte.
+WHOLE, CUT = 0.7, 0.15
 
 
 class Engine:
@@ -31,6 +38,10 @@
         # Attempt id and time of each request that reached the engine, whether it ran or not.
         self.arrivals = []
         self.faulty = False
+        # Responses end with their connection; counts how they ended.
+        self.unframed = False
+        self.breaks_off = True
+        self.unframed_ends = collections.Counter()
         self.running = 0
 
     async def start(self):
@@ -80,6 +91,8 @@
                 await self._misbehave(request, writer, headers, earlier_id)
             if self.failing:
                 await self._respond(writer, "500 Internal Server Error", headers, b"failed")
+            elif self.unframed and self.random.random() < 0.5:
+                await self._respond_unframed(request, writer, headers)
             elif request.start_line.split()[1].startswith("/stream"):
                 await self._stream(request, writer, headers)
             else:
@@ -105,6 +118,41 @@
             await self._respond(writer, "500 Internal Server Error", headers, b"id: 1\n\n")
             raise ConnectionResetError
 
+    async def _respond_unframed(self, request, writer, headers):
+        if self.random.random() < 0.5:
+            headers["Connection"] = self.random.choice(("close", "keep-alive"))
+        version = self.random.choice(("HTTP/1.0", "HTTP/1.1"))
+        draw = self.random.random()
+        end = "whole" if draw < WHOLE or not self.breaks_off else "cut" if draw < WHOLE + CUT else "reset"
+        first_event = int(request.headers.get("last-event-id", "0")) + 1
+        is_stream = request.start_line.split()[1].startswith("/stream")
+        if is_stream:
+            headers["Content-Type"] = "text/event-stream"
+            pieces = [b"id: %d\ndata: token\n\n" % number
+                      for number in range(first_event, STREAM_EVENT_COUNT + 1)]
+        else:
+            pieces = [request.headers["comfreypass-attempt-id"].encode()]
+        head = encode(version + " 200 OK", headers)
+        if end == "cut" and not is_stream:
+            pieces = []
+        elif end == "cut" and pieces:
+            pieces = pieces[:self.random.randint(1, len(pieces))]
+            pieces[-1] = pieces[-1][:self.random.randrange(1, len(pieces[-1]))]
+        elif end == "reset":
+            sent = (head + b"".join(pieces))[:self.random.randrange(
+                1, len(head) + sum(map(len, pieces)) + 1)]
+            head, pieces = sent[:len(head)], [sent[len(head):]]
+        writer.write(head)
+        for piece in pieces:
+            await asyncio.sleep(EVENT_INTERVAL_SECONDS if is_stream else PLAIN_RESPONSE_SECONDS)
+            writer.write(piece)
+            await writer.drain()
+        self.unframed_ends[end] += 1
+        if end == "reset":
+            abort_connection(writer)
+        # Ends the connection.
+        raise ConnectionResetError
+
     @staticmethod
     async def _respond(writer, status, headers, body):
         writer.write(encode("HTTP/1.1 " + status, {**headers, "Content-Length": len(body)}, body))
--- a/tests/platform/soak/proxy.py
+++ b/tests/platform/soak/proxy.py
@@ -1,4 +1,7 @@
-"""A loopback proxy that delays or drops data and resets or refuses connections."""
+"""A loopback proxy that delays or drops data and resets or refuses connections.
+
+Like a network, it never closes a connection in order after data was lost or the other side reset.
+"""
 
 import asyncio
 import socket
@@ -44,16 +47,21 @@
                 each.close()
 
     async def _copy(self, reader, writer, drop_mode):
+        lost = False
         try:
             while data := await reader.read(READ_BYTES):
                 if self.mode == "delay":
                     await asyncio.sleep(self.delay)
-                if self.mode != drop_mode:
+                lost = lost or self.mode == drop_mode
+                if not lost:
                     writer.write(data)
                     await writer.drain()
-            writer.close()
+            if lost:
+                abort_connection(writer)
+            else:
+                writer.close()
         except (ConnectionError, OSError):
-            writer.close()
+            abort_connection(writer)
 
 
 def abort_connection(writer):
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -1,13 +1,14 @@
 """Randomised soak test of gateway processes: injects faults and checks the guarantees of the
 gateway at the callers and at the engines.
 
-Usage: soak.py --node PROGRAM [--seed N] [--seconds N] [--nodes N] [--statements KIND...]. A failure
-prints its seed; the same seed reproduces the faults and their times, but not the interleaving of the
-processes.
+Usage: soak.py --node PROGRAM [--seed N] [--seconds N] [--nodes N] [--statements KIND...]
+[--unframed]. A failure prints its seed; the same seed reproduces the faults and their times, but not
+the interleaving of the processes.
 """
 
 import argparse
 import asyncio
+import collections
 import os
 import random
 import signal
@@ -62,9 +63,11 @@
 
 
 class Soak:
-    def __init__(self, program, seed, seconds, folder, node_count=NODE_COUNT, statements=()):
+    def __init__(self, program, seed, seconds, folder, node_count=NODE_COUNT, statements=(),
+                 unframed=False):
         self.program, self.seed, self.seconds, self.folder = program, seed, seconds, folder
         self.node_count = node_count
+        self.unframed = unframed
         self.faults = self.FAULTS + tuple(self.STATEMENTS[each] for each in statements) * 4
         self.random = random.Random(seed)
         self.runs = new_run_log()
@@ -86,6 +89,7 @@
             engine = Engine("e%d" % number, self.runs, self.seed)
             engine.service = "model" if number < MODEL_ENGINE_COUNT else "plain"
             engine.domain = DOMAINS[number % len(DOMAINS)]
+            engine.unframed = self.unframed
             engine.proxy = Proxy(await engine.start())
             engine.port = await engine.proxy.start()
             engine.born = 1
@@ -275,6 +279,8 @@
         self.check_pauses()
 
     async def check_recovery(self):
+        for engine in self.engines:
+            engine.breaks_off = False
         end = time.monotonic() + RECOVERY_SECONDS
         caller = Caller(CALLER_COUNT, self.nodes, [], self.seed)
         served = 0
@@ -385,8 +391,10 @@
         departures = (", %d departures stated in %d responses"
                       % (len(self.departures), self.statement_count) if self.departures else "")
         pauses = ", %d rejections with a pause" % self.pause_count if self.pause_count else ""
+        ends = sum((engine.unframed_ends for engine in self.engines), collections.Counter())
+        unframed = ", unframed responses %s" % dict(sorted(ends.items())) if ends else ""
         return "%d requests, by status %s, %d processes disturbed%s" % (
-            len(self.outcomes), counts, disruptions, departures + pauses)
+            len(self.outcomes), counts, disruptions, departures + pauses + unframed)
 
     def kill_nodes(self):
         for node in getattr(self, "nodes", []):
@@ -402,6 +410,9 @@
     parser.add_argument("--nodes", type=int, default=NODE_COUNT)
     parser.add_argument("--statements", nargs="*", default=[], choices=Soak.STATEMENTS,
                         help="what engines state in their responses, in addition to the faults")
+    parser.add_argument("--unframed", action="store_true",
+                        help="half of the engines' responses end with their connection: whole, "
+                        "closed before the body or inside an event, or reset")
     parser.add_argument("--keep-logs", default=None, help="folder for the nodes' logs")
     options = parser.parse_args()
     seed = options.seed if options.seed is not None else random.SystemRandom().randrange(10**9)
@@ -410,7 +421,7 @@
             folder = options.keep_logs
             os.makedirs(folder, exist_ok=True)
         soak = Soak(options.node, seed, options.seconds, folder, options.nodes,
-                    options.statements)
+                    options.statements, options.unframed)
         asyncio.run(soak.run())
     print("seed %d: %s" % (seed, soak.summary()))
     for failure in soak.failures[:10]:
