--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -21,7 +21,6 @@
 /** Number of distinct route priorities within one team priority. */
 constexpr std::uint32_t routePrioritiesPerTeamPriority = 16;
 
-constexpr unsigned noContent = 204;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
 constexpr unsigned tooManyRequests = 429;
@@ -459,6 +458,7 @@
     m_response = {};
     m_mode = relay_mode::Buffer;
     m_bufferedBody.clear();
+    m_eventEnd = {};
     m_bytesSinceProgress = 0;
     m_engineReadPaused = false;
     m_foreignResponseSeen = false;
@@ -470,11 +470,12 @@
                                                                   : connectTimeout);
 }
 
-// The id tells responses on a reused connection apart, if it was not used there before.
+// The id tells responses on a reused connection apart, if it was not used there before. A response
+// to HEAD is read without a body, so no response to another request may precede it.
 engine_connection request_flow::connectionForAttempt(core::time_point now)
 {
     const bool isDistinct
-        = !m_metadata.attemptId.empty()
+        = !m_metadata.attemptId.empty() && !isHeadRequest()
           && std::ranges::find(m_triedAddresses, *m_engineAddress) == m_triedAddresses.end();
     if (!isDistinct)
         return m_context.engineConnections.connect(*m_engineAddress);
@@ -644,7 +645,9 @@
         m_response.notRun = false;
         m_response.isSigned = false;
     }
-    if (success && m_response.isSigned && m_response.isEventStream && isStreamRoute()) {
+    const bool isStream
+        = m_response.isEventStream && isStreamRoute() && mayHaveBody(head.status, m_head.method);
+    if (success && m_response.isSigned && isStream) {
         m_mode = relay_mode::Events;
         m_resumeCheckPending = responseStarted() || m_events.lastId().has_value();
     }
@@ -663,6 +666,7 @@
         relayEvents();
         return;
     case relay_mode::Bytes:
+        m_eventEnd.feed(bytes);
         m_context.registry.onBytes(m_engine->id, m_context.now());
         writeToCaller(bytes);
         return;
@@ -676,6 +680,7 @@
 {
     const core::time_point now = m_context.now();
     m_bufferedBody.append(bytes);
+    m_eventEnd.feed(bytes);
     m_bytesSinceProgress += bytes.size();
     if (m_bytesSinceProgress >= minProgressBytes) {
         m_bytesSinceProgress = 0;
@@ -773,7 +778,7 @@
 
 void request_flow::onComplete(bool reusable)
 {
-    if (m_mode == relay_mode::Events && endsInsideStream()) {
+    if (endsInsideStream()) {
         m_mayHaveRun = true;
         onBrokenOff();
         handleFailure("ended_inside_stream", dispatch::attempt_result::Failed);
@@ -808,11 +813,14 @@
 // complete.
 bool request_flow::endsWithConnection() const
 {
-    return !m_responseHead.contentLength && !m_responseHead.chunked;
+    return gateway::endsWithConnection(m_responseHead, m_head.method);
 }
 
 bool request_flow::endsInsideStream() const
 {
+    if (m_mode != relay_mode::Events)
+        return m_response.isEventStream && !m_response.notRun && endsWithConnection()
+               && m_responseHead.status < firstErrorStatus && !m_eventEnd.atEventEnd();
     const bool hasIncompleteEvent
         = m_events.incompleteEvent().find_first_not_of("\r\n") != std::string_view::npos;
     return hasIncompleteEvent || (endsWithConnection() && m_attemptEvents == 0);
@@ -841,7 +849,7 @@
         handleFailure("unsigned_success", dispatch::attempt_result::Failed);
         return;
     }
-    if (success && status != noContent && endsWithConnection() && m_bufferedBody.empty()) {
+    if (success && endsWithConnection() && m_bufferedBody.empty()) {
         handleFailure("ended_before_body", dispatch::attempt_result::Failed);
         return;
     }
@@ -878,8 +886,10 @@
 {
     m_record.status = m_responseHead.status;
     m_record.firstByte = m_context.now() - m_arrivedAt;
-    m_caller.respond(m_responseHead.status, http1::forwardedHeaders(m_responseHead.headers),
-                     m_bufferedBody);
+    transport::http_headers headers = http1::forwardedHeaders(m_responseHead.headers);
+    if (isHeadRequest() && m_responseHead.contentLength)
+        headers.add("Content-Length", std::to_string(*m_responseHead.contentLength));
+    m_caller.respond(m_responseHead.status, headers, m_bufferedBody);
     finish(flow_outcome::Answered,
            m_responseHead.status >= firstErrorStatus ? "engine_status" : "");
 }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -6,6 +6,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/flow_context.h"
 #include "gateway/flow_record.h"
+#include "gateway/response_end.h"
 #include "http1/client_connection.h"
 #include "http1/server_connection.h"
 #include "transport/reactor_timer.h"
@@ -119,6 +120,7 @@
     void writeToCaller(std::string_view bytes);
     void onBufferedBytes(std::string_view bytes);
     bool checkResumedStream();
+    bool isHeadRequest() const noexcept { return m_head.method == "HEAD"; }
     bool endsWithConnection() const;
     bool endsInsideStream() const;
     void completeStream();
@@ -182,6 +184,8 @@
     std::uint64_t m_attemptEvents = 0;
     relay_mode m_mode = relay_mode::Buffer;
     std::string m_bufferedBody;
+    /** Events of a body that is not forwarded event by event. */
+    event_end_detector m_eventEnd;
     /** Bytes of a buffered body since the last progress; see minProgressBytes. */
     std::size_t m_bytesSinceProgress = 0;
     /** The engine's response is paused until the caller has taken the output. */
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -15,6 +15,9 @@
 namespace beast = boost::beast;
 using beast_error = beast::error_code;
 
+/** Version number that Beast reports for HTTP/1.1. */
+constexpr int http11 = 11;
+
 std::string_view toView(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -32,6 +35,7 @@
 
     virtual std::size_t put(std::string_view bytes, beast_error &error) = 0;
     virtual void putEof(beast_error &error) = 0;
+    virtual void skipBody() = 0;
     virtual bool hasHead() const = 0;
     virtual bool complete() const = 0;
     virtual bool started() const = 0;
@@ -71,22 +75,24 @@
         parser::put_eof(error);
     }
 
+    void skipBody() override { parser::skip(true); }
     bool hasHead() const override { return parser::is_header_done(); }
     bool complete() const override { return parser::is_done(); }
     bool started() const override { return parser::got_some(); }
 
 private:
     void on_request_impl(beast::http::verb /*method*/, beast::string_view method,
-                         beast::string_view target, int /*version*/,
-                         beast_error & /*error*/) override
+                         beast::string_view target, int version, beast_error & /*error*/) override
     {
+        head.isHttp11 = version >= http11;
         head.method = toView(method);
         head.target = toView(target);
     }
 
-    void on_response_impl(int code, beast::string_view reason, int /*version*/,
+    void on_response_impl(int code, beast::string_view reason, int version,
                           beast_error & /*error*/) override
     {
+        head.isHttp11 = version >= http11;
         head.status = static_cast<unsigned>(code);
         head.reason = toView(reason);
     }
@@ -148,6 +154,11 @@
 
 message_parser::~message_parser() = default;
 
+void message_parser::skipBody()
+{
+    m_implementation->skipBody();
+}
+
 core::result<std::size_t> message_parser::parse(std::string_view bytes)
 {
     if (bytes.empty() || m_implementation->complete())
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -56,16 +56,23 @@
     server_connection(ACE_Reactor &reactor, socket_handle connection, const server_limits &limits,
                       clock_function clock, server_events &events);
 
-    /** Sends a complete response. Precondition: responsePending(). */
+    /**
+     * Sends a complete response; the body is left out if the request is HEAD. `headers` may then
+     * contain the Content-Length of a body that the caller of this function does not have.
+     * Precondition: responsePending().
+     */
     void respond(unsigned status, const transport::http_headers &headers, std::string_view body);
 
-    /** Starts a chunked response. Precondition: responsePending(). */
+    /**
+     * Starts a response of unknown length: in chunks, or until the end of the connection if the
+     * caller does not understand chunks. Precondition: responsePending().
+     */
     void beginStream(unsigned status, const transport::http_headers &headers);
 
-    /** Sends one chunk. Precondition: beginStream was called. */
+    /** Sends a part of the body. Precondition: beginStream was called. */
     void write(std::string_view bytes);
 
-    /** Sends the final chunk. Precondition: beginStream was called. */
+    /** Ends the response. Precondition: beginStream was called. */
     void finishStream();
 
     /** Resets the connection, so that the caller cannot mistake a partial response for complete. */
@@ -126,6 +133,9 @@
     /** The limit at the start of the current idle period. */
     core::duration m_idleTimeout;
     bool m_responsePending = false;
+    bool m_isHeadRequest = false;
+    /** The caller understands chunks. */
+    bool m_acceptsChunks = true;
     bool m_keepAlive = true;
     bool m_closeAfterResponse = false;
     /** Whether the header of the current response contains `Connection: close`. */
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -70,6 +70,11 @@
     CPPUNIT_TEST(bytesAfterCompleteResponseMakeConnectionUnusable);
     CPPUNIT_TEST(interruptedResponsesReportDistinctFailures);
     CPPUNIT_TEST(responseBeforeEndOfRequestClosesConnection);
+    CPPUNIT_TEST(responseBeforeResetOfUnreadRequestIsRead);
+    CPPUNIT_TEST(unframedResponseBeforeResetOfUnreadRequestIsIncomplete);
+    CPPUNIT_TEST(unframedResponseBeforeCloseOfUnreadRequestIsComplete);
+    CPPUNIT_TEST(responseToHeadHasNoBody);
+    CPPUNIT_TEST(foreignResponseOnConnectionOfHeadFails);
     CPPUNIT_TEST(refusedConnectionReportsConnectFailed);
     CPPUNIT_TEST(hopByHopFieldsAreNotForwarded);
     CPPUNIT_TEST_SUITE_END();
@@ -202,6 +207,68 @@
         CPPUNIT_ASSERT(!events.reusable);
     }
 
+    // Guards against losing a response whose engine closes without reading a long request.
+    void responseBeforeResetOfUnreadRequestIsRead()
+    {
+        recording_events events;
+        respondToUnreadRequest(events, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno",
+                               false);
+        CPPUNIT_ASSERT(!events.failure);
+        CPPUNIT_ASSERT_EQUAL(413U, events.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("no"), events.body);
+        CPPUNIT_ASSERT(!events.reusable);
+    }
+
+    // Guards against a reset that looks like an orderly close once a send has reported it.
+    void unframedResponseBeforeResetOfUnreadRequestIsIncomplete()
+    {
+        recording_events events;
+        respondToUnreadRequest(events, "HTTP/1.1 200 OK\r\n\r\npart", false);
+        CPPUNIT_ASSERT(events.failure == exchange_failure::Incomplete);
+    }
+
+    // Guards against a failure for a whole response that is followed by the reset of the request.
+    void unframedResponseBeforeCloseOfUnreadRequestIsComplete()
+    {
+        recording_events events;
+        respondToUnreadRequest(events, "HTTP/1.1 200 OK\r\n\r\nwhole", true);
+        CPPUNIT_ASSERT(!events.failure);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), events.body);
+        CPPUNIT_ASSERT(!events.reusable);
+    }
+
+    // Guards against waiting for the body that a response to HEAD only describes.
+    void responseToHeadHasNoBody()
+    {
+        for (const std::string framing :
+             {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+            client_connection connection(m_loop.reactor(), target());
+            tests::raw_socket engine = m_listener.accept();
+            for (int i = 0; i < 2; ++i) {
+                recording_events events;
+                connection.start("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n", events);
+                engine.send("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + framing
+                            + "\r\n");
+                m_loop.waitFor("response", [&] { return events.done; });
+                CPPUNIT_ASSERT(!events.failure);
+                CPPUNIT_ASSERT(events.reusable && connection.usable());
+            }
+        }
+    }
+
+    // Guards against reading the body of a foreign response as the response to HEAD.
+    void foreignResponseOnConnectionOfHeadFails()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        connection.start("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n", events);
+        engine.send("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 38\r\n\r\n"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        m_loop.waitFor("failure", [&] { return events.done; });
+        CPPUNIT_ASSERT(events.failure == exchange_failure::Unattributed);
+    }
+
     // Guards against "may have run" for a request that was never sent.
     void refusedConnectionReportsConnectFailed()
     {
@@ -236,6 +303,29 @@
     }
 
 private:
+    /**
+     * Responds to a request that the engine reads no byte of, and closes: after the end of its
+     * sending side, or at once with a reset. The response and the end arrive before the connection
+     * reads or sends anything.
+     */
+    void respondToUnreadRequest(recording_events &events, const std::string &response,
+                                bool endsSending)
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        const std::string body(8'388'608, 'a');
+        connection.start("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                             + std::to_string(body.size()) + "\r\n\r\n" + body,
+                         events);
+        m_loop.waitFor("connection", [&] { return connection.connected(); });
+        m_loop.runFor(20ms);
+        engine.send(response);
+        if (endsSending)
+            engine.closeSending();
+        engine.close();
+        m_loop.waitFor("end", [&] { return events.done; });
+    }
+
     endpoint target() const { return {INADDR_LOOPBACK, m_listener.port()}; }
 
     tests::loopback m_loop;
