--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -47,6 +47,19 @@
     CPPUNIT_TEST(trialCostsOneEngine);
     CPPUNIT_TEST(answeredTrialEndsTheQuarantine);
     CPPUNIT_TEST(nodesTryOneAfterAnother);
+    CPPUNIT_TEST(equalRequestsInOneOutageProveNothing);
+    CPPUNIT_TEST(delayedReportCountsOnce);
+    CPPUNIT_TEST(bystandersOfARepeatedRequestDoNotQuarantineItsSegments);
+    CPPUNIT_TEST(unconfirmedTrialDoesNotReleaseTheSegment);
+    CPPUNIT_TEST(segmentAnsweredBetweenManyOtherRequestsStaysInService);
+    CPPUNIT_TEST(clearedSegmentDoesNotDuplicateTheCrash);
+    CPPUNIT_TEST(deadlyRequestIsTriedThreeTimesAtMost);
+    CPPUNIT_TEST(outageThatTakesHalfASecondProvesNothing);
+    CPPUNIT_TEST(moreSpecificCompanionDoesNotDelayTheSegment);
+    CPPUNIT_TEST(reportOfAnImpossibleRemainderIsBounded);
+    CPPUNIT_TEST(repeatedRequestAtOneEngineOfSeveralIsFound);
+    CPPUNIT_TEST(reportDelayedAtOneNodeConvictsNothingAtOthers);
+    CPPUNIT_TEST(trialThatDidNotRunDoesNotRefuseTheSegment);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -472,6 +485,189 @@
         CPPUNIT_ASSERT(trials >= 1 && trials <= 3);
     }
 
+    // Guards against refusing equal sound requests that were running when a failure domain lost power.
+    void equalRequestsInOneOutageProveNothing()
+    {
+        const features equal = request({});
+        for (engine_key engine = 1; engine <= 8; ++engine)
+            m_node.onBroken(engine, equal, false, m_now);
+        for (engine_key engine = 1; engine <= 8; ++engine)
+            m_node.onEngineDown(engine, m_now + 10ms);
+        CPPUNIT_ASSERT(!m_node.find(equal, m_now + 10ms));
+    }
+
+    // Guards against counting a crash twice because its report was read late, after a pause.
+    void delayedReportCountsOnce()
+    {
+        request_quarantine peer(1);
+        const features sound = request({poison});
+        crash(peer, 1, sound);
+        crash(peer, 2, sound);
+        const quarantine_report news = peer.takeNews();
+        m_now += 6s;
+        m_node.onPeerReport(news, m_now);
+        m_node.onPeerReport(peer.summary(m_now), m_now);
+        CPPUNIT_ASSERT(!m_node.find(sound, m_now));
+    }
+
+    // Guards against blaming a segment that other requests at the crashed engines share.
+    void bystandersOfARepeatedRequestDoNotQuarantineItsSegments()
+    {
+        const features deadly = request({shared});
+        for (engine_key engine = 1; engine <= 4; ++engine) {
+            m_node.onBroken(engine, request({shared}), false, m_now + request_quarantine::sameMoment);
+            crash(m_node, engine, deadly);
+            CPPUNIT_ASSERT(!isQuarantined(shared));
+        }
+        CPPUNIT_ASSERT(m_node.find(deadly, m_now));
+    }
+
+    // Guards against one crash every five seconds where no request finds the engine down.
+    void unconfirmedTrialDoesNotReleaseTheSegment()
+    {
+        quarantinePoison();
+        m_now += request_quarantine::quarantineTime;
+        int trials = 0;
+        for (int second = 0; second < 60; ++second) {
+            const features trial = request({poison});
+            if (!m_node.find(trial, m_now)) {
+                m_node.onAttempt(trial, m_now);
+                m_node.onBroken(static_cast<engine_key>(40 + trials), trial, false, m_now);
+                ++trials;
+            }
+            m_now += 1s;
+        }
+        CPPUNIT_ASSERT_EQUAL(1, trials);
+    }
+
+    // Guards against answers that are forgotten because each request has a digest of its own.
+    void segmentAnsweredBetweenManyOtherRequestsStaysInService()
+    {
+        request_quarantine peer(1);
+        for (engine_key engine = 1; engine <= 4; ++engine) {
+            crash(peer, engine, request({poison}));
+            m_now += 1ms;
+        }
+        m_node.onAnswered(request({poison}), m_now);
+        for (int i = 0; i < 20'000; ++i)
+            m_node.onAnswered(request({shared}), m_now);
+        m_now += 10s;
+        const quarantine_report correction = m_node.onPeerReport(peer.summary(m_now), m_now);
+        CPPUNIT_ASSERT(!isQuarantined(poison));
+        CPPUNIT_ASSERT(!correction.answered.empty());
+    }
+
+    // Guards against trials that add up over an hour to more retries than the contract allows.
+    void deadlyRequestIsTriedThreeTimesAtMost()
+    {
+        const features deadly = request({});
+        engine_key engine = 0;
+        for (int second = 0; second < 3'600; ++second) {
+            m_now += 1s;
+            if (m_node.find(deadly, m_now))
+                continue;
+            m_node.onAttempt(deadly, m_now);
+            m_node.onBroken(++engine, deadly, false, m_now);
+            m_node.onEngineDown(engine, m_now);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(engine), engine <= 3 + 3);
+    }
+
+    // Guards against refusing a request long after a quarantine because its attempt did not run.
+    void trialThatDidNotRunDoesNotRefuseTheSegment()
+    {
+        quarantinePoison();
+        m_now += 1h;
+        const features sound = request({poison});
+        CPPUNIT_ASSERT(!m_node.find(sound, m_now));
+        m_node.onAttempt(sound, m_now);
+        CPPUNIT_ASSERT(!m_node.find(sound, m_now + 1ms));
+    }
+
+    // Guards against refusing all requests after an outage that ends engines one by one.
+    void outageThatTakesHalfASecondProvesNothing()
+    {
+        for (engine_key engine = 1; engine <= 40; ++engine) {
+            m_node.onBroken(engine, request({shared, engine + 100UL}), false, m_now);
+            m_node.onEngineDown(engine, m_now);
+            m_node.onAnswered(request({}), m_now);
+            m_now += 12ms;
+        }
+        CPPUNIT_ASSERT(!isQuarantined(shared));
+    }
+
+    // Guards against more than three requests after the fifth crash of a part.
+    void moreSpecificCompanionDoesNotDelayTheSegment()
+    {
+        constexpr std::uint64_t companion = 50;
+        engine_key engine = 0;
+        while (!isQuarantined(poison) && engine < 20) {
+            ++engine;
+            const features deadly
+                = engine == 3 ? request({shared, poison}) : request({shared, poison, companion});
+            if (!m_node.find(deadly, m_now))
+                crash(m_node, engine, deadly);
+            m_node.onAnswered(request({shared}), m_now);
+            if (engine > 4)
+                m_node.onAnswered(request({shared, companion}), m_now);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(engine), engine <= 5);
+    }
+
+    // Guards against a quarantine without end that one wrong datagram starts.
+    void reportOfAnImpossibleRemainderIsBounded()
+    {
+        quarantine_report wrong;
+        wrong.quarantined.push_back({segment(poison), 1'000h, 4});
+        m_node.onPeerReport(wrong, m_now);
+        CPPUNIT_ASSERT(!m_node.find(std::vector{segment(poison)},
+                                    m_now + 2 * request_quarantine::quarantineTime));
+    }
+
+    // Guards against a request that is always sent to the engine which has its prompt in its cache.
+    void repeatedRequestAtOneEngineOfSeveralIsFound()
+    {
+        const features deadly = request({});
+        for (int i = 0; i < 6; ++i) {
+            crash(m_node, 1, deadly);
+            for (int answered = 0; answered < 500; ++answered)
+                m_node.onAnswered(request({shared}), m_now);
+            m_now += 10s;
+        }
+        CPPUNIT_ASSERT(m_node.find(deadly, m_now));
+    }
+
+    // Guards against a fleet that refuses a sound segment since one node was paused.
+    void reportDelayedAtOneNodeConvictsNothingAtOthers()
+    {
+        request_quarantine witness(1);
+        request_quarantine paused(1);
+        std::vector<quarantine_report> waiting;
+        for (engine_key engine = 1; engine <= 3; ++engine) {
+            crash(witness, engine, request({poison}));
+            waiting.push_back(witness.takeNews());
+            m_node.onPeerReport(waiting.back(), m_now);
+        }
+        m_now += 6s;
+        for (const quarantine_report &each : waiting)
+            paused.onPeerReport(each, m_now);
+        m_node.onPeerReport(paused.summary(m_now), m_now);
+        CPPUNIT_ASSERT(!isQuarantined(poison));
+    }
+
+    // Guards against one crash that is held as several, with more and with fewer features.
+    void clearedSegmentDoesNotDuplicateTheCrash()
+    {
+        request_quarantine first(1);
+        request_quarantine second(1);
+        crash(first, 1, request({shared, poison}));
+        second.onPeerReport(first.summary(m_now), m_now);
+        second.onAnswered(request({shared}), m_now);
+        m_node.onPeerReport(first.summary(m_now), m_now);
+        m_node.onPeerReport(second.summary(m_now), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_node.summary(m_now).crashes.size());
+    }
+
 private:
     using features = std::vector<request_feature>;
 
