Identify crashes by id, back off trials and bound what reports may say

Cause: a review of the quarantine found, each with a test that failed: equal requests in one outage, and a report that was read late after a pause, counted as several crashes, so sound requests were refused; requests beside a repeated one got a shared segment quarantined; a trial that nobody confirmed was repeated every 5 s, and trials every two minutes without end; digests displaced the answers of segments; a crash was kept twice after one of its features had been cleared; a failed trial's mark outlived the quarantine; a sound companion was blamed first; a peer's remaining time had no bound; a request that always meets the same engine was never found.

Change: a crash carries an id and how long its attempt ran. A repeat begins a new moment only if it started after the crash before; crashes that follow one another within 100 ms are one moment, up to 250 ms. A moment that an exhausted cause explains does not count. A response that breaks off in a trial renews the quarantine, each failed trial for four times as long. Answers are kept by kind. Five crashes at one engine are enough for a request.

--- a/src/dispatch/quarantine_report.h
+++ b/src/dispatch/quarantine_report.h
@@ -4,6 +4,8 @@
 #include "dispatch/engine_registry.h"
 #include "dispatch/request_feature.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace comfreypass::dispatch {
@@ -18,6 +20,10 @@
     core::duration age{};
     /** The upstream has no other engine. */
     bool isOnlyEngine = false;
+    /** Time from the start of the attempt to the end of the engine. */
+    core::duration ranFor{};
+    /** Identifies the report on all nodes, however late it arrives; 0 if it has no id. */
+    std::uint64_t id = 0;
 };
 
 /** A feature whose requests are refused. */
@@ -27,6 +33,8 @@
     core::duration remaining{};
     /** Crashes that it explains. */
     std::size_t crashes = 0;
+    /** Attempts after earlier quarantines that crashed an engine again. */
+    std::size_t failedTrials = 0;
 };
 
 /** What a node knows about requests that may crash engines, as sent to its peers. */
--- a/src/dispatch/request_feature.h
+++ b/src/dispatch/request_feature.h
@@ -14,6 +14,8 @@
     Request,
 };
 
+constexpr std::size_t featureKinds = 2;
+
 /** A property of a request that may crash the engines that run it. */
 struct request_feature
 {
--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -40,17 +40,28 @@
     std::size_t moments;
     /** Maximum probability that a harmless feature is present in all of the crashes. */
     double falseAlarmProbability;
-    /** Crashes of several engines within this time count once. */
-    core::duration sameMoment;
 };
 
-// Many requests share a segment. A request is sent to one engine after the other, so its crashes
-// may follow one another at once; a false alarm refuses only this request.
-constexpr std::array<conviction_threshold, 2> thresholds = {{
-    {.moments = 4, .falseAlarmProbability = 1e-7, .sameMoment = request_quarantine::sameMoment},
-    {.moments = 3, .falseAlarmProbability = 1e-3, .sameMoment = core::duration::zero()},
+// Many requests share a segment; a false alarm against a request refuses only this one.
+constexpr std::array<conviction_threshold, featureKinds> thresholds = {{
+    {.moments = 4, .falseAlarmProbability = 1e-7},
+    {.moments = 3, .falseAlarmProbability = 1e-3},
 }};
 
+/** Crashes of a request at a single engine of several that are enough, as requests may be bound to
+ * the engine that has their prompt in its cache. */
+constexpr std::size_t requiredMomentsAtOneEngine = 5;
+
+/** An outage that ends engines one after the other for longer counts as several crashes. */
+constexpr core::duration maxMoment = std::chrono::milliseconds(250);
+
+/** Ages of crashes from different reports differ by the latency of messages and their rounding. */
+constexpr core::duration ageTolerance = std::chrono::milliseconds(10);
+
+/** Each failed trial multiplies the duration of the next quarantine, up to a few times. */
+constexpr int trialBackoffFactor = 4;
+constexpr std::size_t maxTrialBackoffs = 3;
+
 const conviction_threshold &thresholdOf(feature_kind kind)
 {
     return thresholds.at(static_cast<std::size_t>(kind));
@@ -83,25 +94,43 @@
 /** Several crashes at the same time, with the requests or features that may have caused them. */
 struct crash_moment
 {
-    core::time_point at;
+    core::time_point first;
+    core::time_point last;
     std::set<request_feature> causes;
 };
 
-/** Returns the number of moments if each cause explains a few of them at most. */
+/**
+ * Returns true if a crash belongs to the last moment. A request that was sent again after it had
+ * crashed an engine has crashed another one, however soon.
+ */
+template<typename Crash>
+bool isSameMoment(const crash_moment &last, const Crash &crash, const request_feature &cause)
+{
+    if (crash.at - last.last >= request_quarantine::sameMoment
+        || crash.at - last.first >= maxMoment)
+        return false;
+    const bool isRepeat = last.causes.contains(cause) && crash.at > last.last
+                          && crash.at - crash.ranFor + ageTolerance >= last.last;
+    return !isRepeat;
+}
+
+/**
+ * Returns the number of moments if each cause explains a few of them at most; a moment that such a
+ * cause explains does not count, whoever else was there.
+ */
 std::size_t countMoments(std::span<const crash_moment> moments, std::size_t maxPerCause)
 {
     std::map<request_feature, std::size_t> counts;
     std::size_t total = 0;
     for (const crash_moment &each : moments) {
-        if (each.causes.empty()) {
-            ++total;
-            continue;
-        }
-        const auto least = std::ranges::min_element(
-            each.causes, {}, [&](const request_feature &cause) { return counts[cause]; });
-        if (counts[*least] >= maxPerCause)
+        const bool isExplained
+            = std::ranges::any_of(each.causes, [&](const request_feature &cause) {
+                  return counts[cause] >= maxPerCause;
+              });
+        if (isExplained)
             continue;
-        ++counts[*least];
+        for (const request_feature &cause : each.causes)
+            ++counts[cause];
         ++total;
     }
     return total;
@@ -110,14 +139,24 @@
 } // namespace
 
 void request_quarantine::onBroken(engine_key engine, std::span<const request_feature> features,
-                                  bool isOnlyEngine, core::time_point now)
+                                  bool isOnlyEngine, core::time_point now, core::duration ranFor)
 {
     if (features.empty())
         return;
+    for (const request_feature &each : features) {
+        const auto found = m_quarantined.find(each);
+        if (found != m_quarantined.end() && found->second.trialStartedAt)
+            onTrialFailed(found->second, now);
+    }
     const std::vector<request_feature> copy(features.begin(), features.end());
     const auto down = m_downAt.find(engine);
     if (down != m_downAt.end() && now - down->second <= confirmationWindow) {
-        recordCrash({engine, copy, now, isOnlyEngine}, now);
+        recordCrash({.engine = engine,
+                     .features = copy,
+                     .at = now,
+                     .isOnlyEngine = isOnlyEngine,
+                     .ranFor = ranFor},
+                    now);
         return;
     }
     if (m_broken.size() >= maxEngines)
@@ -126,7 +165,7 @@
     std::erase_if(broken,
                   [now](const broken_request &each) { return now - each.at > confirmationWindow; });
     if (broken.size() < maxBrokenPerEngine)
-        broken.push_back({copy, now, isOnlyEngine});
+        broken.push_back({copy, now, isOnlyEngine, ranFor});
 }
 
 void request_quarantine::onEngineDown(engine_key engine, core::time_point now)
@@ -141,16 +180,29 @@
     m_broken.erase(found);
     for (const broken_request &each : broken) {
         if (now - each.at <= confirmationWindow)
-            recordCrash({engine, each.features, each.at, each.isOnlyEngine}, now);
+            recordCrash({.engine = engine,
+                         .features = each.features,
+                         .at = each.at,
+                         .isOnlyEngine = each.isOnlyEngine,
+                         .ranFor = each.ranFor},
+                        now);
     }
 }
 
 void request_quarantine::onAttempt(std::span<const request_feature> features, core::time_point now)
+{
+    for (const request_feature &each : features) {
+        if (stateOf(each, now) != nullptr)
+            m_quarantined.at(each).trialStartedAt = now;
+    }
+}
+
+void request_quarantine::onNotRun(std::span<const request_feature> features)
 {
     for (const request_feature &each : features) {
         const auto found = m_quarantined.find(each);
         if (found != m_quarantined.end())
-            found->second.trialStartedAt = now;
+            found->second.trialStartedAt.reset();
     }
 }
 
@@ -177,21 +229,30 @@
             if (answeredSince(feature, now - each.age))
                 result.answered.push_back(feature);
         }
-        if (!addCrash({each.engine, each.features, now - each.age, each.isOnlyEngine}, now))
+        if (!addCrash({.engine = each.engine,
+                       .features = each.features,
+                       .at = now - each.age,
+                       .isOnlyEngine = each.isOnlyEngine,
+                       .ranFor = each.ranFor,
+                       .id = each.id},
+                      now))
             continue;
         if (const auto quarantined = judge(each.features, now))
             result.quarantined.push_back(*quarantined);
     }
-    for (const quarantined_feature &each : report.quarantined) {
-        const core::time_point start = now - (quarantineTime - each.remaining);
+    for (quarantined_feature each : report.quarantined) {
+        const core::duration duration = durationAfter(each.failedTrials);
+        each.remaining = std::min(each.remaining, duration);
         const auto known = m_quarantined.find(each.feature);
-        if (answeredSince(each.feature, start)) {
+        if (answeredSince(each.feature, now - (duration - each.remaining))) {
             result.answered.push_back(each.feature);
         } else if (known == m_quarantined.end()) {
-            quarantine(each.feature, now + each.remaining, each.crashes);
+            quarantine(each, now);
             result.quarantined.push_back(each);
         } else {
-            extendQuarantine(each.feature, now + each.remaining);
+            quarantine_state &state = known->second;
+            state.failedTrials = std::max(state.failedTrials, each.failedTrials);
+            extendQuarantine(state, now + each.remaining);
         }
     }
     return result;
@@ -201,32 +262,40 @@
 request_quarantine::find(std::span<const request_feature> features, core::time_point now) const
 {
     for (const request_feature &each : features) {
-        const auto found = m_quarantined.find(each);
-        if (found == m_quarantined.end())
+        const quarantine_state *state = stateOf(each, now);
+        if (state == nullptr)
             continue;
-        const quarantine_state &state = found->second;
-        core::time_point end = state.trialAt;
-        if (state.trialStartedAt)
-            end = std::max(end, *state.trialStartedAt + trialTimeout);
+        core::time_point end = state->trialAt;
+        if (state->trialStartedAt)
+            end = std::max(end, *state->trialStartedAt + trialTimeout);
         if (end > now)
-            return quarantined_feature{each, end - now, state.crashes};
+            return quarantined_feature{each, end - now, state->crashes, state->failedTrials};
     }
     return std::nullopt;
 }
 
+const request_quarantine::quarantine_state *
+request_quarantine::stateOf(const request_feature &feature, core::time_point now) const
+{
+    const auto found = m_quarantined.find(feature);
+    const bool isKnown = found != m_quarantined.end() && now < found->second.until + probationTime;
+    return isKnown ? &found->second : nullptr;
+}
+
 quarantine_report request_quarantine::summary(core::time_point now, core::duration crashAge) const
 {
     quarantine_report report;
     for (auto each = m_crashes.rbegin();
          each != m_crashes.rend() && report.crashes.size() < maxReportedCrashes; ++each) {
         if (!each->cause && now - each->at <= crashAge)
-            report.crashes.push_back(
-                {each->engine, each->features, now - each->at, each->isOnlyEngine});
+            report.crashes.push_back({each->engine, each->features, now - each->at,
+                                      each->isOnlyEngine, each->ranFor, each->id});
     }
     std::ranges::reverse(report.crashes);
     for (const auto &[feature, state] : m_quarantined) {
         if (state.until > now && report.quarantined.size() < maxReportedFeatures)
-            report.quarantined.push_back({feature, state.until - now, state.crashes});
+            report.quarantined.push_back(
+                {feature, state.until - now, state.crashes, state.failedTrials});
     }
     return report;
 }
@@ -240,7 +309,9 @@
 
 void request_quarantine::recordCrash(crash seen, core::time_point now)
 {
-    crash_report report{seen.engine, seen.features, now - seen.at, seen.isOnlyEngine};
+    seen.id = std::uniform_int_distribution<std::uint64_t>(1)(m_random);
+    crash_report report{seen.engine,       seen.features, now - seen.at,
+                        seen.isOnlyEngine, seen.ranFor,   seen.id};
     if (!addCrash(std::move(seen), now))
         return;
     m_news.crashes.push_back(std::move(report));
@@ -251,6 +322,8 @@
 bool request_quarantine::addCrash(crash added, core::time_point now)
 {
     dropExpired(now);
+    if (isKnown(added))
+        return false;
     std::erase_if(added.features,
                   [&](const request_feature &each) { return answeredSince(each, added.at); });
     const auto quarantined = std::ranges::find_if(
@@ -267,15 +340,11 @@
         added.cause = *quarantined;
     else if (hasOtherCause && !added.cause)
         return false;
-    const bool known = std::ranges::any_of(m_crashes, [&](const crash &each) {
-        return isSameCrash(each, added) && each.features == added.features;
-    });
-    if (known)
-        return false;
     if (quarantined != added.features.end()) {
         quarantine_state &state = m_quarantined.at(*quarantined);
         ++state.crashes;
-        extendQuarantine(*quarantined, added.at + quarantineTime);
+        if (added.at >= state.until - maxTrialSpread)
+            onTrialFailed(state, added.at);
         explain(added.engine, added.at, *quarantined, thresholdOf(quarantined->kind).moments);
     }
     if (m_crashes.size() >= maxCrashes)
@@ -285,6 +354,22 @@
     return true;
 }
 
+// A report that is read late makes its crash seem younger, so the earliest one is right.
+bool request_quarantine::isKnown(const crash &added)
+{
+    for (crash &each : m_crashes) {
+        if (added.id != 0 && each.id != 0) {
+            if (each.id != added.id || each.engine != added.engine)
+                continue;
+            each.at = std::min(each.at, added.at);
+            return true;
+        }
+        if (isSameCrash(each, added) && each.features == added.features)
+            return true;
+    }
+    return false;
+}
+
 void request_quarantine::dropOne()
 {
     const auto explained
@@ -311,9 +396,10 @@
         const std::optional<request_feature> suspect = suspectFor(each);
         if (!suspect || m_quarantined.contains(*suspect))
             continue;
-        const std::size_t crashes = evidenceAgainst(*suspect).moments;
-        quarantine(*suspect, now + quarantineTime, crashes);
-        return quarantined_feature{*suspect, quarantineTime, crashes};
+        const quarantined_feature found{*suspect, durationAfter(0),
+                                        evidenceAgainst(*suspect).moments};
+        quarantine(found, now);
+        return found;
     }
     return std::nullopt;
 }
@@ -335,10 +421,13 @@
     }
     for (const request_feature &candidate : specific) {
         const evidence other = evidenceAgainst(candidate);
-        if (isConvincing(candidate, other))
-            return candidate;
+        if (other.moments >= against.moments) {
+            if (isConvincing(candidate, other))
+                return candidate;
+            return std::nullopt;
+        }
         // Other reports of the last crash may still arrive.
-        if (other.moments + 1 >= against.moments)
+        if (other.moments + 1 == against.moments && other.last < against.lastMoment)
             return std::nullopt;
     }
     return feature;
@@ -369,27 +458,33 @@
         return result;
     std::ranges::sort(own, {}, &crash::at);
     result.first = own.front()->at;
-    std::map<engine_key, core::time_point> lastOfEngine;
+    result.last = own.back()->at;
+    struct engine_crash
+    {
+        core::time_point at;
+        std::size_t moment;
+    };
+    std::map<engine_key, engine_crash> lastOfEngine;
     std::vector<crash_moment> moments;
-    const core::duration sameMoment = thresholdOf(feature.kind).sameMoment;
     for (const crash *each : own) {
         const request_feature cause = each->cause.value_or(each->features.back());
         const auto known = lastOfEngine.find(each->engine);
-        const bool isKnown
-            = known != lastOfEngine.end() && each->at - known->second <= confirmationWindow;
-        if (!isKnown) {
-            lastOfEngine[each->engine] = each->at;
-            // A request that is repeated has crashed one engine after the other.
-            if (moments.empty() || each->at - moments.back().at >= sameMoment
-                || moments.back().causes.contains(cause))
-                moments.push_back({.at = each->at, .causes = {}});
+        const bool isKnownCrash
+            = known != lastOfEngine.end() && each->at - known->second.at <= confirmationWindow;
+        if (!isKnownCrash) {
+            if (moments.empty() || !isSameMoment(moments.back(), *each, cause))
+                moments.push_back({.first = each->at, .last = each->at, .causes = {}});
+            moments.back().last = each->at;
+            lastOfEngine[each->engine] = {each->at, moments.size() - 1};
         }
-        if (!isRequest && cause != feature)
-            moments.back().causes.insert(cause);
+        if (cause != feature || isRequest)
+            moments[lastOfEngine[each->engine].moment].causes.insert(cause);
     }
-    result.moments = countMoments(moments, maxMomentsOfOneCause);
+    result.lastMoment = moments.back().first;
+    result.moments = isRequest ? moments.size() : countMoments(moments, maxMomentsOfOneCause);
     result.concernsUpstream
         = lastOfEngine.size() >= requiredEngines
+          || (isRequest && result.moments >= requiredMomentsAtOneEngine)
           || std::ranges::all_of(own, [](const crash *each) { return each->isOnlyEngine; });
     return result;
 }
@@ -430,25 +525,34 @@
     });
 }
 
-void request_quarantine::quarantine(const request_feature &feature, core::time_point until,
-                                    std::size_t crashes)
+void request_quarantine::quarantine(const quarantined_feature &quarantined, core::time_point now)
 {
     if (m_quarantined.size() >= maxQuarantined)
         m_quarantined.erase(std::ranges::min_element(
             m_quarantined, {}, [](const auto &entry) { return entry.second.until; }));
+    const request_feature &feature = quarantined.feature;
     quarantine_state &state = m_quarantined[feature];
-    state = {.until = until, .trialAt = until, .crashes = crashes};
+    state = {.until = now + quarantined.remaining,
+             .trialAt = now + quarantined.remaining,
+             .crashes = quarantined.crashes,
+             .failedTrials = quarantined.failedTrials};
     drawTrialTime(state);
     std::vector<std::pair<engine_key, core::time_point>> explained;
     for (const crash *each : crashesOf(feature))
         explained.emplace_back(each->engine, each->at);
     for (const auto &[engine, at] : explained)
-        explain(engine, at, feature, std::max(crashes, thresholdOf(feature.kind).moments));
+        explain(engine, at, feature,
+                std::max(quarantined.crashes, thresholdOf(feature.kind).moments));
+}
+
+void request_quarantine::onTrialFailed(quarantine_state &state, core::time_point at)
+{
+    ++state.failedTrials;
+    extendQuarantine(state, at + durationAfter(state.failedTrials));
 }
 
-void request_quarantine::extendQuarantine(const request_feature &feature, core::time_point until)
+void request_quarantine::extendQuarantine(quarantine_state &state, core::time_point until)
 {
-    quarantine_state &state = m_quarantined.at(feature);
     if (until <= state.until + trialTimeout)
         return;
     state.until = until;
@@ -456,6 +560,14 @@
     drawTrialTime(state);
 }
 
+core::duration request_quarantine::durationAfter(std::size_t failedTrials)
+{
+    core::duration duration = quarantineTime;
+    for (std::size_t i = 0; i < std::min(failedTrials, maxTrialBackoffs); ++i)
+        duration *= trialBackoffFactor;
+    return duration;
+}
+
 void request_quarantine::drawTrialTime(quarantine_state &state)
 {
     const core::duration spread = std::min<core::duration>(
@@ -489,7 +601,8 @@
 
 bool request_quarantine::answeredSince(const request_feature &feature, core::time_point since) const
 {
-    for (const auto *generation : {&m_answered, &m_answeredBefore}) {
+    const answer_memory &answers = m_answered.at(static_cast<std::size_t>(feature.kind));
+    for (const auto *generation : {&answers.recent, &answers.before}) {
         const auto found = generation->find(feature);
         if (found != generation->end())
             return found->second >= since;
@@ -499,9 +612,10 @@
 
 void request_quarantine::recordAnswer(const request_feature &feature, core::time_point now)
 {
-    if (m_answered.size() >= maxAnsweredPerGeneration)
-        m_answeredBefore = std::exchange(m_answered, {});
-    m_answered[feature] = now;
+    answer_memory &answers = m_answered.at(static_cast<std::size_t>(feature.kind));
+    if (answers.recent.size() >= maxAnsweredPerGeneration)
+        answers.before = std::exchange(answers.recent, {});
+    answers.recent[feature] = now;
 }
 
 bool request_quarantine::clear(const request_feature &feature)
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -5,6 +5,7 @@
 #include "dispatch/quarantine_report.h"
 #include "dispatch/request_feature.h"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -37,7 +38,7 @@
  * quarantine its segments, and a segment whose requests are repeated is still found.
  *
  * At the end of a quarantine the feature is on probation: each node tries one request at a time,
- * the nodes one after the other, and one more crash quarantines it again.
+ * the nodes one after the other, and one more crash quarantines it again, for longer.
  *
  * Nodes share crashes, answers and quarantines, since each of them sees only some of the crashes.
  * Not thread-safe.
@@ -67,11 +68,12 @@
     void setNodeCount(std::size_t count) { m_nodeCount = count; }
 
     /**
-     * A response of a request with these features broke off before its second event.
-     * `isOnlyEngine`: the upstream has no other engine.
+     * A response of a request with these features broke off before its second event, `ranFor` after
+     * the start of the attempt. `isOnlyEngine`: the upstream has no other engine. Precondition: the
+     * features are ordered from the start of the prompt, and the request itself is the last one.
      */
     void onBroken(engine_key engine, std::span<const request_feature> features, bool isOnlyEngine,
-                  core::time_point now);
+                  core::time_point now, core::duration ranFor = {});
 
     /** The engine refuses connections, as this node or a peer found. */
     void onEngineDown(engine_key engine, core::time_point now);
@@ -79,6 +81,9 @@
     /** A request with these features, which find() does not refuse, is sent to an engine. */
     void onAttempt(std::span<const request_feature> features, core::time_point now);
 
+    /** The attempt that onAttempt() announced did not run. */
+    void onNotRun(std::span<const request_feature> features);
+
     /** An engine answered a request with these features. */
     void onAnswered(std::span<const request_feature> features, core::time_point now);
 
@@ -111,6 +116,7 @@
         std::vector<request_feature> features;
         core::time_point at;
         bool isOnlyEngine = false;
+        core::duration ranFor{};
     };
 
     struct crash
@@ -119,6 +125,9 @@
         std::vector<request_feature> features;
         core::time_point at;
         bool isOnlyEngine = false;
+        core::duration ranFor{};
+        /** See crash_report. */
+        std::uint64_t id = 0;
         /** The quarantined feature of this request that has caused the crash. */
         std::optional<request_feature> cause = {};
         /** Requests that this node had seen answered by then. */
@@ -140,6 +149,9 @@
         /** Several engines crashed, or the upstream has only one. */
         bool concernsUpstream = false;
         core::time_point first;
+        core::time_point last;
+        /** Start of the last moment. */
+        core::time_point lastMoment;
     };
 
     struct quarantine_state
@@ -149,6 +161,7 @@
         core::time_point trialAt;
         std::optional<core::time_point> trialStartedAt = {};
         std::size_t crashes = 0;
+        std::size_t failedTrials = 0;
     };
 
     /** Adds a crash that this node has seen, and reports it. */
@@ -169,8 +182,14 @@
     double backgroundCrashRate(const request_feature &feature, core::time_point first) const;
     std::vector<const crash *> crashesOf(const request_feature &feature) const;
     bool isSuspectedAsMuch(const crash &candidate, std::size_t moments) const;
-    void quarantine(const request_feature &feature, core::time_point until, std::size_t crashes);
-    void extendQuarantine(const request_feature &feature, core::time_point until);
+    void quarantine(const quarantined_feature &quarantined, core::time_point now);
+    /** Returns the state of a feature that is quarantined or on probation; nullptr if it is not. */
+    const quarantine_state *stateOf(const request_feature &feature, core::time_point now) const;
+    void onTrialFailed(quarantine_state &state, core::time_point at);
+    void extendQuarantine(quarantine_state &state, core::time_point until);
+    /** Returns the duration of a quarantine after some failed trials. */
+    static core::duration durationAfter(std::size_t failedTrials);
+    bool isKnown(const crash &added);
     void drawTrialTime(quarantine_state &state);
     /** Records the cause of a crash; other requests of the engine are suspected no longer, unless
      * as many crashes count against them. */
@@ -192,9 +211,14 @@
     std::vector<crash> m_crashes;
     std::vector<explained_crash> m_explained;
     std::map<request_feature, quarantine_state> m_quarantined;
-    /** Last answer of each feature, in two generations, of which the older one is dropped. */
-    answer_times m_answered;
-    answer_times m_answeredBefore;
+    /** Last answers of one kind of features, in two generations, of which the older one is dropped.
+     */
+    struct answer_memory
+    {
+        answer_times recent;
+        answer_times before;
+    };
+    std::array<answer_memory, featureKinds> m_answered;
     std::uint64_t m_answeredCount = 0;
     quarantine_report m_news;
 };
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -145,15 +145,18 @@
     peer_quarantine_report result{.address = message.address()};
     for (const fleet::CrashReport &entry : message.crashes())
         result.report.crashes.push_back({entry.engine(), readFeatures(entry),
-                                         milliseconds(entry.age_ms()), entry.only_engine()});
+                                         milliseconds(entry.age_ms()), entry.only_engine(),
+                                         milliseconds(entry.ran_ms()), entry.id()});
     for (const fleet::QuarantinedSegment &entry : message.quarantined())
         result.report.quarantined.push_back({{feature_kind::Segment, entry.segment()},
                                              milliseconds(entry.remaining_ms()),
-                                             entry.crashes()});
+                                             entry.crashes(),
+                                             entry.failed_trials()});
     for (const fleet::QuarantinedRequest &entry : message.quarantined_requests())
         result.report.quarantined.push_back({{feature_kind::Request, entry.request()},
                                              milliseconds(entry.remaining_ms()),
-                                             entry.crashes()});
+                                             entry.crashes(),
+                                             entry.failed_trials()});
     for (const std::uint64_t segment : message.answered())
         result.report.answered.push_back({feature_kind::Segment, segment});
     for (const std::uint64_t request : message.answered_requests())
@@ -172,6 +175,8 @@
     }
     entry.set_age_ms(toMilliseconds(crash.age));
     entry.set_only_engine(crash.isOnlyEngine);
+    entry.set_ran_ms(toMilliseconds(crash.ranFor));
+    entry.set_id(crash.id);
 }
 
 template<typename Entry>
@@ -179,6 +184,7 @@
 {
     entry.set_remaining_ms(toMilliseconds(quarantined.remaining));
     entry.set_crashes(static_cast<std::uint32_t>(quarantined.crashes));
+    entry.set_failed_trials(static_cast<std::uint32_t>(quarantined.failedTrials));
 }
 
 } // namespace
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -503,7 +503,8 @@
         CPPUNIT_ASSERT(trials >= 1 && trials <= 3);
     }
 
-    // Guards against refusing equal sound requests that were running when a failure domain lost power.
+    // Guards against refusing equal sound requests that were running when a failure domain lost
+    // power.
     void equalRequestsInOneOutageProveNothing()
     {
         const features equal = request({});
@@ -533,7 +534,8 @@
     {
         const features deadly = request({shared});
         for (engine_key engine = 1; engine <= 4; ++engine) {
-            m_node.onBroken(engine, request({shared}), false, m_now + request_quarantine::sameMoment);
+            m_node.onBroken(engine, request({shared}), false,
+                            m_now + request_quarantine::sameMoment);
             crash(m_node, engine, deadly);
             CPPUNIT_ASSERT(!isQuarantined(shared));
         }
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -172,10 +172,12 @@
                                  {feature_kind::Segment, largest},
                                  {feature_kind::Request, largest}},
                                 20ms,
-                                true},
+                                true,
+                                40ms,
+                                largest},
                                {4, {{feature_kind::Segment, 7}}, 10ms}};
         sent.report.quarantined
-            = {{{feature_kind::Segment, 9}, 100s, 4}, {{feature_kind::Request, 9}, 90s, 3}};
+            = {{{feature_kind::Segment, 9}, 100s, 4, 1}, {{feature_kind::Request, 9}, 90s, 3, 2}};
         sent.report.answered = {{feature_kind::Segment, 8}, {feature_kind::Request, 6}};
         const auto decoded = decodeMessage(encodeQuarantineReport(sent));
         CPPUNIT_ASSERT(decoded);
@@ -187,12 +189,15 @@
         for (std::size_t i = 0; i < sent.report.crashes.size(); ++i)
             CPPUNIT_ASSERT(sent.report.crashes[i].features == received.report.crashes[i].features);
         CPPUNIT_ASSERT(received.report.crashes[0].age == 20ms);
+        CPPUNIT_ASSERT(received.report.crashes[0].ranFor == 40ms);
+        CPPUNIT_ASSERT_EQUAL(largest, received.report.crashes[0].id);
         for (std::size_t i = 0; i < sent.report.quarantined.size(); ++i) {
             const auto &expected = sent.report.quarantined[i];
             const auto &actual = received.report.quarantined.at(i);
             CPPUNIT_ASSERT(expected.feature == actual.feature);
             CPPUNIT_ASSERT(expected.remaining == actual.remaining);
             CPPUNIT_ASSERT_EQUAL(expected.crashes, actual.crashes);
+            CPPUNIT_ASSERT_EQUAL(expected.failedTrials, actual.failedTrials);
         }
         CPPUNIT_ASSERT(sent.report.answered == received.report.answered);
     }
