Count answers of every status, and unframed ends, as what they prove

Cause: found by review. A complete answer with an error status or a large body did not clear the features of its request, so sound requests could stay suspected. A stream without a length whose engine crashed after its first event counted as answered, and a plain response that ended after its header was not counted as broken off, so crashes could be missed or cleared.

Attempts that did not run end their trial.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -347,10 +347,13 @@
 // The connection has ended before the engine could prove that the request is harmless.
 void request_flow::onBrokenOff()
 {
-    if (m_attemptEvents < dispatch::request_quarantine::harmlessEvents)
-        m_context.quarantine.onBroken(dispatch::engine_registry::keyOf(m_engine->id), m_features,
-                                      m_context.registry.engineCount(m_upstream) == 1,
-                                      m_context.now());
+    if (m_mode == relay_mode::Bytes
+        || m_attemptEvents >= dispatch::request_quarantine::harmlessEvents)
+        return;
+    const core::time_point now = m_context.now();
+    m_context.quarantine.onBroken(dispatch::engine_registry::keyOf(m_engine->id), m_features,
+                                  m_context.registry.engineCount(m_upstream) == 1, now,
+                                  now - m_attemptStartedAt);
 }
 
 void request_flow::onAnswered()
@@ -695,6 +698,7 @@
         handleFailure("body_too_large", dispatch::attempt_result::Failed);
         return;
     }
+    onAnswered();
     m_mode = relay_mode::Bytes;
     m_responseStarted = true;
     m_record.firstByte = now - m_arrivedAt;
@@ -785,7 +789,14 @@
         return;
     }
     if (m_mode == relay_mode::Events) {
-        onAnswered();
+        // Without a length, an engine that crashes after its first event seems to end the stream.
+        const bool provesNothing
+            = endsWithConnection()
+              && m_attemptEvents < dispatch::request_quarantine::harmlessEvents;
+        if (provesNothing)
+            onBrokenOff();
+        else
+            onAnswered();
         m_record.status = m_responseHead.status;
         endAttempt(dispatch::attempt_result::Served, reusable);
         completeStream();
@@ -850,6 +861,7 @@
         return;
     }
     if (success && endsWithConnection() && m_bufferedBody.empty()) {
+        onBrokenOff();
         handleFailure("ended_before_body", dispatch::attempt_result::Failed);
         return;
     }
@@ -863,6 +875,9 @@
         handleFailure("unmarked_refusal", dispatch::attempt_result::Failed);
         return;
     }
+    // An engine that completes an answer, of any status, has not been crashed by the request.
+    if (m_response.isSigned && !endsWithConnection())
+        onAnswered();
     const bool retry = status >= firstServerErrorStatus && m_route->retryable() && canRetry();
     if (retry && consumeRetryBudget()) {
         m_context.attemptFailed(m_record, "status_" + std::to_string(status));
@@ -871,11 +886,9 @@
         submit();
         return;
     }
-    if (success) {
-        onAnswered();
+    if (success)
         m_context.admission.onFirstEvent(m_upstream, m_record.priority,
                                          m_context.now() - m_attemptStartedAt);
-    }
     endAttempt(status >= firstServerErrorStatus ? dispatch::attempt_result::Failed
                                                 : dispatch::attempt_result::Served,
                reusable);
@@ -913,6 +926,7 @@
 void request_flow::handleNotRun()
 {
     const bool reachedEngine = m_response.notRun;
+    m_context.quarantine.onNotRun(m_features);
     ++(reachedEngine ? m_rejections : m_unreachableEngines);
     if (m_runAttempts > 0)
         --m_runAttempts;
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(leavingNodeDrainsRequests);
     CPPUNIT_TEST(lateRequestAtLeavingNodeIsRefused);
     CPPUNIT_TEST(requestsThatCrashEnginesAreRefused);
+    CPPUNIT_TEST(repeatedRequestThatCrashesEnginesIsRefused);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsBrokenOff);
     CPPUNIT_TEST(streamThatEndsWithItsConnectionIsComplete);
     CPPUNIT_TEST_SUITE_END();
@@ -602,6 +603,38 @@
         CPPUNIT_ASSERT(m_gateway.responseOf(*served).ends_with("served"));
     }
 
+    // Guards against one request, of a kind without a prompt, that is sent again after each crash.
+    void repeatedRequestThatCrashesEnginesIsRefused()
+    {
+        m_gateway.configure(1);
+        for (int i = 1; i <= 3; ++i) {
+            const std::string id = "e" + std::to_string(i);
+            listening_socket &listener = m_gateway.addEngine(id);
+            const auto caller = m_gateway.call("/once/x", std::to_string(2 * i));
+            raw_socket engine = m_gateway.acceptAt(listener);
+            m_gateway.requestAt(engine);
+            m_gateway.stopEngine(listener);
+            engine.close();
+            CPPUNIT_ASSERT(m_gateway.responseOf(*caller).starts_with("HTTP/1.1 502 "));
+            const auto next = m_gateway.call("/once/y", std::to_string(2 * i + 1));
+            CPPUNIT_ASSERT(m_gateway.responseOf(*next).starts_with("HTTP/1.1 503 "));
+            m_gateway.node.events().onRemoved(gateway::collection_id::Engines, "engine/" + id,
+                                              ++m_gateway.revision);
+            m_gateway.loop.runFor(150ms);
+        }
+        listening_socket &listener = m_gateway.addEngine("e4");
+        const auto refused = m_gateway.call("/once/x", "8");
+        const std::string refusal = m_gateway.responseOf(*refused);
+        CPPUNIT_ASSERT(refusal.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(contains(refusal, "quarantined_request"));
+        CPPUNIT_ASSERT(!listener.pending());
+        const auto served = m_gateway.call("/once/y", "9");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(response("200 OK", "Id: 9\r\nSigned: s\r\n", "served"));
+        CPPUNIT_ASSERT(m_gateway.responseOf(*served).ends_with("served"));
+    }
+
     // Guards against passing on a stream as complete whose engine ended in the middle of an event,
     // or before the first one, and whose length is not known.
     void streamThatEndsInsideAnEventIsBrokenOff()
