Tell returned nodes what is quarantined at once

Cause: found by review. A node that was cut off learned of quarantines only with the next full status of a peer, every 16th one, and sent requests that crash engines until then.

Change: a peer that hears from it again sends its summary, as to a node that has started.

Measured: test_gateway passes; no test of its own.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -688,8 +688,8 @@
     for (const dispatch::node_status::team_usage &use : change.newUsage)
         m_quotas.addPeerUsage(use.team, use.total);
     m_registry.setPeerLoads(address, loads);
-    // A new node learns about the fleet immediately.
-    if (!change.isNew && !change.restarted)
+    // A new node learns about the fleet immediately, and one that was cut off what it has missed.
+    if (!change.isNew && !change.restarted && !change.returned)
         return;
     if (change.isNew)
         m_peerSocket.send(from, encodeStatus(buildStatus(true)));
