Count repeated requests of a segment again in moments of several crashes

Change: only a quarantined cause exhausts a moment; of unexplained requests the least used one counts.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -53,7 +53,7 @@
 constexpr std::size_t requiredMomentsAtOneEngine = 5;
 
 /** An outage that ends engines one after the other for longer counts as several crashes. */
-constexpr core::duration maxMoment = std::chrono::milliseconds(250);
+constexpr core::duration maxMoment = 2 * request_quarantine::sameMoment;
 
 /** Ages of crashes from different reports differ by the latency of messages and their rounding. */
 constexpr core::duration ageTolerance = std::chrono::milliseconds(10);
@@ -96,6 +96,9 @@
 {
     core::time_point first;
     core::time_point last;
+    /** Requests that may have caused the crashes. */
+    std::set<request_feature> suspects;
+    /** Quarantined features that have caused some of them. */
     std::set<request_feature> causes;
 };
 
@@ -104,33 +107,37 @@
  * crashed an engine has crashed another one, however soon.
  */
 template<typename Crash>
-bool isSameMoment(const crash_moment &last, const Crash &crash, const request_feature &cause)
+bool isSameMoment(const crash_moment &last, const Crash &crash)
 {
     if (crash.at - last.last >= request_quarantine::sameMoment
         || crash.at - last.first >= maxMoment)
         return false;
-    const bool isRepeat = last.causes.contains(cause) && crash.at > last.last
+    const bool isRepeat = last.suspects.contains(crash.features.back()) && crash.at > last.last
                           && crash.at - crash.ranFor + ageTolerance >= last.last;
     return !isRepeat;
 }
 
 /**
- * Returns the number of moments if each cause explains a few of them at most; a moment that such a
- * cause explains does not count, whoever else was there.
+ * Returns the number of moments if each cause and each request explains a few of them at most.
+ * Other requests do not count in a moment whose cause is known.
  */
 std::size_t countMoments(std::span<const crash_moment> moments, std::size_t maxPerCause)
 {
     std::map<request_feature, std::size_t> counts;
+    const auto isExhausted = [&](const request_feature &each) {
+        return counts[each] >= maxPerCause;
+    };
     std::size_t total = 0;
     for (const crash_moment &each : moments) {
-        const bool isExplained
-            = std::ranges::any_of(each.causes, [&](const request_feature &cause) {
-                  return counts[cause] >= maxPerCause;
-              });
+        const std::set<request_feature> &causes = each.causes.empty() ? each.suspects : each.causes;
+        const bool isExplained = each.causes.empty()
+                                     ? !causes.empty() && std::ranges::all_of(causes, isExhausted)
+                                     : std::ranges::any_of(causes, isExhausted);
         if (isExplained)
             continue;
-        for (const request_feature &cause : each.causes)
-            ++counts[cause];
+        if (!causes.empty())
+            ++counts[*std::ranges::min_element(
+                causes, {}, [&](const request_feature &cause) { return counts[cause]; })];
         ++total;
     }
     return total;
@@ -467,18 +474,21 @@
     std::map<engine_key, engine_crash> lastOfEngine;
     std::vector<crash_moment> moments;
     for (const crash *each : own) {
-        const request_feature cause = each->cause.value_or(each->features.back());
         const auto known = lastOfEngine.find(each->engine);
         const bool isKnownCrash
             = known != lastOfEngine.end() && each->at - known->second.at <= confirmationWindow;
         if (!isKnownCrash) {
-            if (moments.empty() || !isSameMoment(moments.back(), *each, cause))
-                moments.push_back({.first = each->at, .last = each->at, .causes = {}});
+            if (moments.empty() || !isSameMoment(moments.back(), *each))
+                moments.push_back(
+                    {.first = each->at, .last = each->at, .suspects = {}, .causes = {}});
             moments.back().last = each->at;
             lastOfEngine[each->engine] = {each->at, moments.size() - 1};
         }
-        if (cause != feature || isRequest)
-            moments[lastOfEngine[each->engine].moment].causes.insert(cause);
+        crash_moment &moment = moments[lastOfEngine[each->engine].moment];
+        if (each->features.back() != feature || isRequest)
+            moment.suspects.insert(each->features.back());
+        if (each->cause && *each->cause != feature)
+            moment.causes.insert(*each->cause);
     }
     result.lastMoment = moments.back().first;
     result.moments = isRequest ? moments.size() : countMoments(moments, maxMomentsOfOneCause);
