Spread the seeds of the simulated fleet in a function of its own

The linter takes the product as an argument of a wider type for a mistake. The values stay the same.

--- a/tests/dispatch/crash_fleet.cpp
+++ b/tests/dispatch/crash_fleet.cpp
@@ -27,10 +27,16 @@
 constexpr std::size_t crashesOfKnownRequest = 3;
 constexpr std::size_t crashesOfKnownSegment = 5;
 
+/** Similar seeds would make the generator start with similar numbers. */
+std::uint32_t spreadSeed(std::uint32_t seed)
+{
+    return seed * 2'654'435'761U;
+}
+
 } // namespace
 
 crash_fleet::crash_fleet(const crash_load &load, std::uint32_t seed)
-    : m_load(load), m_random(seed * 2'654'435'761U), m_engines(load.engines)
+    : m_load(load), m_random(spreadSeed(seed)), m_engines(load.engines)
 {
     for (std::size_t i = 0; i < load.nodes; ++i) {
         m_nodes.emplace_back(static_cast<std::uint32_t>(m_random()));
