--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -267,7 +267,7 @@
     // Guards against engines that are not found because of one entry of another writer.
     void oddEntryInAPageHidesNoOther()
     {
-        for (const std::string &item : oddItems) {
+        for (const std::string &item : m_oddItems) {
             tearDown();
             setUp();
             m_events.lines.clear();
@@ -294,7 +294,7 @@
     // Guards against a watch that is lost, or repeated without end, because of one change.
     void oddChangeDoesNotEndTheWatch()
     {
-        for (const std::string &item : oddItems) {
+        for (const std::string &item : m_oddItems) {
             tearDown();
             setUp();
             m_events.lines.clear();
@@ -343,7 +343,7 @@
     static constexpr int entryCount = 600;
 
     /** Items that another writer may cause, and some that only a faulty store sends. */
-    const std::vector<std::string> oddItems = {
+    const std::vector<std::string> m_oddItems = {
         R"({"Key":"servers/x","Value":"not base64!","Rev":8})",
         R"({"Key":"servers/x","Value":"eA","Rev":8})",
         R"({"Key":"servers/x","Value":5,"Rev":8})",
