--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -7,8 +7,10 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -46,6 +48,24 @@
     return "127.%d.%d." % (1 + pid % 250, 1 + pid // 250 % 250)
 
 
+def free_ports(addresses):
+    """Ports that are free on all addresses; as on the platform, they are the same on all machines."""
+    draw = random.Random()
+    ports = []
+    while len(ports) < 5:
+        port = draw.randrange(20000, 32000)
+        try:
+            for address in addresses:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as probe:
+                        probe.bind((address, port))
+        except OSError:
+            continue
+        if port not in ports:
+            ports.append(port)
+    return dict(zip(("callers", "readiness", "addresses", "peers", "metrics"), ports))
+
+
 async def read_head(reader):
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
@@ -167,11 +187,9 @@
 class Node:
     """One gateway process with the settings that the deploy file's template gives it."""
 
-    PORTS = dict(zip(("callers", "readiness", "addresses", "peers", "metrics"),
-                     (8221, 8224, 8220, 7600, 7615)))
-
-    def __init__(self, folder, number, address, zone, seeds, store_port, descriptors=4100):
+    def __init__(self, folder, number, address, zone, seeds, store_port, ports, descriptors=4100):
         self.name = "front-%d" % number
+        self.PORTS = ports
         self.address = address
         self.zone = zone
         self.path = os.path.join(folder, self.name)
@@ -267,9 +285,10 @@
 
     def add_nodes(self, count, zones=("zone-a", "zone-b", "zone-c", "zone-d"), seeds=None, **more):
         addresses = [self.net + str(number + 1) for number in range(count)]
+        ports = free_ports(addresses)
         for number, address in enumerate(addresses):
             self.nodes.append(Node(self.folder, number, address, zones[number % len(zones)],
-                                   seeds or addresses[:3], self.store_port, **more))
+                                   seeds or addresses[:3], self.store_port, ports, **more))
         return self.nodes
 
     async def wait_ready(self, nodes, seconds=10):
