Refuse messages whose header leaves their end uncertain

Beast's parser ignores a transfer coding of which the last is not "chunked" and takes the request to have no body; the same doubt comes with lines that continue a field, names like Transfer_Encoding and lists of lengths. Ruled out: the forwarding, which writes a Content-Length of its own. The same doubt was found in responses of engines, in the front of `serve` (libmicrohttpd appends a continued line to the field's name) and in responses to libcurl.

Change: transport::framingFault states which headers determine an end; message_parser (both directions), http_server and curl_transfer refuse the rest. A request gets 400 and a closed connection before any byte of it is passed on; a response is malformed.

Conclusion: a whitelist of framings works where a list of bad codings would miss the next one, and sound framings on kept connections go on.

--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "http1/message_parser.h"
 
+#include "transport/message_framing.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -23,6 +25,21 @@
     return {text.data(), text.size()};
 }
 
+/**
+ * Returns true if a field is continued on the next line. Recipients disagree on whether such a line
+ * is a field of its own, which may be one that states the length of the body. Precondition: `bytes`
+ * begin with a line of the header.
+ */
+bool hasContinuationLine(std::string_view bytes)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    if (bytes.starts_with(lineEnd))
+        return false;
+    const std::string_view header = bytes.substr(0, bytes.find("\r\n\r\n"));
+    return header.find("\r\n ") != std::string_view::npos
+           || header.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 class message_parser::implementation
@@ -41,6 +58,8 @@
     virtual bool started() const = 0;
 
     message_head head;
+    /** Why the end of the message is uncertain; empty if it is certain. */
+    std::string_view framingFault;
 };
 
 template<bool isRequest>
@@ -63,6 +82,12 @@
 
     std::size_t put(std::string_view bytes, beast_error &error) override
     {
+        // Beast joins continued lines, so they must be found before.
+        if (!m_headerDone && hasContinuationLine(bytes)) {
+            framingFault = "a header field is continued on the next line";
+            error = beast::http::error::bad_field;
+            return 0;
+        }
         return parser::put(boost::asio::buffer(bytes.data(), bytes.size()), error);
     }
 
@@ -105,9 +130,15 @@
             head.headers.add(std::string(toView(name)), std::string(toView(value)));
     }
 
-    void on_header_impl(beast_error & /*error*/) override
+    void on_header_impl(beast_error &error) override
     {
         m_headerDone = true;
+        // Beast ignores a coding that it does not know, and takes the message to have no body.
+        if (const auto fault = transport::framingFault(head.headers)) {
+            framingFault = *fault;
+            error = beast::http::error::bad_transfer_encoding;
+            return;
+        }
         head.keepAlive = parser::keep_alive();
         head.chunked = parser::chunked();
         if (const auto length = parser::content_length())
@@ -168,8 +199,9 @@
     if (!error || error == beast::http::error::need_more)
         return consumed;
     const bool isTooLarge = error == beast::http::error::header_limit;
+    const std::string_view fault = m_implementation->framingFault;
     return core::error{isTooLarge ? core::errc::TooLarge : core::errc::ParseFailed, "HTTP message",
-                       error.message(), ""};
+                       fault.empty() ? error.message() : std::string(fault), ""};
 }
 
 core::result<void> message_parser::finishAtEof()
--- a/src/transport/curl_transfer.cpp
+++ b/src/transport/curl_transfer.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/callback_guard.h"
 #include "transport/clock.h"
+#include "transport/message_framing.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -184,6 +185,11 @@
         m_errorDetail = "response header is larger than 64 KiB";
         return false;
     }
+    // libcurl accepts both, but other recipients may see other fields, and so another end.
+    if (!line.ends_with("\r\n") || line.starts_with(' ') || line.starts_with('\t')) {
+        m_errorDetail = "a line of the response header is continued or not terminated by CRLF";
+        return false;
+    }
     const std::string_view text = trim(line);
     if (text.empty())
         return finishHeader();
@@ -206,6 +212,10 @@
     if (status < 200)
         return true;
     m_headerComplete = true;
+    if (const auto fault = framingFault(m_responseHeaders)) {
+        m_errorDetail = std::string(*fault);
+        return false;
+    }
     m_result.status = static_cast<unsigned>(status);
     m_events->onHeaders(m_result.status, m_responseHeaders);
     return !m_cancelled;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_server.h"
 
 #include "transport/callback_guard.h"
+#include "transport/message_framing.h"
 #include "transport/mhd_exchange.h"
 #include "transport/problem.h"
 #include "transport/reactor_timer.h"
@@ -14,6 +15,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -86,6 +88,18 @@
     return size;
 }
 
+/**
+ * Returns true if no field name or value contains a delimiter. libmicrohttpd appends a line that
+ * continues the one before to the field's name, and keeps a carriage return within a value.
+ */
+bool areFieldsWellFormed(const http_headers &headers)
+{
+    return std::ranges::all_of(headers, [](const http_headers::field &field) {
+        return field.first.find_first_of(" \t:\r\n") == std::string::npos
+               && field.second.find_first_of("\r\n") == std::string::npos;
+    });
+}
+
 std::string_view toString(MHD_RequestTerminationCode code)
 {
     switch (code) {
@@ -361,6 +375,12 @@
 
     mhd_exchange &exchange = *pending->exchange;
     *state = pending.release();
+    if (!areFieldsWellFormed(request.headers) || framingFault(request.headers)) {
+        makeProblem(MHD_HTTP_BAD_REQUEST, "The end of the request is not certain",
+                    "uncertain_framing")
+            .respondTo(exchange, {{"Connection", "close"}});
+        return exchange.advance();
+    }
     if (header != nullptr && header->header_size > m_settings.headerBytes) {
         makeProblem(MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "Request header too large",
                     "header_too_large")
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -2,6 +2,7 @@
 #include "http1/forwarded_headers.h"
 #include "support/listening_socket.h"
 #include "support/loopback.h"
+#include "support/uncertain_framings.h"
 
 #include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -69,6 +70,7 @@
     CPPUNIT_TEST(rejectedResponseFailsTheExchange);
     CPPUNIT_TEST(bytesAfterCompleteResponseMakeConnectionUnusable);
     CPPUNIT_TEST(interruptedResponsesReportDistinctFailures);
+    CPPUNIT_TEST(responseWithoutACertainEndIsMalformed);
     CPPUNIT_TEST(responseBeforeEndOfRequestClosesConnection);
     CPPUNIT_TEST(responseBeforeResetOfUnreadRequestIsRead);
     CPPUNIT_TEST(unframedResponseBeforeResetOfUnreadRequestIsIncomplete);
@@ -80,6 +82,24 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a body that ends where only this recipient sees its end, and against a further
+    // request on such a connection.
+    void responseWithoutACertainEndIsMalformed()
+    {
+        for (const std::string &fields : tests::framingsWithoutACertainEnd) {
+            client_connection connection(m_loop.reactor(), target());
+            tests::raw_socket engine = m_listener.accept();
+            recording_events events;
+            connection.start(request, events);
+            engine.send("HTTP/1.1 200 OK\r\nId: mine\r\n" + fields
+                        + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            m_loop.waitFor(fields, [&] { return events.done; });
+            CPPUNIT_ASSERT_MESSAGE(fields, events.failure == exchange_failure::Malformed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, std::string(), events.body);
+            CPPUNIT_ASSERT_MESSAGE(fields, !connection.usable());
+        }
+    }
+
     // Guards against opening a new connection for each request.
     void connectionIsReusedAfterCompleteResponse()
     {
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -1,8 +1,10 @@
 #include "http1/message_parser.h"
+#include "support/uncertain_framings.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <vector>
 
 using namespace comfreypass;
 using namespace comfreypass::http1;
@@ -51,6 +53,9 @@
     CPPUNIT_TEST(fragmentationDoesNotAffectParsing);
     CPPUNIT_TEST(bytesAfterMessageAreNotConsumed);
     CPPUNIT_TEST(conflictingLengthsAreRejected);
+    CPPUNIT_TEST(framingsWithoutACertainEndAreRejected);
+    CPPUNIT_TEST(soundFramingsAreAccepted);
+    CPPUNIT_TEST(bodyThatLooksLikeAContinuedFieldIsAccepted);
     CPPUNIT_TEST(oversizedHeaderReportsTooLarge);
     CPPUNIT_TEST(responseWithoutLengthEndsAtEof);
     CPPUNIT_TEST(truncatedResponseIsIncomplete);
@@ -98,6 +103,58 @@
         CPPUNIT_ASSERT(feed(message_kind::Request, two, two.size()).failed);
     }
 
+    // Guards against request smuggling behind a transfer coding that the parser does not know, a
+    // length that recipients read differently, and a framing field on a continued line.
+    void framingsWithoutACertainEndAreRejected()
+    {
+        for (const std::string &fields : tests::framingsWithoutACertainEnd) {
+            for (const std::string_view start : {"POST / HTTP/1.1", "HTTP/1.1 200 OK"}) {
+                const bool isRequest = start.starts_with("POST");
+                const std::string text = std::string(start) + "\r\nHost: x\r\n" + fields
+                                         + "\r\n\r\nGET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
+                for (const std::size_t step : {std::size_t{1}, text.size()}) {
+                    const parsed result = feed(
+                        isRequest ? message_kind::Request : message_kind::Response, text, step);
+                    CPPUNIT_ASSERT_MESSAGE(text, result.failed);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(), result.body);
+                }
+            }
+        }
+    }
+
+    // Guards against rejecting messages whose end is certain.
+    void soundFramingsAreAccepted()
+    {
+        for (const std::string &framing :
+             {std::string("Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+              std::string("transfer-encoding:CHUNKED \r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+              std::string("Content-Length: 5\r\n\r\nhello"),
+              std::string("content-length:\t5 \r\n\r\nhello"),
+              std::string("Content-Length: 005\r\n\r\nhello")}) {
+            for (const std::string start : {"POST / HTTP/1.1", "POST / HTTP/1.0"}) {
+                const std::string text = start + "\r\nHost: x\r\n" + framing;
+                for (const std::size_t step : {std::size_t{1}, text.size()}) {
+                    const parsed result = feed(message_kind::Request, text, step);
+                    CPPUNIT_ASSERT_MESSAGE(text, result.complete);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string("hello"), result.body);
+                }
+            }
+        }
+    }
+
+    // Guards against a body that is taken for a part of the header.
+    void bodyThatLooksLikeAContinuedFieldIsAccepted()
+    {
+        const std::string body = "a\r\n b\r\n\tc\r\n\r\n d";
+        const std::string text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                                 + std::to_string(body.size()) + "\r\n\r\n" + body;
+        for (std::size_t step = 1; step <= text.size(); ++step) {
+            const parsed result = feed(message_kind::Request, text, step);
+            CPPUNIT_ASSERT(result.complete);
+            CPPUNIT_ASSERT_EQUAL(body, result.body);
+        }
+    }
+
     // Guards against an oversized header that is reported as a syntax error.
     void oversizedHeaderReportsTooLarge()
     {
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -3,6 +3,7 @@
 #include "http1/server_connection.h"
 #include "support/loopback.h"
 #include "support/raw_socket.h"
+#include "support/uncertain_framings.h"
 #include "transport/clock.h"
 
 #include <arpa/inet.h>
@@ -86,6 +87,8 @@
     CPPUNIT_TEST(disconnectIsDetectedWhileRequestIsPending);
     CPPUNIT_TEST(abortedStreamHasNoFinalChunk);
     CPPUNIT_TEST(badRequestsAreRejectedAndConnectionClosed);
+    CPPUNIT_TEST(requestWithoutACertainEndIsNotDelivered);
+    CPPUNIT_TEST(requestAfterAChunkedOneIsDelivered);
     CPPUNIT_TEST(responseToHeadHasNoBody);
     CPPUNIT_TEST(callerWithoutChunksGetsBareStream);
     CPPUNIT_TEST(abortedBareStreamIsReset);
@@ -238,6 +241,46 @@
         CPPUNIT_ASSERT(server.heads.empty());
     }
 
+    // Guards against a request in the body of another one that is delivered as a request.
+    void requestWithoutACertainEndIsNotDelivered()
+    {
+        recording_server server(m_loop.reactor());
+        server.respondsImmediately = true;
+        for (const std::string &fields : tests::framingsWithoutACertainEnd) {
+            tests::raw_socket caller(server.port());
+            caller.send("POST /outer HTTP/1.1\r\nHost: x\r\n" + fields
+                        + "\r\n\r\nPOST /hidden HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+            m_loop.waitFor(fields, [&] { return caller.receive().find("\r\n\r\n") < 1'000; });
+            caller.closeSending();
+            m_loop.waitFor("end", [&] {
+                caller.receive();
+                return caller.ended();
+            });
+            CPPUNIT_ASSERT_MESSAGE(fields, caller.receive().starts_with("HTTP/1.1 400 "));
+            CPPUNIT_ASSERT_MESSAGE(fields,
+                                   caller.receive().find("HTTP/1.1", 1) == std::string::npos);
+        }
+        CPPUNIT_ASSERT(server.heads.empty());
+    }
+
+    // Guards against closing a persistent connection after a request that was sent in chunks.
+    void requestAfterAChunkedOneIsDelivered()
+    {
+        for (const std::string version :
+             {"HTTP/1.1\r\n", "HTTP/1.0\r\nConnection: keep-alive\r\n"}) {
+            recording_server server(m_loop.reactor());
+            server.respondsImmediately = true;
+            tests::raw_socket caller(server.port());
+            caller.send("POST /1 " + version
+                        + "Host: x\r\nTransfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+                          "POST /2 "
+                        + version + "Host: x\r\nContent-Length: 3\r\n\r\ndef");
+            m_loop.waitFor("two responses", [&] { return caller.receive().ends_with("/2"); });
+            CPPUNIT_ASSERT_EQUAL(std::string("abc"), server.bodies.at(0));
+            CPPUNIT_ASSERT_EQUAL(std::string("def"), server.bodies.at(1));
+        }
+    }
+
     // Guards against callers that send further requests on a connection of a leaving node.
     void closeAfterResponseSendsConnectionClose()
     {
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -2,6 +2,7 @@
 #include "support/loopback.h"
 #include "support/recorded_call.h"
 #include "support/scripted_handler.h"
+#include "support/uncertain_framings.h"
 #include "transport/clock.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -29,6 +30,7 @@
     CPPUNIT_TEST(responseWithoutLengthIsIncomplete);
     CPPUNIT_TEST(malformedResponseIsBroken);
     CPPUNIT_TEST(oversizedResponseHeaderIsBroken);
+    CPPUNIT_TEST(responseWithoutACertainEndIsIncomplete);
     CPPUNIT_TEST(connectionLostAfterRequestIsReported);
     CPPUNIT_TEST(postIsNeverResentOnAReusedConnection);
     CPPUNIT_TEST(deadlineEndsTheCall);
@@ -259,6 +261,16 @@
         CPPUNIT_ASSERT(events->body() == body);
     }
 
+    // Guards against taking a response for complete whose end other recipients see elsewhere.
+    void responseWithoutACertainEndIsIncomplete()
+    {
+        for (const std::string &fields : framingsWithoutACertainEnd) {
+            const auto events
+                = runAgainst("HTTP/1.1 200 OK\r\nServer: a\r\n" + fields + "\r\n\r\n0\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(fields, !events->result().complete);
+        }
+    }
+
     // Guards against header injection through a line break in a value.
     void fieldWithLineBreakIsOmitted()
     {
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -2,6 +2,7 @@
 #include "support/raw_socket.h"
 #include "support/recorded_call.h"
 #include "support/scripted_handler.h"
+#include "support/uncertain_framings.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/problem.h"
@@ -35,6 +36,7 @@
     CPPUNIT_TEST(oversizedBodyIsRefused);
     CPPUNIT_TEST(oversizedHeaderIsRefused);
     CPPUNIT_TEST(malformedRequestIsRefused);
+    CPPUNIT_TEST(requestWithoutACertainEndIsRefused);
     CPPUNIT_TEST(slowSenderIsDisconnected);
     CPPUNIT_TEST(connectionsOverTheLimitAreClosed);
     CPPUNIT_TEST(destructionClosesOpenExchanges);
@@ -279,6 +281,27 @@
         CPPUNIT_ASSERT(m_handler.exchanges().empty());
     }
 
+    // Guards against a request in the body of another one that is passed to the handler.
+    void requestWithoutACertainEndIsRefused()
+    {
+        http_server_settings settings;
+        settings.idleSeconds = 1;
+        start([](http_exchange &exchange) { exchange.respond(200, {}, ""); }, settings);
+        for (const std::string &fields : framingsWithoutACertainEnd) {
+            raw_socket caller(m_server->port());
+            caller.send("POST /outer HTTP/1.1\r\nHost: a\r\n" + fields
+                        + "\r\n\r\nPOST /hidden HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+            caller.closeSending();
+            m_loopback.waitFor(fields, [&] {
+                caller.receive();
+                return caller.ended();
+            });
+            CPPUNIT_ASSERT_MESSAGE(fields,
+                                   caller.receive().find("HTTP/1.1 2") == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(fields, m_handler.exchanges().empty());
+        }
+    }
+
     // Guards against callers that occupy a connection with an incomplete request.
     void slowSenderIsDisconnected()
     {
