Give each report of a crash an id that no other node draws

Cause: nodes dropped crashes that they had seen themselves. Ruled out: the confirmation, which came for each of them.

Change: the id is a hash of the node's seed and a counter.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/request_quarantine.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -316,7 +318,7 @@
 
 void request_quarantine::recordCrash(crash seen, core::time_point now)
 {
-    seen.id = std::uniform_int_distribution<std::uint64_t>(1)(m_random);
+    seen.id = nextCrashId();
     crash_report report{seen.engine,       seen.features, now - seen.at,
                         seen.isOnlyEngine, seen.ranFor,   seen.id};
     if (!addCrash(std::move(seen), now))
@@ -329,6 +331,14 @@
 bool request_quarantine::addCrash(crash added, core::time_point now)
 {
     dropExpired(now);
+// Numbers drawn from m_random would not do: its period is so short that the sequences of two nodes
+// may overlap, and a crash with the id of another one is taken for a repeated report.
+std::uint64_t request_quarantine::nextCrashId()
+{
+    const std::array<std::uint64_t, 2> origin{m_seed, ++m_crashIds};
+    return std::max<std::uint64_t>(1, core::hash64(std::as_bytes(std::span(origin))));
+}
+
     if (isKnown(added))
         return false;
     std::erase_if(added.features,
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -61,8 +61,9 @@
     /** A quarantined feature is tried again after this time, which costs an engine. */
     static constexpr core::duration quarantineTime = std::chrono::minutes(2);
 
-    /** `seed` selects when this node tries a quarantined feature again; differs between nodes. */
-    explicit request_quarantine(std::uint32_t seed) : m_random(seed) { }
+    /** `seed` selects when this node tries a quarantined feature again, and the ids of its reports;
+     * differs between nodes. */
+    explicit request_quarantine(std::uint32_t seed) : m_seed(seed), m_random(seed) { }
 
     /** Sets the number of nodes that share the requests of the fleet. Precondition: count > 0. */
     void setNodeCount(std::size_t count) { m_nodeCount = count; }
@@ -168,6 +169,8 @@
     void recordCrash(crash seen, core::time_point now);
     /** Returns false if the crash is known, or has another cause. */
     bool addCrash(crash added, core::time_point now);
+    /** Returns an id that no other report of the fleet has. */
+    std::uint64_t nextCrashId();
     /** Removes a crash to make room, one with a known cause first. */
     void dropOne();
     void dropExpired(core::time_point now);
@@ -208,6 +211,8 @@
     std::unordered_map<engine_key, std::vector<broken_request>> m_broken;
     std::unordered_map<engine_key, core::time_point> m_downAt;
     /** In the order of their arrival; without features if all of them have been answered. */
+    std::uint32_t m_seed;
+    std::uint64_t m_crashIds = 0;
     std::vector<crash> m_crashes;
     std::vector<explained_crash> m_explained;
     std::map<request_feature, quarantine_state> m_quarantined;
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(outageThatTakesHalfASecondProvesNothing);
     CPPUNIT_TEST(moreSpecificCompanionDoesNotDelayTheSegment);
     CPPUNIT_TEST(reportOfAnImpossibleRemainderIsBounded);
+    CPPUNIT_TEST(crashesOfNodesWithRelatedSeedsAreDistinct);
     CPPUNIT_TEST(repeatedRequestAtOneEngineOfSeveralIsFound);
     CPPUNIT_TEST(reportDelayedAtOneNodeConvictsNothingAtOthers);
     CPPUNIT_TEST(trialThatDidNotRunDoesNotRefuseTheSegment);
@@ -675,6 +676,24 @@
         CPPUNIT_ASSERT(!isQuarantined(poison));
     }
 
+    // Guards against a crash that counts as a repeated report of another one, since two nodes drew
+    // the same id from overlapping random sequences.
+    void crashesOfNodesWithRelatedSeedsAreDistinct()
+    {
+        constexpr std::size_t nodes = 4;
+        constexpr std::size_t crashesOfEach = 3;
+        std::minstd_rand seeds(1);
+        for (std::size_t i = 0; i < nodes; ++i) {
+            request_quarantine node(static_cast<std::uint32_t>(seeds()));
+            for (std::size_t k = 0; k < crashesOfEach; ++k) {
+                m_now += 2 * request_quarantine::confirmationWindow;
+                crash(node, 1, request({}));
+            }
+            m_node.onPeerReport(node.summary(m_now), m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(nodes * crashesOfEach, m_node.summary(m_now).crashes.size());
+    }
+
     // Guards against one crash that is held as several, with more and with fewer features.
     void clearedSegmentDoesNotDuplicateTheCrash()
     {
