Do not blame a shared segment for one request and one part

Cause: in a quiet hour, a request that crashed two engines and two requests with a deadly part made four crashes that all had the first segment of the prompts in common, and no answer came in between to clear it. The segment that all requests of the route share was quarantined, and sound ones were refused (LOST).

Change: a segment is not blamed while a more specific one and several crashes of a single request explain all of its crashes.

Measured: requestAndPartThatCrashEnginesDoNotQuarantineWhatTheyShare fails without the change (the shared segment is quarantined with the fourth crash) and passes with it; moreSpecificCompanionDoesNotDelayTheSegment keeps its bound of five.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -440,6 +440,8 @@
         const evidence other = evidenceAgainst(candidate);
         if (other.moments >= against.moments) {
             if (isConvincing(candidate, other))
+        if (isRestOfOneRequest(candidate, crashesOf(feature)))
+            return std::nullopt;
                 return candidate;
             return std::nullopt;
         }
@@ -464,6 +466,21 @@
 // Several requests report one crash, and one cause may end several engines at about the same time.
 request_quarantine::evidence
 request_quarantine::evidenceAgainst(const request_feature &feature) const
+// Such a request probably crashes engines by itself, and proves nothing about its segments.
+bool request_quarantine::isRestOfOneRequest(const request_feature &candidate,
+                                            std::span<const crash *const> crashes)
+{
+    std::set<request_feature> requests;
+    std::size_t count = 0;
+    for (const crash *each : crashes) {
+        if (contains(each->features, candidate))
+            continue;
+        requests.insert(each->features.back());
+        ++count;
+    }
+    return requests.size() == 1 && count > 1;
+}
+
 {
     std::vector<const crash *> own = crashesOf(feature);
     const bool isRequest = feature.kind == feature_kind::Request;
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -186,6 +186,9 @@
     std::vector<const crash *> crashesOf(const request_feature &feature) const;
     bool isSuspectedAsMuch(const crash &candidate, std::size_t moments) const;
     void quarantine(const quarantined_feature &quarantined, core::time_point now);
+    /** Returns true if the crashes without a feature are several of a single request. */
+    static bool isRestOfOneRequest(const request_feature &candidate,
+                                   std::span<const crash *const> crashes);
     /** Returns the state of a feature that is quarantined or on probation; nullptr if it is not. */
     const quarantine_state *stateOf(const request_feature &feature, core::time_point now) const;
     void onTrialFailed(quarantine_state &state, core::time_point at);
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(moreSpecificCompanionDoesNotDelayTheSegment);
     CPPUNIT_TEST(reportOfAnImpossibleRemainderIsBounded);
     CPPUNIT_TEST(crashesOfNodesWithRelatedSeedsAreDistinct);
+    CPPUNIT_TEST(requestAndPartThatCrashEnginesDoNotQuarantineWhatTheyShare);
     CPPUNIT_TEST(repeatedRequestAtOneEngineOfSeveralIsFound);
     CPPUNIT_TEST(reportDelayedAtOneNodeConvictsNothingAtOthers);
     CPPUNIT_TEST(trialThatDidNotRunDoesNotRefuseTheSegment);
@@ -694,6 +695,21 @@
         CPPUNIT_ASSERT_EQUAL(nodes * crashesOfEach, m_node.summary(m_now).crashes.size());
     }
 
+    // Guards against refusing all requests of a route while one request that crashes engines and
+    // one such part of prompts come in a quiet hour.
+    void requestAndPartThatCrashEnginesDoNotQuarantineWhatTheyShare()
+    {
+        const features deadly = request({shared});
+        crash(m_node, 1, deadly);
+        crash(m_node, 2, deadly);
+        constexpr engine_key crashesOfThePart = 5;
+        for (engine_key engine = 3; engine < 3 + crashesOfThePart; ++engine) {
+            crash(m_node, engine, request({shared, poison}));
+            CPPUNIT_ASSERT(!isQuarantined(shared));
+        }
+        CPPUNIT_ASSERT(isQuarantined(poison));
+    }
+
     // Guards against one crash that is held as several, with more and with fewer features.
     void clearedSegmentDoesNotDuplicateTheCrash()
     {
