Keep a quarantined feature on probation as long as its evidence

Cause: a quarantine and its probation ended after four minutes.

Change: the probation lasts as long as the evidence, 30 minutes, so that the next request is a trial, which ends with its first crash.

Conclusion: a rare deadly request costs one engine each time, and ever more rarely.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -77,8 +77,9 @@
 /** A trial without a result after this time does not hold up the next one. */
 constexpr core::duration trialTimeout = std::chrono::seconds(5);
 
-/** Time after a quarantine in which one crash is enough to start it again. */
-constexpr core::duration probationTime = request_quarantine::quarantineTime;
+/** Time after a quarantine in which one crash is enough to start it again. The next request with
+ * the feature may be rare. */
+constexpr core::duration probationTime = request_quarantine::memory;
 
 template<typename Left, typename Right>
 bool isSameCrash(const Left &left, const Right &right)
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(moreSpecificCompanionDoesNotDelayTheSegment);
     CPPUNIT_TEST(reportOfAnImpossibleRemainderIsBounded);
     CPPUNIT_TEST(crashesOfNodesWithRelatedSeedsAreDistinct);
+    CPPUNIT_TEST(requestRarerThanTheQuarantineCostsOneEngine);
     CPPUNIT_TEST(requestAndPartThatCrashEnginesDoNotQuarantineWhatTheyShare);
     CPPUNIT_TEST(repeatedRequestAtOneEngineOfSeveralIsFound);
     CPPUNIT_TEST(reportDelayedAtOneNodeConvictsNothingAtOthers);
@@ -695,6 +696,19 @@
         CPPUNIT_ASSERT_EQUAL(nodes * crashesOfEach, m_node.summary(m_now).crashes.size());
     }
 
+    // Guards against two engines that one request ends, again and again, because the quarantine was
+    // forgotten before the next request came.
+    void requestRarerThanTheQuarantineCostsOneEngine()
+    {
+        quarantinePoison();
+        m_now += 5 * request_quarantine::quarantineTime;
+        const features deadly = request({poison});
+        CPPUNIT_ASSERT(!m_node.find(deadly, m_now));
+        m_node.onAttempt(deadly, m_now);
+        m_node.onBroken(1, deadly, false, m_now + 50ms);
+        CPPUNIT_ASSERT(m_node.find(deadly, m_now + 51ms));
+    }
+
     // Guards against refusing all requests of a route while one request that crashes engines and
     // one such part of prompts come in a quiet hour.
     void requestAndPartThatCrashEnginesDoNotQuarantineWhatTheyShare()
