Probe engines that broke off a response

A broken response counts as a crash only if the engine refuses a connection within a second, and nothing but a request of a caller connected to it.

Change: a node whose request breaks off connects to the engine 100 ms later, unless it has sent something since. A refusal ejects the engine, is told to the peers and confirms the crash; an accepted connection serves the next request. The simulated fleet no longer tells all nodes of each crash, and plays quiet hours.

--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -401,8 +401,17 @@
 
 void engine_registry::onBytes(std::string_view id, core::time_point now)
 {
-    if (engine *target = findEngine(id))
-        target->lastActivityAt = now;
+    engine *target = findEngine(id);
+    if (target == nullptr)
+        return;
+    target->lastActivityAt = now;
+    target->lastBytesAt = now;
+}
+
+bool engine_registry::hasSentSince(std::string_view id, core::time_point since) const
+{
+    const auto found = m_engines.find(std::string(id));
+    return found != m_engines.end() && found->second.lastBytesAt > since;
 }
 
 void engine_registry::onEnd(std::string_view id, attempt_result result, core::time_point now)
@@ -441,20 +450,30 @@
     case attempt_result::Misdirected:
         target->ejectedUntil = now + maxEjection;
         break;
-    case attempt_result::Unreachable: {
-        const core::duration ejection = nextEjectionDuration(*target, now);
-        target->ejectedUntil = now + ejection;
-        m_newlyEjected.push_back(target->key);
-        // The engine may restart, and a new process is cold before its entry says so.
-        if (target->coldRate > 0)
-            makeCold(*target, now + ejection + target->coldTime);
+    case attempt_result::Unreachable:
+        eject(*target, now);
         break;
-    }
     case attempt_result::Neutral:
         break;
     }
 }
 
+void engine_registry::onUnreachable(std::string_view id, core::time_point now)
+{
+    if (engine *target = findEngine(id))
+        eject(*target, now);
+}
+
+void engine_registry::eject(engine &target, core::time_point now)
+{
+    const core::duration ejection = nextEjectionDuration(target, now);
+    target.ejectedUntil = now + ejection;
+    m_newlyEjected.push_back(target.key);
+    // The engine may restart, and a new process is cold before its entry says so.
+    if (target.coldRate > 0)
+        makeCold(target, now + ejection + target.coldTime);
+}
+
 bool engine_registry::onLeaving(const engine_entry &sender, core::time_point now)
 {
     engine_statement *statement = statementOf(sender);
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -225,9 +225,15 @@
     /** Ends a request counted by onStart() and records its result. */
     void onEnd(std::string_view id, attempt_result result, core::time_point now);
 
+    /** Records that the engine refuses connections, apart from any request. */
+    void onUnreachable(std::string_view id, core::time_point now);
+
     /** Records that response bytes arrived from the engine. */
     void onBytes(std::string_view id, core::time_point now);
 
+    /** Returns true if response bytes arrived from the engine later than `since`. */
+    bool hasSentSince(std::string_view id, core::time_point since) const;
+
     /** Records the time between two stream events, or of a whole request without streaming. */
     void onEventInterval(std::string_view id, core::duration time);
 
@@ -312,6 +318,7 @@
         core::time_point recentFailuresAt{};
         /** Time of the last response byte, or of a start while the engine ran no other request. */
         core::time_point lastActivityAt{};
+        core::time_point lastBytesAt{};
         /** Smoothed; 0 if unknown. */
         double eventIntervalSeconds = 0;
         /** Smoothed; 0 if unknown. */
@@ -355,6 +362,8 @@
     static bool isStalled(const engine &candidate, core::time_point now);
     static double decayedFailures(const engine &candidate, core::time_point now);
     static void makeCold(engine &target, core::time_point until);
+    /** Excludes an engine that refuses connections for a while. */
+    void eject(engine &target, core::time_point now);
     /** Records an ejection and returns its duration. */
     core::duration nextEjectionDuration(engine &target, core::time_point now);
     static void eraseDegraded(std::vector<engine *> &candidates, core::time_point now);
--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -148,26 +148,27 @@
 
 } // namespace
 
-void request_quarantine::onBroken(engine_key engine, std::span<const request_feature> features,
+bool request_quarantine::onBroken(engine_key engine, std::span<const request_feature> features,
                                   bool isOnlyEngine, core::time_point now, core::duration ranFor)
 {
+    const auto down = m_downAt.find(engine);
+    const bool isKnownDown = down != m_downAt.end() && now - down->second <= confirmationWindow;
     if (features.empty())
-        return;
+        return isKnownDown;
     for (const request_feature &each : features) {
         const auto found = m_quarantined.find(each);
         if (found != m_quarantined.end() && found->second.trialStartedAt)
             onTrialFailed(found->second, now);
     }
     const std::vector<request_feature> copy(features.begin(), features.end());
-    const auto down = m_downAt.find(engine);
-    if (down != m_downAt.end() && now - down->second <= confirmationWindow) {
+    if (isKnownDown) {
         recordCrash({.engine = engine,
                      .features = copy,
                      .at = now,
                      .isOnlyEngine = isOnlyEngine,
                      .ranFor = ranFor},
                     now);
-        return;
+        return true;
     }
     if (m_broken.size() >= maxEngines)
         m_broken.clear();
@@ -176,6 +177,7 @@
                   [now](const broken_request &each) { return now - each.at > confirmationWindow; });
     if (broken.size() < maxBrokenPerEngine)
         broken.push_back({copy, now, isOnlyEngine, ranFor});
+    return false;
 }
 
 void request_quarantine::onEngineDown(engine_key engine, core::time_point now)
@@ -329,9 +331,6 @@
         m_news.quarantined.push_back(*quarantined);
 }
 
-bool request_quarantine::addCrash(crash added, core::time_point now)
-{
-    dropExpired(now);
 // Numbers drawn from m_random would not do: its period is so short that the sequences of two nodes
 // may overlap, and a crash with the id of another one is taken for a repeated report.
 std::uint64_t request_quarantine::nextCrashId()
@@ -340,6 +339,9 @@
     return std::max<std::uint64_t>(1, core::hash64(std::as_bytes(std::span(origin))));
 }
 
+bool request_quarantine::addCrash(crash added, core::time_point now)
+{
+    dropExpired(now);
     if (isKnown(added))
         return false;
     std::erase_if(added.features,
@@ -438,11 +440,11 @@
             [](const request_feature &other) { return other.kind == feature_kind::Segment; });
     }
     for (const request_feature &candidate : specific) {
+        if (isRestOfOneRequest(candidate, crashesOf(feature)))
+            return std::nullopt;
         const evidence other = evidenceAgainst(candidate);
         if (other.moments >= against.moments) {
             if (isConvincing(candidate, other))
-        if (isRestOfOneRequest(candidate, crashesOf(feature)))
-            return std::nullopt;
                 return candidate;
             return std::nullopt;
         }
@@ -464,9 +466,6 @@
     return own;
 }
 
-// Several requests report one crash, and one cause may end several engines at about the same time.
-request_quarantine::evidence
-request_quarantine::evidenceAgainst(const request_feature &feature) const
 // Such a request probably crashes engines by itself, and proves nothing about its segments.
 bool request_quarantine::isRestOfOneRequest(const request_feature &candidate,
                                             std::span<const crash *const> crashes)
@@ -482,6 +481,9 @@
     return requests.size() == 1 && count > 1;
 }
 
+// Several requests report one crash, and one cause may end several engines at about the same time.
+request_quarantine::evidence
+request_quarantine::evidenceAgainst(const request_feature &feature) const
 {
     std::vector<const crash *> own = crashesOf(feature);
     const bool isRequest = feature.kind == feature_kind::Request;
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -72,8 +72,10 @@
      * A response of a request with these features broke off before its second event, `ranFor` after
      * the start of the attempt. `isOnlyEngine`: the upstream has no other engine. Precondition: the
      * features are ordered from the start of the prompt, and the request itself is the last one.
+     * Returns true if the engine is known to be down; else the response counts only if
+     * onEngineDown() follows within `confirmationWindow`.
      */
-    void onBroken(engine_key engine, std::span<const request_feature> features, bool isOnlyEngine,
+    bool onBroken(engine_key engine, std::span<const request_feature> features, bool isOnlyEngine,
                   core::time_point now, core::duration ranFor = {});
 
     /** The engine refuses connections, as this node or a peer found. */
@@ -167,10 +169,10 @@
 
     /** Adds a crash that this node has seen, and reports it. */
     void recordCrash(crash seen, core::time_point now);
-    /** Returns false if the crash is known, or has another cause. */
-    bool addCrash(crash added, core::time_point now);
     /** Returns an id that no other report of the fleet has. */
     std::uint64_t nextCrashId();
+    /** Returns false if the crash is known, or has another cause. */
+    bool addCrash(crash added, core::time_point now);
     /** Removes a crash to make room, one with a known cause first. */
     void dropOne();
     void dropExpired(core::time_point now);
@@ -184,11 +186,11 @@
     /** Returns the share of all requests that ended in crashes without the feature. */
     double backgroundCrashRate(const request_feature &feature, core::time_point first) const;
     std::vector<const crash *> crashesOf(const request_feature &feature) const;
-    bool isSuspectedAsMuch(const crash &candidate, std::size_t moments) const;
-    void quarantine(const quarantined_feature &quarantined, core::time_point now);
     /** Returns true if the crashes without a feature are several of a single request. */
     static bool isRestOfOneRequest(const request_feature &candidate,
                                    std::span<const crash *const> crashes);
+    bool isSuspectedAsMuch(const crash &candidate, std::size_t moments) const;
+    void quarantine(const quarantined_feature &quarantined, core::time_point now);
     /** Returns the state of a feature that is quarantined or on probation; nullptr if it is not. */
     const quarantine_state *stateOf(const request_feature &feature, core::time_point now) const;
     void onTrialFailed(quarantine_state &state, core::time_point at);
@@ -209,13 +211,13 @@
     using answer_times
         = std::unordered_map<request_feature, core::time_point, request_feature_hash>;
 
+    std::uint32_t m_seed;
+    std::uint64_t m_crashIds = 0;
     std::minstd_rand m_random;
     std::size_t m_nodeCount = 1;
     std::unordered_map<engine_key, std::vector<broken_request>> m_broken;
     std::unordered_map<engine_key, core::time_point> m_downAt;
     /** In the order of their arrival; without features if all of them have been answered. */
-    std::uint32_t m_seed;
-    std::uint64_t m_crashIds = 0;
     std::vector<crash> m_crashes;
     std::vector<explained_crash> m_explained;
     std::map<request_feature, quarantine_state> m_quarantined;
--- a/src/gateway/engine_connection_pool.cpp
+++ b/src/gateway/engine_connection_pool.cpp
@@ -34,7 +34,7 @@
             pooled.pop_back();
             const bool fresh = last.expiresAt > now && now - last.idleSince < maxIdle;
             if (fresh && last.connection->usable())
-                return {.connection = std::move(last.connection), .isReused = true};
+                return {.connection = std::move(last.connection), .isReused = last.hasServed};
             discard(std::move(last.connection));
         }
     }
@@ -56,6 +56,16 @@
     m_idle[address].push_back({std::move(connection), now, now + usableLifetime});
 }
 
+void engine_connection_pool::addUnused(const http1::endpoint &address,
+                                       std::shared_ptr<http1::client_connection> connection,
+                                       core::time_point now)
+{
+    m_idle[address].push_back({.connection = std::move(connection),
+                               .idleSince = now,
+                               .expiresAt = now + defaultLifetime,
+                               .hasServed = false});
+}
+
 void engine_connection_pool::discard(std::shared_ptr<http1::client_connection> connection)
 {
     if (!connection)
--- a/src/gateway/engine_connection_pool.h
+++ b/src/gateway/engine_connection_pool.h
@@ -18,7 +18,7 @@
 struct engine_connection
 {
     std::shared_ptr<http1::client_connection> connection;
-    /** True if it served a request before; the engine may then close it at any moment. */
+    /** True if it served a request before, whose late response may still arrive. */
     bool isReused = false;
 };
 
@@ -44,6 +44,10 @@
                  std::shared_ptr<http1::client_connection> connection, core::duration lifetime,
                  core::time_point now);
 
+    /** Adds an established connection that has served no request. */
+    void addUnused(const http1::endpoint &address,
+                   std::shared_ptr<http1::client_connection> connection, core::time_point now);
+
     /** Closes a connection; may be called within one of its events. */
     void discard(std::shared_ptr<http1::client_connection> connection);
 
@@ -59,6 +63,7 @@
         std::shared_ptr<http1::client_connection> connection;
         core::time_point idleSince;
         core::time_point expiresAt;
+        bool hasServed = true;
     };
 
     ACE_Reactor &m_reactor;
--- /dev/null
+++ b/src/gateway/engine_prober.cpp
@@ -0,0 +1,52 @@
+#include "gateway/engine_prober.h"
+
+#include <iterator>
+#include <utility>
+
+namespace comfreypass::gateway {
+
+engine_prober::engine_prober(engine_connection_pool &connections,
+                             const dispatch::engine_registry &registry, refused_function onRefused)
+    : m_connections(connections), m_registry(registry), m_onRefused(std::move(onRefused))
+{ }
+
+void engine_prober::onBroken(const dispatch::engine_entry &engine, core::time_point now)
+{
+    const auto address = http1::endpoint::parse(engine.address);
+    if (!address)
+        return;
+    m_probes.try_emplace(
+        dispatch::engine_registry::keyOf(engine.id),
+        engine_probe{.engine = engine, .address = address.value(), .brokenAt = now});
+}
+
+void engine_prober::advance(core::time_point now)
+{
+    for (auto each = m_probes.begin(); each != m_probes.end();)
+        each = advance(each->second, now) ? std::next(each) : m_probes.erase(each);
+}
+
+bool engine_prober::advance(engine_probe &probe, core::time_point now)
+{
+    if (!probe.connection) {
+        if (m_registry.hasSentSince(probe.engine.id, probe.brokenAt))
+            return false;
+        if (now - probe.brokenAt >= probeDelay)
+            probe.connection = m_connections.connect(probe.address).connection;
+        return true;
+    }
+    const bool isOpen = probe.connection->usable();
+    if (isOpen && probe.connection->connected()) {
+        m_connections.addUnused(probe.address, std::move(probe.connection), now);
+        return false;
+    }
+    if (isOpen && now - probe.brokenAt < probeTimeout)
+        return true;
+    const bool isRefused = !isOpen && !probe.connection->connected();
+    m_connections.discard(std::move(probe.connection));
+    if (isRefused)
+        m_onRefused(probe.engine, now);
+    return false;
+}
+
+} // namespace comfreypass::gateway
--- /dev/null
+++ b/src/gateway/engine_prober.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "dispatch/engine_registry.h"
+#include "gateway/engine_connection_pool.h"
+#include "http1/client_connection.h"
+#include "http1/endpoint.h"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace comfreypass::gateway {
+
+/**
+ * Finds out whether an engine that broke off a response still accepts connections.
+ *
+ * A broken response alone does not show that the engine's process has ended, and in a quiet hour no
+ * request may follow that would find the engine down. An engine that has sent something since needs
+ * no probe. The probe is a connection without a request; if the engine accepts it, the next request
+ * uses it. Only a refusal counts: a connection that stays unanswered may have been cut.
+ *
+ * At most one probe of each engine runs at a time. Not thread-safe.
+ */
+class engine_prober
+{
+public:
+    /** Receives the engine that refuses connections; must not call the prober. */
+    using refused_function
+        = std::function<void(const dispatch::engine_entry &engine, core::time_point now)>;
+
+    /** Time for a process that ends to close its listening socket. */
+    static constexpr core::duration probeDelay = std::chrono::milliseconds(100);
+
+    /** A probe without a result after this time proves nothing. */
+    static constexpr core::duration probeTimeout = std::chrono::seconds(1);
+
+    /** Pool and registry must outlive the prober. */
+    engine_prober(engine_connection_pool &connections, const dispatch::engine_registry &registry,
+                  refused_function onRefused);
+
+    /** Schedules a probe of an engine that has just broken off a response. */
+    void onBroken(const dispatch::engine_entry &engine, core::time_point now);
+
+    /** Starts and ends probes; to be called every few milliseconds. */
+    void advance(core::time_point now);
+
+    /** Returns the number of engines that are or will be probed. */
+    std::size_t pendingCount() const noexcept { return m_probes.size(); }
+
+private:
+    struct engine_probe
+    {
+        dispatch::engine_entry engine;
+        http1::endpoint address;
+        core::time_point brokenAt;
+        /** Null until the probe starts. */
+        std::shared_ptr<http1::client_connection> connection = {};
+    };
+
+    /** Returns false if the probe has ended. */
+    bool advance(engine_probe &probe, core::time_point now);
+
+    engine_connection_pool &m_connections;
+    const dispatch::engine_registry &m_registry;
+    refused_function m_onRefused;
+    std::map<dispatch::engine_key, engine_probe> m_probes;
+};
+
+} // namespace comfreypass::gateway
--- a/src/gateway/flow_context.h
+++ b/src/gateway/flow_context.h
@@ -8,6 +8,7 @@
 #include "dispatch/retry_budget.h"
 #include "dispatch/routing_index.h"
 #include "gateway/engine_connection_pool.h"
+#include "gateway/engine_prober.h"
 #include "gateway/flow_record.h"
 #include "gateway/protocol.h"
 #include "gateway/request_durations.h"
@@ -33,6 +34,7 @@
     dispatch::retry_budget &retries;
     dispatch::request_quarantine &quarantine;
     engine_connection_pool &engineConnections;
+    engine_prober &engineProber;
     std::minstd_rand &random;
     std::function<core::time_point()> now;
     /** Returns the active configuration; null while none is known. */
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -186,6 +186,10 @@
       m_admission(m_registry, m_fleet, static_cast<std::uint32_t>(m_random())),
       m_retries({m_settings.retryRatio, m_settings.retryExtra, m_settings.retryWindow}),
       m_quarantine(static_cast<std::uint32_t>(m_random())), m_engineConnections(reactor, m_deleter),
+      m_engineProber(m_engineConnections, m_registry,
+                     [this](const dispatch::engine_entry &engine, core::time_point now) {
+                         onEngineRefused(engine, now);
+                     }),
       m_catalogue(decoder, m_registry, [this] { onCatalogueChanged(); }),
       m_context{.reactor = reactor,
                 .callerProtocol = callerProtocol,
@@ -196,6 +200,7 @@
                 .retries = m_retries,
                 .quarantine = m_quarantine,
                 .engineConnections = m_engineConnections,
+                .engineProber = m_engineProber,
                 .random = m_random,
                 .now = [] { return monotonicNow(); },
                 .routes = [this] { return m_catalogue.routes(); },
@@ -606,6 +611,13 @@
     sendEngineUpdatesSoon();
 }
 
+void gateway_node::onEngineRefused(const dispatch::engine_entry &engine, core::time_point now)
+{
+    m_registry.onUnreachable(engine.id, now);
+    m_quarantine.onEngineDown(dispatch::engine_registry::keyOf(engine.id), now);
+    sendEngineUpdatesSoon();
+}
+
 void gateway_node::onPeerQuarantine(const http1::endpoint &from,
                                     const peer_quarantine_report &received)
 {
@@ -764,6 +776,7 @@
 void gateway_node::tick()
 {
     const core::time_point now = monotonicNow();
+    m_engineProber.advance(now);
     for (const core::request_id id : m_admission.takeExpired(now)) {
         if (request_flow *flow = findFlow(id))
             flow->onQueueTimeout();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -121,6 +121,7 @@
     void onPeerEngineUpdate(const http1::endpoint &from, const dispatch::engine_update &update);
     void sendEngineUpdates();
     void sendEngineUpdatesSoon();
+    void onEngineRefused(const dispatch::engine_entry &engine, core::time_point now);
     void onPeerQuarantine(const http1::endpoint &from, const peer_quarantine_report &received);
     void sendQuarantineNews();
     void repeatQuarantineReport(bool full);
@@ -163,6 +164,7 @@
     dispatch::retry_budget m_retries;
     dispatch::request_quarantine m_quarantine;
     engine_connection_pool m_engineConnections;
+    engine_prober m_engineProber;
     catalogue m_catalogue;
     flow_log m_log;
     request_durations m_durations;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -351,9 +351,11 @@
         || m_attemptEvents >= dispatch::request_quarantine::harmlessEvents)
         return;
     const core::time_point now = m_context.now();
-    m_context.quarantine.onBroken(dispatch::engine_registry::keyOf(m_engine->id), m_features,
-                                  m_context.registry.engineCount(m_upstream) == 1, now,
-                                  now - m_attemptStartedAt);
+    const bool isKnownDown = m_context.quarantine.onBroken(
+        dispatch::engine_registry::keyOf(m_engine->id), m_features,
+        m_context.registry.engineCount(m_upstream) == 1, now, now - m_attemptStartedAt);
+    if (!isKnownDown)
+        m_context.engineProber.onBroken(*m_engine, now);
 }
 
 void request_flow::onAnswered()
--- a/tests/dispatch/crash_fleet.cpp
+++ b/tests/dispatch/crash_fleet.cpp
@@ -15,6 +15,8 @@
 constexpr core::duration restartTime = 3s;
 /** Network latency, and the time for which a node collects news. */
 constexpr core::duration messageDelay = 10ms;
+/** Time after which a node probes an engine that broke off a response. */
+constexpr core::duration probeDelay = 120ms;
 constexpr double lossProbability = 0.02;
 /** Losses are made up for by repeated reports. */
 constexpr core::duration repeatDelay = 150ms;
@@ -54,6 +56,7 @@
     for (; m_now < end; m_now += step) {
         deliver();
         progress();
+        probe();
         const std::vector<std::pair<load_kind, double>> loads = {
             {load_kind::Sound, m_load.soundPerSecond},
             {load_kind::DeadlyRequest, m_load.deadlyRequestsPerMinute / 60},
@@ -94,14 +97,14 @@
     start(std::move(request));
 }
 
-std::optional<std::size_t> crash_fleet::chooseEngine(request_quarantine &node)
+std::optional<std::size_t> crash_fleet::chooseEngine()
 {
     const std::size_t first = m_random() % m_engines.size();
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
         const std::size_t candidate = (first + i) % m_engines.size();
         if (m_engines[candidate].downUntil <= m_now)
             return candidate;
-        node.onEngineDown(static_cast<engine_key>(candidate), m_now);
+        reportDown(candidate);
     }
     return std::nullopt;
 }
@@ -109,11 +112,12 @@
 void crash_fleet::start(running_request request)
 {
     request_quarantine &node = m_nodes[request.node];
+    // A node checks again after each refused connection, which may have completed the evidence.
+    const std::optional<std::size_t> target = chooseEngine();
     if (node.find(request.features, m_now)) {
         m_result.soundRefused += request.kind == load_kind::Sound && !request.isRepeat ? 1 : 0;
         return;
     }
-    const std::optional<std::size_t> target = chooseEngine(node);
     if (!target)
         return;
     if (request.kind == load_kind::DeadlyRequest) {
@@ -139,12 +143,12 @@
     std::vector<running_request> broken = std::exchange(target.running, {});
     for (running_request &each : broken) {
         request_quarantine &node = m_nodes[each.node];
-        if (!each.answered)
-            node.onBroken(static_cast<engine_key>(engine), each.features, false, m_now);
+        if (each.answered)
+            continue;
+        if (!node.onBroken(static_cast<engine_key>(engine), each.features, m_engines.size() == 1,
+                           m_now))
+            m_probes.push_back({m_now + probeDelay, each.node, engine});
     }
-    // Requests of other callers find the engine down at once; their nodes tell the others.
-    for (request_quarantine &node : m_nodes)
-        node.onEngineDown(static_cast<engine_key>(engine), m_now);
     for (running_request &each : broken) {
         if (std::exchange(each.isRepeat, true))
             continue;
@@ -153,6 +157,24 @@
     }
 }
 
+void crash_fleet::probe()
+{
+    const std::vector<engine_probe> due = std::exchange(m_probes, {});
+    for (const engine_probe &each : due) {
+        if (each.at > m_now)
+            m_probes.push_back(each);
+        else if (m_engines[each.engine].downUntil > m_now)
+            reportDown(each.engine);
+    }
+}
+
+// A node that finds an engine down tells all others, well within the time in which it counts.
+void crash_fleet::reportDown(std::size_t engine)
+{
+    for (request_quarantine &node : m_nodes)
+        node.onEngineDown(static_cast<engine_key>(engine), m_now);
+}
+
 void crash_fleet::progress()
 {
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
--- a/tests/dispatch/crash_fleet.h
+++ b/tests/dispatch/crash_fleet.h
@@ -48,7 +48,9 @@
 /**
  * A fleet of nodes on virtual time that share a quarantine by messages. Engines run a request for
  * 300 ms with the first event after 60 ms; a crash ends all requests of the engine, which is back
- * after 3 s. Each attempt that crashed is repeated once at another engine. Not thread-safe.
+ * after 3 s. Each attempt that crashed is repeated once at another engine. The nodes that saw the
+ * crash find the engine down by a probe, which they report, and others if they select it. Not
+ * thread-safe.
  */
 class crash_fleet
 {
@@ -79,6 +81,14 @@
         core::time_point downUntil{};
     };
 
+    /** Probe of an engine by a node that saw it break off a response. */
+    struct engine_probe
+    {
+        core::time_point at;
+        std::size_t node = 0;
+        std::size_t engine = 0;
+    };
+
     struct message
     {
         core::time_point arrivesAt;
@@ -95,10 +105,12 @@
     };
 
     void arrive(load_kind kind);
-    std::optional<std::size_t> chooseEngine(request_quarantine &node);
+    std::optional<std::size_t> chooseEngine();
     void start(running_request request);
     void crashEngine(std::size_t engine);
     void progress();
+    void probe();
+    void reportDown(std::size_t engine);
     void deliver();
     void sendNews();
     std::vector<request_feature> soundFeatures();
@@ -109,6 +121,7 @@
     std::vector<request_quarantine> m_nodes;
     std::vector<simulated_engine> m_engines;
     std::priority_queue<message> m_messages;
+    std::vector<engine_probe> m_probes;
     std::uint64_t m_lastDigest = 1'000;
     deadly_state m_request;
     deadly_state m_segment;
--- a/tests/dispatch/crash_fleet_test.cpp
+++ b/tests/dispatch/crash_fleet_test.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <string>
 #include <string_view>
+#include <utility>
 
 using namespace comfreypass;
 using namespace comfreypass::dispatch;
@@ -17,6 +18,7 @@
     CPPUNIT_TEST(smallFleetStopsDeadlyRequests);
     CPPUNIT_TEST(mediumFleetStopsDeadlyRequests);
     CPPUNIT_TEST(largeFleetStopsDeadlyRequests);
+    CPPUNIT_TEST(fleetInAQuietHourStopsDeadlyRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -36,6 +38,24 @@
         check({.nodes = 380, .engines = 600, .soundPerSecond = 600}, 1);
     }
 
+    // Guards against deadly requests whose crashes nobody notices while other requests are rare.
+    void fleetInAQuietHourStopsDeadlyRequests()
+    {
+        for (const std::size_t engines : {1, 2, 9}) {
+            for (const double secondsBetweenSound : {1, 9, 60}) {
+                for (const double perMinute : {1, 6, 15, 60}) {
+                    crash_load load{.engines = engines,
+                                    .soundPerSecond = 1 / secondsBetweenSound,
+                                    .length = std::chrono::minutes(12)};
+                    load.deadlyRequestsPerMinute = perMinute;
+                    play("requests", load, 10);
+                    std::swap(load.deadlyRequestsPerMinute, load.deadlySegmentsPerMinute);
+                    play("segments", load, 10);
+                }
+            }
+        }
+    }
+
 private:
     /** Requests that may reach engines late by the rules of the callers' organisations. */
     static constexpr std::size_t allowedLate = 3;
@@ -63,7 +83,8 @@
         for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
             const crash_fleet_result result = crash_fleet(load, seed).run();
             const std::string where = std::string(name) + ", " + std::to_string(load.nodes)
-                                      + " nodes, seed " + std::to_string(seed);
+                                      + " nodes, " + std::to_string(load.engines)
+                                      + " engines, seed " + std::to_string(seed);
             CPPUNIT_ASSERT_MESSAGE(where, result.lateRequests <= allowedLate);
             CPPUNIT_ASSERT_MESSAGE(where, result.lateSegments <= allowedLate);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(where, std::size_t{0}, result.soundRefused);
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -78,6 +78,9 @@
     CPPUNIT_TEST(lateRequestAtLeavingNodeIsRefused);
     CPPUNIT_TEST(requestsThatCrashEnginesAreRefused);
     CPPUNIT_TEST(repeatedRequestThatCrashesEnginesIsRefused);
+    CPPUNIT_TEST(requestsThatCrashEnginesInAQuietHourAreRefused);
+    CPPUNIT_TEST(repeatedRequestThatCrashesEnginesInAQuietHourIsRefused);
+    CPPUNIT_TEST(lostResponsesOfARunningEngineAreNotTakenForCrashes);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsBrokenOff);
     CPPUNIT_TEST(streamThatEndsWithItsConnectionIsComplete);
     CPPUNIT_TEST_SUITE_END();
@@ -635,6 +638,62 @@
         CPPUNIT_ASSERT(m_gateway.responseOf(*served).ends_with("served"));
     }
 
+    // Guards against crashes that nobody notices because no other request finds the engine down.
+    void requestsThatCrashEnginesInAQuietHourAreRefused()
+    {
+        m_gateway.configure(1);
+        for (int i = 1; i <= 4; ++i)
+            crashEngine("e" + std::to_string(i), "/fragile/x" + std::to_string(i),
+                        "Segments: 7 9\r\n");
+        listening_socket &listener = m_gateway.addEngine("e5");
+        const auto refused = m_gateway.call("/fragile/x", "5", "Segments: 7 9\r\n");
+        CPPUNIT_ASSERT(contains(m_gateway.responseOf(*refused), "quarantined_prompt"));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
+    // Guards against the same for one request that is sent again and again.
+    void repeatedRequestThatCrashesEnginesInAQuietHourIsRefused()
+    {
+        m_gateway.configure(1);
+        for (int i = 1; i <= 3; ++i)
+            crashEngine("e" + std::to_string(i), "/once/x", "");
+        listening_socket &listener = m_gateway.addEngine("e4");
+        const auto refused = m_gateway.call("/once/x", "4");
+        CPPUNIT_ASSERT(contains(m_gateway.responseOf(*refused), "quarantined_request"));
+        CPPUNIT_ASSERT(!listener.pending());
+    }
+
+    // Guards against refusing sound requests whose responses were lost while the engine went on.
+    void lostResponsesOfARunningEngineAreNotTakenForCrashes()
+    {
+        m_gateway.configure(1);
+        listening_socket &listener = m_gateway.addEngine("e1");
+        for (int i = 1; i <= 6; ++i) {
+            const auto caller = m_gateway.call("/once/x", std::to_string(i));
+            raw_socket engine = m_gateway.acceptAt(listener);
+            m_gateway.requestAt(engine);
+            engine.close();
+            CPPUNIT_ASSERT(m_gateway.responseOf(*caller).starts_with("HTTP/1.1 502 "));
+            // The connection that proves that the engine runs serves the next request.
+            m_gateway.waitFor("probe", [&] { return listener.pending(); });
+            m_gateway.loop.runFor(50ms);
+            if (i == 6)
+                continue;
+            const auto next = m_gateway.call("/once/y", std::to_string(10 + i));
+            raw_socket probed = m_gateway.acceptAt(listener);
+            m_gateway.requestAt(probed);
+            probed.send(response("200 OK",
+                                 "Id: " + std::to_string(10 + i)
+                                     + "\r\nSigned: s\r\n"
+                                       "Connection: close\r\n",
+                                 "served"));
+            CPPUNIT_ASSERT(m_gateway.responseOf(*next).ends_with("served"));
+        }
+        const auto caller = m_gateway.call("/once/x", "7");
+        raw_socket engine = m_gateway.acceptAt(listener);
+        CPPUNIT_ASSERT(m_gateway.requestAt(engine).starts_with("POST /once/x"));
+    }
+
     // Guards against passing on a stream as complete whose engine ended in the middle of an event,
     // or before the first one, and whose length is not known.
     void streamThatEndsInsideAnEventIsBrokenOff()
@@ -680,6 +739,22 @@
                                               .defaultUnits = 10}};
     }
 
+    /** Lets a request crash the only engine, which then leaves the list. No other request is sent.
+     */
+    void crashEngine(const std::string &id, const std::string &path, const std::string &fields)
+    {
+        listening_socket &listener = m_gateway.addEngine(id);
+        const auto caller = m_gateway.call(path, id.substr(1), fields);
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        m_gateway.stopEngine(listener);
+        engine.close();
+        CPPUNIT_ASSERT(m_gateway.responseOf(*caller).starts_with("HTTP/1.1 502 "));
+        m_gateway.loop.runFor(400ms);
+        m_gateway.node.events().onRemoved(gateway::collection_id::Engines, "engine/" + id,
+                                          ++m_gateway.revision);
+    }
+
     gateway_fixture m_gateway;
 };
 
