Count all fields of a header against its limit

Beast limits only the bytes that it has not parsed yet, so fields that are taken out as they arrive are never counted; and each occupies about 64 bytes, whatever its length. Ruled out by tests: bodies, chunk sizes, trailers, interim heads, other requests' responses, garbage.

Change: message_parser counts the bytes of all fields, and the fields. The demonstration's callers limit the bodies that they keep.

Without the change headerWithoutEndIsLimitedInAnyPieces (pieces of 18 bytes) and numberOfFieldsIsLimited fail.

Conclusion: an endless head is cut off at its limit however it arrives. The sum over all requests has no bound of its own yet.

--- a/src/demo/member_client.cpp
+++ b/src/demo/member_client.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned firstErrorStatus = 400;
 constexpr std::size_t maxAddressResponseBytes = 65'536;
+constexpr std::size_t maxResponseBytes = 16'777'216;
 constexpr core::duration addressRequestInterval = std::chrono::milliseconds(200);
 /** Time after the deadline at which a member cancels; the node should have responded by then. */
 constexpr core::duration responseGracePeriod = std::chrono::seconds(2);
@@ -100,6 +101,7 @@
             call.headers.add("Content-Type", "application/json");
         call.body = request.body;
         call.deadline = m_startedAt + request.deadline + responseGracePeriod;
+        call.maxBodyBytes = maxResponseBytes;
         m_owner.m_client.start(std::move(call), shared_from_this());
     }
 
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -17,6 +17,15 @@
 namespace beast = boost::beast;
 using beast_error = beast::error_code;
 
+/**
+ * Maximum number of header fields. A field occupies many times the bytes of its shortest form; a
+ * header of 16 KiB cannot have more.
+ */
+constexpr std::size_t maxHeaderFields = 4'096;
+
+/** Delimiters of a field: colon and line end; of a start line: about as much. */
+constexpr std::size_t delimiterBytes = 3;
+
 /** Version number that Beast reports for HTTP/1.1. */
 constexpr int http11 = 11;
 
@@ -70,7 +79,7 @@
 
 public:
     beast_implementation(std::size_t headerBytes, body_function onBody)
-        : m_onBody(std::move(onBody))
+        : m_onBody(std::move(onBody)), m_headerLimit(headerBytes)
     {
         // basic_parser takes a 32-bit limit.
         constexpr std::size_t maxHeaderBytes = std::numeric_limits<std::uint32_t>::max();
@@ -123,11 +132,18 @@
     }
 
     void on_field_impl(beast::http::field /*id*/, beast::string_view name, beast::string_view value,
-                       beast_error & /*error*/) override
+                       beast_error &error) override
     {
         // Trailer fields arrive after the header and are discarded.
-        if (!m_headerDone)
-            head.headers.add(std::string(toView(name)), std::string(toView(value)));
+        if (m_headerDone)
+            return;
+        // Beast limits only the bytes that it has not parsed yet.
+        m_headerBytes += name.size() + value.size() + delimiterBytes;
+        if (m_headerBytes > m_headerLimit || ++m_fieldCount > maxHeaderFields) {
+            error = beast::http::error::header_limit;
+            return;
+        }
+        head.headers.add(std::string(toView(name)), std::string(toView(value)));
     }
 
     void on_header_impl(beast_error &error) override
@@ -170,6 +186,9 @@
     void on_finish_impl(beast_error & /*error*/) override { }
 
     body_function m_onBody;
+    std::size_t m_headerLimit;
+    std::size_t m_headerBytes = 0;
+    std::size_t m_fieldCount = 0;
     bool m_headerDone = false;
 };
 
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -23,7 +23,7 @@
     /** Receives a piece of the decoded body; the view is valid during the call. */
     using body_function = std::function<void(std::string_view bytes)>;
 
-    /** `headerBytes` limits the total size of start line and header fields. */
+    /** `headerBytes` limits the total size of the header fields, and the size of the start line. */
     message_parser(message_kind kind, std::size_t headerBytes, body_function onBody);
     ~message_parser();
     message_parser(const message_parser &) = delete;
--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -3,9 +3,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,12 @@
 
 constexpr std::size_t blockBytes = 65'536;
 
+/** Responses at once: all slots of several engines. */
+constexpr std::size_t responsesAtOnce = 64;
+
+/** The smallest machines have 160 MB, of which a node in service takes up to 40. */
+constexpr std::size_t maxGrowthOfAllBytes = 120'000'000;
+
 /** An engine's response that starts with `start` and continues with `repeated` without end. */
 struct endless_response
 {
@@ -54,6 +62,7 @@
         {"header name", "/once/", "HTTP/1.1 200 OK\r\nNa", "me", lost},
         {"header value", "/once/", "HTTP/1.1 200 OK\r\nName: va", "lue", lost},
         {"headers", "/once/", "HTTP/1.1 200 OK\r\n", "Name: value\r\n", lost},
+        {"shortest headers", "/once/", "HTTP/1.1 200 OK\r\n", "a:\r\n", lost},
         {"interim responses", "/once/", "", "HTTP/1.1 100 Continue\r\n\r\n", lost},
         {"responses to other requests", "/once/", "",
          "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nold", lost},
@@ -126,6 +135,8 @@
 {
     CPPUNIT_TEST_SUITE(endless_response_test);
     CPPUNIT_TEST(endlessResponseIsDisconnected);
+    CPPUNIT_TEST(manyEndlessResponsesAtOnceFitASmallMachine);
+    CPPUNIT_TEST(eventsFasterThanTheCallersReadFitASmallMachine);
     CPPUNIT_TEST(slowEndlessResponseEndsAtTheDeadline);
     CPPUNIT_TEST(slowBodyIsRetriedElsewhere);
     CPPUNIT_TEST(engineThatSendsGarbageIsHeldOut);
@@ -172,6 +183,27 @@
         }
     }
 
+    // Guards against a machine that runs out of memory, and ends the requests of all callers, when
+    // many engines send bytes without end at the same time.
+    void manyEndlessResponsesAtOnceFitASmallMachine()
+    {
+        for (const endless_response &each : endlessResponses()) {
+            const std::size_t growth = growthOfMany(each, true);
+            CPPUNIT_ASSERT_MESSAGE(each.name, growth < maxGrowthOfAllBytes);
+        }
+    }
+
+    // Guards against the same for streams of complete events that their callers do not read.
+    void eventsFasterThanTheCallersReadFitASmallMachine()
+    {
+        const endless_response events{
+            "events that nobody reads", "/fragile/",
+            plainHead("Signed: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"),
+            "data: a\n\n", ""};
+        const std::size_t growth = growthOfMany(events, false);
+        CPPUNIT_ASSERT(growth < maxGrowthOfAllBytes);
+    }
+
     // Guards against a request that outlives its deadline because its engine keeps sending single
     // bytes.
     void slowEndlessResponseEndsAtTheDeadline()
@@ -270,6 +302,58 @@
         CPPUNIT_ASSERT(most < before + maxOutputBytes);
         CPPUNIT_ASSERT(!caller->receive().ends_with("0\r\n\r\n"));
     }
+
+private:
+    /**
+     * Lets engines send many endless responses at once to callers that do not read, with a sound
+     * request beside them. Returns the largest growth of the resident memory. `mustEnd`: the node
+     * has to disconnect all of the engines.
+     */
+    static std::size_t growthOfMany(const endless_response &each, bool mustEnd)
+    {
+        constexpr std::size_t count = responsesAtOnce;
+        gateway_fixture gateway;
+        listening_socket &listener = gateway.addEngine("e1", static_cast<std::uint32_t>(count + 1));
+        gateway.configure(1);
+        std::vector<std::unique_ptr<raw_socket>> callers;
+        std::vector<raw_socket> engines;
+        engines.reserve(count);
+        std::vector<endless_sender> senders;
+        const std::string block = blockOf(each.repeated);
+        for (std::size_t i = 0; i < count; ++i) {
+            callers.push_back(gateway.call(each.route, "1", "Wait-Ms: 3000\r\n"));
+            engines.push_back(gateway.acceptAt(listener));
+            gateway.requestAt(engines.back());
+            senders.emplace_back(engines.back(), block);
+        }
+        const auto neighbour = gateway.call("/once/", "2");
+        raw_socket healthy = gateway.acceptAt(listener);
+        gateway.requestAt(healthy);
+        const std::size_t before = residentBytes();
+        std::size_t most = before;
+        for (raw_socket &engine : engines)
+            engine.send(each.start);
+        const std::size_t rounds = mustEnd ? 20'000 : 200;
+        std::size_t ended = 0;
+        for (std::size_t round = 0; round < rounds && ended < count; ++round) {
+            ended = 0;
+            for (endless_sender &sender : senders) {
+                if (sender.disconnected())
+                    ++ended;
+                else
+                    sender.send(blockBytes);
+            }
+            gateway.loop.runFor(1ms);
+            gateway.node.node->purge();
+            most = std::max(most, residentBytes());
+        }
+        healthy.send("HTTP/1.1 200 OK\r\nId: 2\r\nSigned: s\r\nContent-Length: 4\r\n\r\nfine");
+        CPPUNIT_ASSERT_MESSAGE(each.name, gateway.responseOf(*neighbour).ends_with("fine"));
+        std::cout << count << " times " << each.name << ": resident " << before << " to " << most
+                  << " bytes, " << ended << " disconnected\n";
+        CPPUNIT_ASSERT_MESSAGE(each.name, !mustEnd || ended == count);
+        return most - before;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endless_response_test);
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -57,6 +57,8 @@
     CPPUNIT_TEST(soundFramingsAreAccepted);
     CPPUNIT_TEST(bodyThatLooksLikeAContinuedFieldIsAccepted);
     CPPUNIT_TEST(oversizedHeaderReportsTooLarge);
+    CPPUNIT_TEST(headerWithoutEndIsLimitedInAnyPieces);
+    CPPUNIT_TEST(numberOfFieldsIsLimited);
     CPPUNIT_TEST(responseWithoutLengthEndsAtEof);
     CPPUNIT_TEST(truncatedResponseIsIncomplete);
     CPPUNIT_TEST_SUITE_END();
@@ -166,6 +168,30 @@
         CPPUNIT_ASSERT(used.error().code == core::errc::TooLarge);
     }
 
+    // Guards against a header without end whose lines arrive so that none is left to be parsed.
+    void headerWithoutEndIsLimitedInAnyPieces()
+    {
+        for (std::size_t step = 1; step <= 64; ++step) {
+            std::string text = "HTTP/1.1 200 OK\r\n";
+            while (text.size() < 4 * headerBytes)
+                text += "a:\r\n";
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(step),
+                                   feed(message_kind::Response, text, step).failed);
+        }
+    }
+
+    // Guards against fields that each occupy many times the bytes that they take in the header.
+    void numberOfFieldsIsLimited()
+    {
+        message_parser parser(message_kind::Response, 65'536, [](std::string_view) {});
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        while (text.size() < 40'000)
+            text += "a:\r\n";
+        const auto used = parser.parse(text + "\r\n");
+        CPPUNIT_ASSERT(!used);
+        CPPUNIT_ASSERT(used.error().code == core::errc::TooLarge);
+    }
+
     // Guards against a response without a length that never completes.
     void responseWithoutLengthEndsAtEof()
     {
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(responseWithoutLengthIsIncomplete);
     CPPUNIT_TEST(malformedResponseIsBroken);
     CPPUNIT_TEST(oversizedResponseHeaderIsBroken);
+    CPPUNIT_TEST(oversizedResponseBodyIsBroken);
     CPPUNIT_TEST(responseWithoutACertainEndIsIncomplete);
     CPPUNIT_TEST(connectionLostAfterRequestIsReported);
     CPPUNIT_TEST(postIsNeverResentOnAReusedConnection);
@@ -261,6 +262,24 @@
         CPPUNIT_ASSERT(events->body() == body);
     }
 
+    // Guards against keeping a body without end of the store or of a peer.
+    void oversizedResponseBodyIsBroken()
+    {
+        listening_socket upstream;
+        http_call call = post(upstream.port());
+        call.maxBodyBytes = 65'536;
+        const auto events = startCall(std::move(call));
+        raw_socket connection = accept(upstream);
+        m_loopback.waitFor("the request", [&] { return connection.receive().ends_with("body"); });
+        connection.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        m_loopback.waitFor("the end of the call", [&] {
+            connection.send(std::string(16'384, 'a'));
+            return events->done();
+        });
+        CPPUNIT_ASSERT(events->result().error == error_kind::Broken);
+        CPPUNIT_ASSERT(events->body().size() <= 65'536U);
+    }
+
     // Guards against taking a response for complete whose end other recipients see elsewhere.
     void responseWithoutACertainEndIsIncomplete()
     {
