Do not take a lack of descriptors for a refused probe

Cause: seen while reading the diff: a node without a free descriptor cannot open a probe's socket, and the probe would count as refused, so that all engines which lose a response then look crashed.

Change: only a connection that fails after it was begun counts.

Conclusion: a refusal comes from the engine's machine alone.

--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -318,6 +318,7 @@
         core::time_point recentFailuresAt{};
         /** Time of the last response byte, or of a start while the engine ran no other request. */
         core::time_point lastActivityAt{};
+        /** Time of the last response byte. */
         core::time_point lastBytesAt{};
         /** Smoothed; 0 if unknown. */
         double eventIntervalSeconds = 0;
--- a/src/gateway/engine_prober.cpp
+++ b/src/gateway/engine_prober.cpp
@@ -31,9 +31,11 @@
     if (!probe.connection) {
         if (m_registry.hasSentSince(probe.engine.id, probe.brokenAt))
             return false;
-        if (now - probe.brokenAt >= probeDelay)
-            probe.connection = m_connections.connect(probe.address).connection;
-        return true;
+        if (now - probe.brokenAt < probeDelay)
+            return true;
+        probe.connection = m_connections.connect(probe.address).connection;
+        // A refusal is reported later; a connection that fails at once lacks a descriptor.
+        return probe.connection->usable();
     }
     const bool isOpen = probe.connection->usable();
     if (isOpen && probe.connection->connected()) {
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -23,7 +23,7 @@
  */
 constexpr std::size_t maxHeaderFields = 4'096;
 
-/** Delimiters of a field: colon and line end; of a start line: about as much. */
+/** Colon and line end of a field. */
 constexpr std::size_t delimiterBytes = 3;
 
 /** Version number that Beast reports for HTTP/1.1. */
--- a/tests/gateway/engine_prober_test.cpp
+++ b/tests/gateway/engine_prober_test.cpp
@@ -3,6 +3,7 @@
 #include "support/loopback.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
 #include <chrono>
 #include <memory>
@@ -22,6 +23,7 @@
     CPPUNIT_TEST(engineThatHasSentSomethingIsNotProbed);
     CPPUNIT_TEST(engineIsProbedOnceAtATime);
     CPPUNIT_TEST(engineWithoutAnAddressIsIgnored);
+    CPPUNIT_TEST(lackOfDescriptorsIsNoRefusal);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,6 +82,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_prober.pendingCount());
     }
 
+    // Guards against taking all engines for crashed while this process has no descriptor left.
+    void lackOfDescriptorsIsNoRefusal()
+    {
+        m_prober.onBroken(m_engine, m_now);
+        rlimit before{};
+        ::getrlimit(RLIMIT_NOFILE, &before);
+        const rlimit none{0, before.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &none);
+        m_now += engine_prober::probeDelay;
+        m_prober.advance(m_now);
+        ::setrlimit(RLIMIT_NOFILE, &before);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_prober.pendingCount());
+        CPPUNIT_ASSERT(m_refused.empty());
+    }
+
 private:
     http1::endpoint address() const { return http1::endpoint::parse(m_engine.address).value(); }
 
