--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -425,7 +425,8 @@
          .timeLeft = request.deadline - now,
          .responsiveOnly = request.isRunning,
          .freshLoadOnly = engines == engine_choice::FreshLoad,
-         .peerRequestsPerSlot = peerRequestsPerSlot(state, request.upstream, now)},
+         .peerRequestsPerSlot = peerRequestsPerSlot(state, request.upstream, now),
+         .coordinated = isCoordinated(request.upstream)},
         share, now);
 }
 
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -7,11 +7,15 @@
 #include "dispatch/wait_queue.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace comfreypass::dispatch {
@@ -117,6 +121,14 @@
      */
     void onPeerLoadsUpdated() { ++m_peerLoadGeneration; }
 
+    /** Sets the upstreams whose requests the nodes coordinate; see scheduling_settings. */
+    void setCoordinated(std::set<std::string, std::less<>> upstreams)
+    {
+        m_coordinated = std::move(upstreams);
+    }
+
+    bool isCoordinated(std::string_view upstream) const { return m_coordinated.contains(upstream); }
+
     /** Decides on a new request, or on a retry at another engine. */
     admission_decision submit(const admission_request &request, core::time_point now);
 
@@ -219,6 +231,7 @@
     const fleet_view &m_fleet;
     std::minstd_rand m_random;
     core::duration m_loadAge{};
+    std::set<std::string, std::less<>> m_coordinated;
     std::uint64_t m_peerLoadGeneration = 1;
     std::unordered_map<std::string, upstream_state> m_upstreams;
     std::unordered_map<core::request_id, admission_request> m_requests;
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -30,6 +30,8 @@
 {
     engine_key engine = 0;
     std::uint32_t running = 0;
+    /** Prompt tokens of those of them that have had no first event yet; 0 if not reported. */
+    std::uint32_t pendingPromptTokens = 0;
 };
 
 /** Engine latency as one node measured it. */
@@ -67,6 +69,8 @@
      * engine is then assumed to run an equal share of them.
      */
     std::optional<double> peerRequestsPerSlot = {};
+    /** The nodes coordinate the requests of the upstream; see scheduling_settings. */
+    bool coordinated = false;
 };
 
 enum class selection_outcome : std::uint8_t {
--- a/src/dispatch/fleet_member.h
+++ b/src/dispatch/fleet_member.h
@@ -74,6 +74,8 @@
     std::vector<engine_load> loads;
     /** Engines that the node ejected. */
     std::vector<engine_key> ejected;
+    /** Queues of the node; only those of coordinated upstreams that have changed. */
+    std::vector<node_status::queue_length> queues;
 };
 
 /** State of a peer as known to this node. */
--- a/src/dispatch/routing_index.cpp
+++ b/src/dispatch/routing_index.cpp
@@ -61,4 +61,19 @@
     return found == m_upstreamByName.end() ? nullptr : &m_settings.upstreams[found->second];
 }
 
+std::set<std::string, std::less<>>
+routing_index::streamingUpstreams(core::duration minObjective) const
+{
+    std::set<std::string, std::less<>> upstreams;
+    if (minObjective <= core::duration::zero())
+        return upstreams;
+    for (const route &each : m_settings.routes) {
+        if (each.kind != request_kind::Streaming || each.objective < minObjective)
+            continue;
+        for (const route_target &target : each.targets)
+            upstreams.insert(target.upstream);
+    }
+    return upstreams;
+}
+
 } // namespace comfreypass::dispatch
--- a/src/dispatch/routing_index.h
+++ b/src/dispatch/routing_index.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +31,11 @@
 
     const upstream_settings *upstream(std::string_view name) const;
 
+    /**
+     * Returns the upstreams of streaming routes with at least this objective; none if it is zero.
+     */
+    std::set<std::string, std::less<>> streamingUpstreams(core::duration minObjective) const;
+
     /** Returns true if requests of routes that are not public need a key. */
     bool needsKeys() const noexcept { return !m_settings.teams.empty(); }
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -577,6 +577,8 @@
         m_limits.bodyBytes = limits.bodyBytes;
         m_limits.readTimeout = limits.headerTimeout;
         m_limits.idleTimeout = limits.idleTimeout;
+        m_admission.setCoordinated(
+            routes->streamingUpstreams(m_settings.scheduling.coordinateFromObjective));
     }
     startAllQueued();
 }
--- a/src/gateway/node_settings.cpp
+++ b/src/gateway/node_settings.cpp
@@ -21,6 +21,15 @@
 constexpr double minLinkMegabits = 0.1;
 constexpr double maxLinkMegabits = 1'000'000;
 constexpr double bytesPerMegabit = 125'000;
+constexpr std::int64_t minMemoryMegabytes = 16;
+constexpr std::int64_t maxMemoryMegabytes = 1'048'576;
+constexpr std::size_t bytesPerMegabyte = 1'048'576;
+
+/** Default share of the memory for the data of callers. */
+constexpr std::size_t callerMemoryPercent = 40;
+
+constexpr double maxObjectiveMilliseconds = 60'000;
+constexpr double maxPromptTokens = 1'000'000;
 
 const char *validateNonEmpty(std::string_view text)
 {
@@ -65,6 +74,31 @@
     reader.reportUnknownKeys();
 }
 
+void readMemory(object_reader &reader, node_settings &settings)
+{
+    std::size_t total = settings.memoryBytes / bytesPerMegabyte;
+    reader.integer("memoryMegabytes", presence::Optional, {minMemoryMegabytes, maxMemoryMegabytes},
+                   total);
+    settings.memoryBytes = total * bytesPerMegabyte;
+    std::size_t callers = 0;
+    reader.integer("callerMemoryMegabytes", presence::Optional, {0, maxMemoryMegabytes}, callers);
+    settings.callerMemoryBytes = callers > 0 ? callers * bytesPerMegabyte
+                                             : settings.memoryBytes / 100 * callerMemoryPercent;
+}
+
+void readScheduling(object_reader reader, node_settings &settings)
+{
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    double objective = 0;
+    reader.real("coordinateFromObjectiveMs", presence::Optional, {0.0, maxObjectiveMilliseconds},
+                objective);
+    settings.scheduling.coordinateFromObjective
+        = std::chrono::duration_cast<core::duration>(milliseconds(objective));
+    reader.real("promptCacheFromTokens", presence::Optional, {0.0, maxPromptTokens},
+                settings.scheduling.promptCacheFromTokens);
+    reader.reportUnknownKeys();
+}
+
 } // namespace
 
 sheet::validated<node_settings> parseNodeSettings(std::string_view text)
@@ -95,6 +129,8 @@
     settings.linkBytesPerSecond = linkMegabits * bytesPerMegabit;
     reader.integer("descriptors", presence::Optional, {minDescriptors, maxDescriptors},
                    settings.descriptors);
+    readMemory(reader, settings);
+    readScheduling(reader.object("scheduling", presence::Optional), settings);
     reader.reportUnknownKeys();
     if (!errors.empty())
         return errors;
--- a/src/gateway/node_settings.h
+++ b/src/gateway/node_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "dispatch/scheduling_settings.h"
 #include "http1/endpoint.h"
 #include "sheet/validated.h"
 
@@ -49,6 +50,12 @@
     double linkBytesPerSecond = 125'000'000;
     /** Maximum number of open file descriptors. */
     std::size_t descriptors = 1'024;
+    /** Memory of the instance. */
+    std::size_t memoryBytes = 268'435'456;
+    /** Maximum memory for the data of callers. */
+    std::size_t callerMemoryBytes = 107'374'182;
+
+    dispatch::scheduling_settings scheduling;
 };
 
 /**
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -13,6 +13,34 @@
 
 namespace {
 
+void readLoads(const google::protobuf::RepeatedPtrField<fleet::EngineLoad> &entries,
+               std::vector<dispatch::engine_load> &loads)
+{
+    for (const fleet::EngineLoad &entry : entries)
+        loads.push_back({entry.engine(), entry.running(), entry.pending_prompt_tokens()});
+}
+
+void writeLoad(const dispatch::engine_load &load, fleet::EngineLoad &entry)
+{
+    entry.set_engine(load.engine);
+    entry.set_running(load.running);
+    entry.set_pending_prompt_tokens(load.pendingPromptTokens);
+}
+
+void readQueues(const google::protobuf::RepeatedPtrField<fleet::Waiting> &entries,
+                std::vector<dispatch::node_status::queue_length> &queues)
+{
+    for (const fleet::Waiting &entry : entries)
+        queues.push_back({entry.upstream(), entry.count(), entry.most_urgent()});
+}
+
+void writeQueue(const dispatch::node_status::queue_length &queue, fleet::Waiting &entry)
+{
+    entry.set_upstream(queue.upstream);
+    entry.set_count(queue.count);
+    entry.set_most_urgent(queue.highestPriority);
+}
+
 core::error parseError(const char *what)
 {
     return {core::errc::ParseFailed, what, "is not a message of this version", ""};
@@ -33,14 +61,12 @@
     for (int i = 0; i < message.revisions_size(); ++i)
         status.revisions.emplace_back(i < message.eras_size() ? message.eras(i) : 0,
                                       message.revisions(i));
-    for (const fleet::EngineLoad &entry : message.loads())
-        status.loads.push_back({entry.engine(), entry.running()});
+    readLoads(message.loads(), status.loads);
     for (const fleet::EnginePace &entry : message.paces())
         status.latencies.push_back({entry.engine(), entry.pace_seconds(), entry.read_seconds()});
     for (const fleet::TeamUse &entry : message.uses())
         status.teamUsage.push_back({entry.team(), entry.total()});
-    for (const fleet::Waiting &entry : message.queues())
-        status.queues.push_back({entry.upstream(), entry.count(), entry.most_urgent()});
+    readQueues(message.queues(), status.queues);
     status.knownNodes.assign(message.known().begin(), message.known().end());
     if (fleet::SourceState_IsValid(message.source()))
         status.source = static_cast<dispatch::source_state>(message.source());
@@ -116,8 +142,8 @@
     update.address = message.address();
     update.incarnation = message.life();
     update.sequence = message.sequence();
-    for (const fleet::EngineLoad &entry : message.loads())
-        update.loads.push_back({entry.engine(), entry.running()});
+    readLoads(message.loads(), update.loads);
+    readQueues(message.queues(), update.queues);
     update.ejected.assign(message.avoided().begin(), message.avoided().end());
     return update;
 }
@@ -205,11 +231,8 @@
         message.add_revisions(revision.number);
         message.add_eras(revision.era);
     }
-    for (const dispatch::engine_load &load : status.loads) {
-        fleet::EngineLoad &entry = *message.add_loads();
-        entry.set_engine(load.engine);
-        entry.set_running(load.running);
-    }
+    for (const dispatch::engine_load &load : status.loads)
+        writeLoad(load, *message.add_loads());
     for (const dispatch::engine_latency &latency : status.latencies) {
         fleet::EnginePace &entry = *message.add_paces();
         entry.set_engine(latency.engine);
@@ -221,12 +244,8 @@
         entry.set_team(use.team);
         entry.set_total(use.total);
     }
-    for (const dispatch::node_status::queue_length &queue : status.queues) {
-        fleet::Waiting &entry = *message.add_queues();
-        entry.set_upstream(queue.upstream);
-        entry.set_count(queue.count);
-        entry.set_most_urgent(queue.highestPriority);
-    }
+    for (const dispatch::node_status::queue_length &queue : status.queues)
+        writeQueue(queue, *message.add_queues());
     for (const std::uint32_t address : status.knownNodes)
         message.add_known(address);
     message.set_source(static_cast<fleet::SourceState>(status.source));
@@ -257,13 +276,12 @@
     message.set_address(update.address);
     message.set_life(update.incarnation);
     message.set_sequence(update.sequence);
-    for (const dispatch::engine_load &load : update.loads) {
-        fleet::EngineLoad &entry = *message.add_loads();
-        entry.set_engine(load.engine);
-        entry.set_running(load.running);
-    }
+    for (const dispatch::engine_load &load : update.loads)
+        writeLoad(load, *message.add_loads());
     for (const dispatch::engine_key key : update.ejected)
         message.add_avoided(key);
+    for (const dispatch::node_status::queue_length &queue : update.queues)
+        writeQueue(queue, *message.add_queues());
     return wrapper.SerializeAsString();
 }
 
--- a/tests/dispatch/fleet_view_test.cpp
+++ b/tests/dispatch/fleet_view_test.cpp
@@ -177,8 +177,12 @@
     void outdatedUpdatesAreIgnored()
     {
         fleet_view view(1, "d1", {});
-        engine_update update{
-            .address = 2, .incarnation = 1, .sequence = 5, .loads = {}, .ejected = {}};
+        engine_update update{.address = 2,
+                             .incarnation = 1,
+                             .sequence = 5,
+                             .loads = {},
+                             .ejected = {},
+                             .queues = {}};
         CPPUNIT_ASSERT(!view.acceptEngineUpdate(update));
         view.onStatus(status(2, 4), m_now);
         CPPUNIT_ASSERT(view.acceptEngineUpdate(update));
--- a/tests/gateway/node_settings_test.cpp
+++ b/tests/gateway/node_settings_test.cpp
@@ -19,7 +19,8 @@
     "records": "10.200.1.7:8225",
     "retries": {"ratio": 0.2, "extra": 56, "windowSeconds": 10},
     "graceSeconds": 8, "longestAddressTtlSeconds": 5, "descriptors": 4100,
-    "linkMegabitsPerSecond": 10,
+    "linkMegabitsPerSecond": 10, "memoryMegabytes": 160,
+    "scheduling": {"coordinateFromObjectiveMs": 750, "promptCacheFromTokens": 256},
 })";
 
 std::string with(const std::string &from, const std::string &to)
@@ -63,6 +64,11 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4'100}, settings.descriptors);
         CPPUNIT_ASSERT_EQUAL(1'250'000.0, settings.linkBytesPerSecond);
         CPPUNIT_ASSERT(settings.gracePeriod == std::chrono::seconds(8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{167'772'160}, settings.memoryBytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{67'108'840}, settings.callerMemoryBytes);
+        CPPUNIT_ASSERT(settings.scheduling.coordinateFromObjective
+                       == std::chrono::milliseconds(750));
+        CPPUNIT_ASSERT_EQUAL(256.0, settings.scheduling.promptCacheFromTokens);
     }
 
     // Guards against an error message without the location of the error.
@@ -72,6 +78,10 @@
                              firstErrorLocation(with("10.1.0.25:8221", "10.1.0.25")));
         CPPUNIT_ASSERT_EQUAL(std::string("/retries/ratio"),
                              firstErrorLocation(with("\"ratio\": 0.2", "\"ratio\": -1")));
+        CPPUNIT_ASSERT_EQUAL(std::string("/scheduling/promptCacheFromTokens"),
+                             firstErrorLocation(with("Tokens\": 256", "Tokens\": -1")));
+        CPPUNIT_ASSERT_EQUAL(std::string("/memoryMegabytes"),
+                             firstErrorLocation(with("Megabytes\": 160", "Megabytes\": 1")));
         CPPUNIT_ASSERT_EQUAL(std::string("/name"), firstErrorLocation(with("\"n1\"", "\"\"")));
         CPPUNIT_ASSERT_EQUAL(std::string("/records"),
                              firstErrorLocation(with("10.200.1.7:8225", "10.200.1.7:99999")));
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -76,8 +76,9 @@
         const dispatch::engine_update update{.address = 0x0a010019,
                                              .incarnation = 0x123456789abcdef0,
                                              .sequence = 78,
-                                             .loads = {{3, 0}, {5, 6}},
-                                             .ejected = {9}};
+                                             .loads = {{3, 0, 0}, {5, 6, 7'000}},
+                                             .ejected = {9},
+                                             .queues = {{"up", 4, 16}}};
         const auto decoded = decodeMessage(encodeEngineUpdate(update));
         CPPUNIT_ASSERT(decoded);
         const auto &received = std::get<dispatch::engine_update>(decoded.value());
@@ -87,7 +88,12 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, received.loads.size());
         CPPUNIT_ASSERT_EQUAL(3U, received.loads[0].engine);
         CPPUNIT_ASSERT_EQUAL(0U, received.loads[0].running);
+        CPPUNIT_ASSERT_EQUAL(7'000U, received.loads[1].pendingPromptTokens);
         CPPUNIT_ASSERT(update.ejected == received.ejected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, received.queues.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("up"), received.queues[0].upstream);
+        CPPUNIT_ASSERT_EQUAL(4U, received.queues[0].count);
+        CPPUNIT_ASSERT_EQUAL(16U, received.queues[0].highestPriority);
     }
 
     // Guards against a record that is modified in transmission, or whose age is lost.
