Let the cost of a header grow with its bytes

Cause: forwardedHeaders compared each field with each name in Connection, with a copy of a locale for each comparison; Beast and the search for continued lines read an incomplete header from its start with each byte that arrives.

--- a/src/http1/forwarded_headers.cpp
+++ b/src/http1/forwarded_headers.cpp
@@ -1,19 +1,17 @@
 #include "http1/forwarded_headers.h"
 
-#include <boost/algorithm/string/predicate.hpp>
-#include <boost/algorithm/string/trim.hpp>
+#include "transport/field_name.h"
 
-#include <algorithm>
 #include <array>
-#include <locale>
-#include <vector>
 
 namespace comfreypass::http1 {
 
 namespace {
 
+constexpr std::string_view connectionField = "Connection";
+
 constexpr std::array<std::string_view, 10> hopByHopFields = {
-    "Connection",
+    connectionField,
     "Keep-Alive",
     "Proxy-Connection",
     "Proxy-Authenticate",
@@ -25,42 +23,40 @@
     "Content-Length",
 };
 
-bool equalFieldNames(std::string_view left, std::string_view right)
+std::string_view trim(std::string_view text)
 {
-    return left.size() == right.size()
-           && boost::algorithm::iequals(left, right, std::locale::classic());
+    constexpr std::string_view whitespace = " \t\r\n\v\f";
+    const std::size_t first = text.find_first_not_of(whitespace);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(whitespace) - first + 1);
 }
 
-std::vector<std::string> fieldsListedInConnection(const transport::http_headers &headers)
+/** Adds the names that a value of Connection lists. */
+void addListedNames(std::string_view list, transport::field_name_set &names)
 {
-    std::vector<std::string> names;
-    for (const auto &[name, value] : headers) {
-        if (!equalFieldNames(name, "Connection"))
-            continue;
-        std::string_view rest = value;
-        while (!rest.empty()) {
-            const std::size_t comma = rest.find(',');
-            std::string item(rest.substr(0, comma));
-            boost::algorithm::trim(item, std::locale::classic());
-            if (!item.empty())
-                names.push_back(std::move(item));
-            rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
-        }
+    while (!list.empty()) {
+        const std::size_t comma = list.find(',');
+        const std::string_view item = trim(list.substr(0, comma));
+        if (!item.empty())
+            names.insert(item);
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
     }
-    return names;
 }
 
 } // namespace
 
 transport::http_headers forwardedHeaders(const transport::http_headers &headers)
 {
-    const std::vector<std::string> named = fieldsListedInConnection(headers);
+    // A set, since one header can hold thousands of fields and of names in Connection.
+    transport::field_name_set omitted(hopByHopFields.begin(), hopByHopFields.end());
+    for (const auto &[name, value] : headers) {
+        if (transport::equalIgnoringCase(name, connectionField))
+            addListedNames(value, omitted);
+    }
     transport::http_headers forwarded;
     for (const auto &[name, value] : headers) {
-        const auto isName = [&name = name](std::string_view other) {
-            return equalFieldNames(name, other);
-        };
-        if (std::ranges::none_of(hopByHopFields, isName) && std::ranges::none_of(named, isName))
+        if (!omitted.contains(name))
             forwarded.add(name, value);
     }
     return forwarded;
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -49,6 +49,20 @@
            || header.find("\r\n\t") != std::string_view::npos;
 }
 
+/** Returns true if an empty line ends at or after `from`, also if it ends with LF alone. */
+bool hasBlankLineAfter(std::string_view bytes, std::size_t from)
+{
+    for (std::size_t end = bytes.find('\n', from); end != std::string_view::npos;
+         end = bytes.find('\n', end + 1)) {
+        std::string_view before = bytes.substr(0, end);
+        if (before.ends_with('\r'))
+            before.remove_suffix(1);
+        if (before.ends_with('\n'))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 class message_parser::implementation
@@ -214,7 +228,13 @@
     if (bytes.empty() || m_implementation->complete())
         return std::size_t{0};
     beast_error error;
+    const bool advances = mayAdvance(bytes);
+    m_searched = bytes.size();
+    if (!advances)
+        return std::size_t{0};
     const std::size_t consumed = m_implementation->put(bytes, error);
+    m_unconsumed = bytes.size() - consumed;
+    m_searched = m_unconsumed;
     if (!error || error == beast::http::error::need_more)
         return consumed;
     const bool isTooLarge = error == beast::http::error::header_limit;
@@ -223,6 +243,17 @@
                        fault.empty() ? error.message() : std::string(fault), ""};
 }
 
+// Beast reads an incomplete header, chunk header or trailer from its start each time, so one that
+// arrives byte by byte would cost the square of its length.
+bool message_parser::mayAdvance(std::string_view bytes) const
+{
+    if (bytes.size() >= 2 * m_unconsumed)
+        return true;
+    if (!m_implementation->hasHead())
+        return hasBlankLineAfter(bytes, m_searched);
+    return bytes.find('\n', m_searched) != std::string_view::npos;
+}
+
 core::result<void> message_parser::finishAtEof()
 {
     if (m_implementation->complete())
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -35,11 +35,12 @@
     void skipBody();
 
     /**
-     * Parses from the front of `bytes` and returns the number of bytes consumed. The caller passes
-     * the rest again, followed by more input. Consumes nothing beyond the end of the message.
-     * Errors: ParseFailed, also if the header does not determine the end of the message for each
-     * recipient alike (see transport::framingFault); TooLarge for a header over the limit.
-     * Precondition: no earlier call failed.
+     * Parses from the front of `bytes`, at a cost that grows with the bytes that are new, and
+     * returns the number of bytes consumed. The caller passes the rest again, followed by more
+     * input. Consumes nothing beyond the end of the message. Errors: ParseFailed, also if the
+     * header does not determine the end of the message for each recipient alike (see
+     * transport::framingFault); TooLarge for a header over the limit. Precondition: no earlier call
+     * failed.
      */
     core::result<std::size_t> parse(std::string_view bytes);
 
@@ -66,7 +67,13 @@
     template<bool isRequest>
     class beast_implementation;
 
+    bool mayAdvance(std::string_view bytes) const;
+
     std::unique_ptr<implementation> m_implementation;
+    /** Bytes that Beast has read without consuming them. */
+    std::size_t m_unconsumed = 0;
+    /** Unconsumed bytes that were searched for the end of the header or line. */
+    std::size_t m_searched = 0;
 };
 
 } // namespace comfreypass::http1
--- a/src/transport/http_headers.cpp
+++ b/src/transport/http_headers.cpp
@@ -1,9 +1,9 @@
 #include "transport/http_headers.h"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include "transport/field_name.h"
 
 #include <algorithm>
-#include <locale>
+#include <utility>
 
 namespace comfreypass::transport {
 
@@ -15,7 +15,7 @@
 std::optional<std::string_view> http_headers::find(std::string_view name) const noexcept
 {
     const auto sameName = [name](const field &candidate) {
-        return boost::algorithm::iequals(candidate.first, name, std::locale::classic());
+        return equalIgnoringCase(candidate.first, name);
     };
     const auto found = std::find_if(m_fields.begin(), m_fields.end(), sameName);
     if (found == m_fields.end())
--- a/src/transport/message_framing.cpp
+++ b/src/transport/message_framing.cpp
@@ -1,12 +1,10 @@
 #include "transport/message_framing.h"
 
 #include "core/parse_unsigned.h"
-
-#include <boost/algorithm/string/predicate.hpp>
+#include "transport/field_name.h"
 
 #include <cstdint>
 #include <limits>
-#include <locale>
 
 namespace comfreypass::transport {
 
@@ -15,11 +13,6 @@
 constexpr std::string_view contentLength = "Content-Length";
 constexpr std::string_view transferEncoding = "Transfer-Encoding";
 
-bool equalIgnoringCase(std::string_view left, std::string_view right)
-{
-    return boost::algorithm::iequals(left, right, std::locale::classic());
-}
-
 /** Returns true if the name begins like a framing field, also with an underscore for the hyphen. */
 bool resembles(std::string_view name, std::string_view framingField)
 {
--- a/src/transport/mhd_exchange.cpp
+++ b/src/transport/mhd_exchange.cpp
@@ -1,8 +1,8 @@
 #include "transport/mhd_exchange.h"
 
 #include "transport/callback_guard.h"
+#include "transport/field_name.h"
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -25,8 +25,8 @@
 /** Framing fields are set by libmicrohttpd; a duplicate would make the response ambiguous. */
 bool isFramingField(std::string_view name)
 {
-    return boost::algorithm::iequals(name, "Content-Length")
-           || boost::algorithm::iequals(name, "Transfer-Encoding");
+    return equalIgnoringCase(name, "Content-Length")
+           || equalIgnoringCase(name, "Transfer-Encoding");
 }
 
 } // namespace
