Contact seeds however long they have been silent

Cause: a node forgot a seed after 60 s of silence and sent it nothing more.

Change: a seed that has expired is no member and has no share of the bounds, but gets a status at most every 2 s.

--- a/src/dispatch/fleet_view.cpp
+++ b/src/dispatch/fleet_view.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -45,6 +46,26 @@
       m_timeouts(timeouts)
 { }
 
+void fleet_view::setSeeds(const std::vector<std::uint32_t> &seeds, core::time_point now)
+{
+    m_seeds = seeds;
+    for (const std::uint32_t seed : seeds)
+        addCandidate(seed, now);
+}
+
+std::vector<std::uint32_t> fleet_view::takeForgottenSeeds(core::time_point now)
+{
+    std::vector<std::uint32_t> forgotten;
+    if (now < m_nextSeedContact)
+        return forgotten;
+    std::ranges::copy_if(m_seeds, std::back_inserter(forgotten), [this](std::uint32_t seed) {
+        return seed != m_self && !m_members.contains(seed);
+    });
+    if (!forgotten.empty())
+        m_nextSeedContact = now + m_timeouts.seedContactInterval;
+    return forgotten;
+}
+
 void fleet_view::addCandidate(std::uint32_t address, core::time_point now)
 {
     if (address == m_self)
--- a/src/dispatch/fleet_view.h
+++ b/src/dispatch/fleet_view.h
@@ -29,6 +29,8 @@
      * continues to serve, so this time must exceed the usual duration of a partition.
      */
     core::duration retention = std::chrono::seconds(60);
+    /** Minimum time between two statuses to a seed that has been silent for `retention`. */
+    core::duration seedContactInterval = std::chrono::seconds(2);
 };
 
 /** Changes caused by a received status. */
@@ -50,6 +52,19 @@
     /** Sets the interval in which the nodes of the fleet send their statuses. */
     void setStatusInterval(core::duration interval) { m_statusInterval = interval; }
 
+    /**
+     * Sets the seeds that the settings name, and adds them as candidates. Seeds are contacted
+     * however long they have been silent, see takeForgottenSeeds().
+     */
+    void setSeeds(const std::vector<std::uint32_t> &seeds, core::time_point now);
+
+    /**
+     * Returns the seeds that have expired and are due to be contacted. They are no members, so they
+     * have no share of the fleet's bounds. Without this contact, seeds that return after the
+     * retention time would know only one another and be a second fleet.
+     */
+    std::vector<std::uint32_t> takeForgottenSeeds(core::time_point now);
+
     /** Adds a node that the settings or a peer named. */
     void addCandidate(std::uint32_t address, core::time_point now);
 
@@ -133,6 +148,8 @@
     core::duration m_statusInterval{};
     std::map<std::uint32_t, fleet_member> m_members;
     std::map<std::uint32_t, bool> m_unreachable;
+    std::vector<std::uint32_t> m_seeds;
+    core::time_point m_nextSeedContact{};
 };
 
 } // namespace comfreypass::dispatch
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -347,8 +347,7 @@
 
 void gateway_node::updateSeeds(const std::vector<std::uint32_t> &seeds)
 {
-    for (const std::uint32_t seed : seeds)
-        m_fleet.addCandidate(seed, monotonicNow());
+    m_fleet.setSeeds(seeds, monotonicNow());
 }
 
 std::string gateway_node::recordsSince(std::span<const dispatch::record_revision> revisions) const
@@ -723,7 +722,10 @@
     const bool full = m_statusCount++ % statusesPerFullStatus == 0;
     dispatch::node_status status = buildStatus(full);
     status.latencies = m_registry.takeNewLatencies(maxLatenciesPerStatus);
-    sendToPeers(encodeStatus(status));
+    const std::string bytes = encodeStatus(status);
+    sendToPeers(bytes);
+    for (const std::uint32_t seed : m_fleet.takeForgottenSeeds(monotonicNow()))
+        m_peerSocket.send({seed, m_settings.peers.port}, bytes);
     repeatQuarantineReport(full);
     m_admission.onPeerLoadsUpdated();
     const core::duration interval = statusInterval();
