Reset the connection of a request that is given up

Change: an unanswered request that is given up resets its connection. In a planned stop, a request that must not be repeated and was sent whole is still closed in order, so that it is not lost.

--- a/src/gateway/engine_connection_pool.cpp
+++ b/src/gateway/engine_connection_pool.cpp
@@ -74,6 +74,14 @@
     m_deleter.add(std::move(connection));
 }
 
+void engine_connection_pool::closeAfterRequest(std::shared_ptr<http1::client_connection> connection)
+{
+    if (!connection)
+        return;
+    connection->closeAfterRequest();
+    m_deleter.add(std::move(connection));
+}
+
 void engine_connection_pool::closeIdle(const http1::endpoint &address)
 {
     const auto found = m_idle.find(address);
--- a/src/gateway/engine_connection_pool.h
+++ b/src/gateway/engine_connection_pool.h
@@ -48,9 +48,15 @@
     void addUnused(const http1::endpoint &address,
                    std::shared_ptr<http1::client_connection> connection, core::time_point now);
 
-    /** Closes a connection; may be called within one of its events. */
+    /**
+     * Closes a connection, with a reset if its request is unanswered; may be called within one of
+     * its events.
+     */
     void discard(std::shared_ptr<http1::client_connection> connection);
 
+    /** Closes a connection, but lets a request that was sent whole reach its engine. */
+    void closeAfterRequest(std::shared_ptr<http1::client_connection> connection);
+
     /** Closes the idle connections to an address. */
     void closeIdle(const http1::endpoint &address);
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -246,6 +246,9 @@
         return;
     constexpr std::string_view reason = "node_stopped";
     const bool mayRun = mayHaveRun();
+    // Nobody can send a request again that must not be repeated, so it may still run.
+    if (mayRun && !m_route->retryable() && !responseStarted())
+        m_context.engineConnections.closeAfterRequest(std::move(m_connection.connection));
     endAttempt(dispatch::attempt_result::Neutral, false);
     if (responseStarted()) {
         m_record.status = m_responseHead.status;
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -43,6 +43,20 @@
 
 void client_connection::cancel() noexcept
 {
+    // The kernel would deliver the request of a closed connection later, also after a partition.
+    if (std::exchange(m_events, nullptr))
+        m_stream.abort();
+    else
+        m_stream.close();
+}
+
+void client_connection::closeAfterRequest() noexcept
+{
+    // The first part of a request cannot run, but an engine could wait for its rest.
+    if (m_stream.unsentBytes() > 0) {
+        cancel();
+        return;
+    }
     m_events = nullptr;
     m_stream.close();
 }
@@ -144,7 +158,7 @@
 void client_connection::fail(exchange_failure failure)
 {
     m_unusable = true;
-    m_stream.close();
+    m_stream.abort();
     if (client_events *events = std::exchange(m_events, nullptr))
         events->onFailed(failure);
 }
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -78,9 +78,19 @@
      */
     void start(std::string_view request, client_events &events);
 
-    /** Closes the connection; no event follows. */
+    /**
+     * Closes the connection; no event follows. If a request is unanswered, the connection is reset:
+     * bytes that the engine's machine has not received yet are never delivered, and the engine
+     * learns of it as soon as the reset arrives.
+     */
     void cancel() noexcept;
 
+    /**
+     * Closes the connection; no event follows. A request that the kernel has accepted whole is
+     * still delivered and may run; any other one is reset as by cancel().
+     */
+    void closeAfterRequest() noexcept;
+
     /** Pauses or resumes reading; while paused, TCP flow control slows the upstream down. */
     void setReading(bool reading) { m_stream.setReading(reading); }
 
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -78,6 +78,10 @@
     CPPUNIT_TEST(responseToHeadHasNoBody);
     CPPUNIT_TEST(foreignResponseOnConnectionOfHeadFails);
     CPPUNIT_TEST(refusedConnectionReportsConnectFailed);
+    CPPUNIT_TEST(requestThatIsGivenUpIsReset);
+    CPPUNIT_TEST(requestOfAMalformedResponseIsReset);
+    CPPUNIT_TEST(answeredConnectionIsClosedInOrder);
+    CPPUNIT_TEST(requestMayOutliveAPlannedStop);
     CPPUNIT_TEST(hopByHopFieldsAreNotForwarded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -304,6 +308,71 @@
         CPPUNIT_ASSERT(events.failure == exchange_failure::ConnectFailed);
     }
 
+    // Guards against a request that reaches its engine after a partition although it was given up.
+    void requestThatIsGivenUpIsReset()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        connection.start(request, events);
+        m_loop.waitFor("request", [&] { return !engine.receive().empty(); });
+        connection.cancel();
+        m_loop.waitFor("end", [&] { return engine.receive() == request && engine.ended(); });
+        CPPUNIT_ASSERT(engine.wasReset());
+    }
+
+    // Guards against an engine that goes on with a request whose response is of no use.
+    void requestOfAMalformedResponseIsReset()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        connection.start(request, events);
+        m_loop.waitFor("request", [&] { return !engine.receive().empty(); });
+        engine.send("no HTTP at all\r\n\r\n");
+        m_loop.waitFor("failure", [&] { return events.done; });
+        m_loop.waitFor("end", [&] { return engine.receive() == request && engine.ended(); });
+        CPPUNIT_ASSERT(engine.wasReset());
+    }
+
+    // Guards against resets that an engine counts as failures of connections without a request.
+    void answeredConnectionIsClosedInOrder()
+    {
+        client_connection connection(m_loop.reactor(), target());
+        tests::raw_socket engine = m_listener.accept();
+        recording_events events;
+        connection.start(request, events);
+        m_loop.waitFor("request", [&] { return !engine.receive().empty(); });
+        engine.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        m_loop.waitFor("response", [&] { return events.done; });
+        connection.cancel();
+        m_loop.waitFor("end", [&] { return engine.receive() == request && engine.ended(); });
+        CPPUNIT_ASSERT(!engine.wasReset());
+    }
+
+    // Guards against the loss of a whole request that must not be repeated, and against the first
+    // part of one that cannot run.
+    void requestMayOutliveAPlannedStop()
+    {
+        for (const bool isWhole : {true, false}) {
+            client_connection connection(m_loop.reactor(), target());
+            tests::raw_socket engine = m_listener.accept();
+            recording_events events;
+            std::string sent(request);
+            if (!isWhole)
+                sent += std::string(16'777'216, 'a');
+            connection.start(sent, events);
+            m_loop.waitFor("connection", [&] { return connection.connected(); });
+            connection.closeAfterRequest();
+            m_loop.waitFor("end", [&] {
+                engine.receive();
+                return engine.ended();
+            });
+            CPPUNIT_ASSERT_EQUAL(!isWhole, engine.wasReset());
+            CPPUNIT_ASSERT(!isWhole || engine.receive() == request);
+        }
+    }
+
     // Guards against forwarding the hop-by-hop fields of one connection to another.
     void hopByHopFieldsAreNotForwarded()
     {
