Leave free slots to the most urgent request among sharing nodes

Cause: a node gives a slot that it frees to its own queue, and a new request takes any slot that looks free, whatever the peers that share the engine have queued. Change: nodes of coordinated upstreams report the highest priority of their queue and the number of its requests to the nodes that share an engine (4 ms batches, repeated every 60 ms). slot_handover leaves free slots to strictly more urgent peers, at most as many as they reported, and reclaims them after 60 ms. The most urgent node polls as soon as it receives an update. Slots of others' engines are acquired only beyond what the peers have queued. Metrics: slots yielded and reclaimed.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <cmath>
+#include <limits>
 
 namespace comfreypass::dispatch {
 
@@ -40,6 +41,12 @@
 constexpr core::duration minRetryAfter = 300ms;
 constexpr core::duration maxRetryAfter = 4s;
 
+/** Includes the queued requests of all priorities. */
+constexpr std::uint32_t lowestPriority = std::numeric_limits<std::uint32_t>::max();
+
+/** Below the lifetime of a report, so that a queue that does not change remains known to peers. */
+constexpr core::duration queueReportInterval = 60ms;
+
 double seconds(core::duration time)
 {
     return std::chrono::duration<double>(time).count();
@@ -135,8 +142,18 @@
         grant(state, 1, engine_choice::FreshLoad, grants, now);
         return grants;
     }
+    const bool handsOver = isCoordinated(upstream) && m_registry.isSubsetted(upstream);
+    if (trigger == poll_trigger::PeerUpdate) {
+        if (handsOver)
+            grant(state, queue.size(), engine_choice::FreshLoad, grants, now,
+                  contested_slots::None);
+        return grants;
+    }
     updateAllowance(upstream, state, m_requests.at(next->id), now);
-    grant(state, drawPreferredSlots(upstream, now), engine_choice::FreshLoad, grants, now);
+    if (handsOver)
+        grant(state, queue.size(), engine_choice::FreshLoad, grants, now, contested_slots::Drawn);
+    else
+        grant(state, drawPreferredSlots(upstream, now), engine_choice::FreshLoad, grants, now);
     // These slots become free without the end of a request, here or at a peer.
     if (const std::uint32_t free = m_registry.recoveringSlots(upstream, now); free > 0) {
         if (const auto waiting = queue.next(now))
@@ -152,7 +169,8 @@
                                                   const admission_request &request,
                                                   core::time_point now)
 {
-    const engine_selection fresh = choose(state, request, engine_choice::FreshLoad, now);
+    const engine_selection fresh
+        = choose(state, request, engine_choice::FreshLoad, now, contested_slots::Drawn);
     if (fresh.outcome == selection_outcome::Selected || !m_registry.isSubsetted(request.upstream))
         return fresh;
     updateAllowance(request.upstream, state, request, now);
@@ -165,14 +183,15 @@
 }
 
 std::size_t admission::grant(upstream_state &state, std::size_t maxGrants, engine_choice engines,
-                             std::vector<admission_grant> &grants, core::time_point now)
+                             std::vector<admission_grant> &grants, core::time_point now,
+                             contested_slots contested)
 {
     std::size_t granted = 0;
     if (maxGrants == 0)
         return granted;
     for (const core::request_id id : state.queue.inOrder(now)) {
         const admission_request &request = m_requests.at(id);
-        const engine_selection basis = choose(state, request, engines, now);
+        const engine_selection basis = choose(state, request, engines, now, contested);
         if (basis.outcome != selection_outcome::Selected) {
             // The free slots may all be at engines that only this request excludes.
             if (!request.restrictsEngines())
@@ -216,6 +235,9 @@
     const engine_registry::engine_capacity capacity = m_registry.capacityOf(upstream, now);
     auto free = static_cast<double>((capacity.slots - capacity.running)
                                     - (preferred.slots - preferred.running));
+    // In overload, the nodes that prefer these engines fill the slots before their loads arrive.
+    if (subsetted && isCoordinated(upstream))
+        free = std::max(0.0, free - m_fleet.queuedAtPeers(upstream, lowestPriority, now));
     if (completes)
         free = std::max(free, capacity.slots * seconds(std::min(elapsed, maxTurnoverWindow))
                                   / state.serviceSeconds);
@@ -407,17 +429,111 @@
     return state.queue.empty() ? state.peerRequestsPerSlot : 0;
 }
 
+std::vector<std::string> admission::excludedEngines(const admission_request &request,
+                                                    contested_slots contested, core::time_point now)
+{
+    std::vector<std::string> excluded = request.excluded;
+    const std::vector<preferred_slots> engines = m_registry.preferredSlots(request.upstream, now);
+    const std::vector<slot_claim> claims
+        = m_handover.assess(request.upstream, request.priority, engines, now);
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        bool isExcluded = claims[i] == slot_claim::Yielded;
+        if (claims[i] == slot_claim::Contested && contested == contested_slots::None)
+            isExcluded = true;
+        if (claims[i] == slot_claim::Contested && contested == contested_slots::Drawn)
+            isExcluded = !std::bernoulli_distribution(preferredSlotProbability)(m_random);
+        if (isExcluded)
+            excluded.push_back(*engines[i].id);
+    }
+    return excluded;
+}
+
+void admission::setCoordinated(std::set<std::string, std::less<>> upstreams)
+{
+    m_coordinated = std::move(upstreams);
+    std::erase_if(m_reportedQueues,
+                  [this](const auto &entry) { return !m_coordinated.contains(entry.first); });
+}
+
+void admission::onPeerQueues(std::uint32_t peer, std::span<const node_status::queue_length> queues,
+                             core::time_point now)
+{
+    for (const node_status::queue_length &queue : queues) {
+        if (isCoordinated(queue.upstream))
+            m_handover.onQueueReport(peer, queue, now);
+    }
+}
+
+void admission::onPeerStatus(std::uint32_t peer, std::span<const node_status::queue_length> queues,
+                             core::time_point now)
+{
+    for (const std::string &upstream : m_coordinated)
+        m_handover.onStatus(peer, upstream, queues, now);
+}
+
+admission::reported_queue admission::currentQueue(std::string_view upstream,
+                                                  core::time_point now) const
+{
+    const auto found = m_upstreams.find(std::string(upstream));
+    if (found == m_upstreams.end())
+        return {.at = now};
+    const wait_queue &queue = found->second.queue;
+    const std::uint32_t priority = queue.highestPriority().value_or(0);
+    return {.count = static_cast<std::uint32_t>(queue.countOf(priority)),
+            .priority = priority,
+            .at = now};
+}
+
+bool admission::mustReport(const reported_queue &last, const reported_queue &current)
+{
+    if (last.count != current.count || last.priority != current.priority)
+        return true;
+    return current.count > 0 && current.at - last.at >= queueReportInterval;
+}
+
+bool admission::hasQueueReports(core::time_point now) const
+{
+    return std::ranges::any_of(m_coordinated, [&](const std::string &upstream) {
+        if (!m_registry.isSubsetted(upstream))
+            return false;
+        const auto last = m_reportedQueues.find(upstream);
+        return mustReport(last == m_reportedQueues.end() ? reported_queue{} : last->second,
+                          currentQueue(upstream, now));
+    });
+}
+
+std::vector<node_status::queue_length> admission::takeQueueReports(core::time_point now)
+{
+    std::vector<node_status::queue_length> reports;
+    for (const std::string &upstream : m_coordinated) {
+        if (!m_registry.isSubsetted(upstream))
+            continue;
+        const reported_queue current = currentQueue(upstream, now);
+        reported_queue &last = m_reportedQueues[upstream];
+        if (!mustReport(last, current))
+            continue;
+        last = current;
+        reports.push_back({upstream, current.count, current.priority});
+    }
+    return reports;
+}
+
 engine_selection admission::choose(upstream_state &state, const admission_request &request,
-                                   engine_choice engines, core::time_point now)
+                                   engine_choice engines, core::time_point now,
+                                   contested_slots contested)
 {
+    const bool handsOver
+        = isCoordinated(request.upstream) && m_registry.isSubsetted(request.upstream);
+    const std::vector<std::string> excluded
+        = handsOver ? excludedEngines(request, contested, now) : std::vector<std::string>{};
     const fleet_share share = m_fleet.share(now);
     const auto peers = static_cast<double>(share.reachable - 1);
     // Callers are spread evenly over the nodes, so each peer starts about as many as this node.
     const double unreported
         = decayed(state.startsPerSecond, state.startsUpdatedAt, now) * peers * seconds(m_loadAge);
-    return m_registry.choose(
+    engine_selection selection = m_registry.choose(
         {.upstream = request.upstream,
-         .excluded = request.excluded,
+         .excluded = handsOver ? excluded : request.excluded,
          .unreportedStarts = unreported,
          .promptTokens = request.promptTokens,
          .outputTokens = request.outputTokens,
@@ -428,6 +544,11 @@
          .peerRequestsPerSlot = peerRequestsPerSlot(state, request.upstream, now),
          .coordinated = isCoordinated(request.upstream)},
         share, now);
+    // An engine whose slots are left to peers serves the upstream nevertheless.
+    if (selection.outcome == selection_outcome::NoEngine
+        && excluded.size() > request.excluded.size())
+        selection.outcome = selection_outcome::NoCapacity;
+    return selection;
 }
 
 double admission::decayed(double rate, core::time_point since, core::time_point now)
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -4,6 +4,7 @@
 #include "core/time_point.h"
 #include "dispatch/engine_registry.h"
 #include "dispatch/fleet_view.h"
+#include "dispatch/slot_handover.h"
 #include "dispatch/wait_queue.h"
 
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -90,6 +92,11 @@
     OwnCompletion,
     /** A peer reported its load, the list of engines changed, or a timer expired. */
     RemoteChange,
+    /**
+     * A peer that shares an engine reported its load or its queue. Only slots that no peer claims
+     * are granted, since the other peers receive the report at the same time.
+     */
+    PeerUpdate,
 };
 
 /**
@@ -101,6 +108,8 @@
  * first. Of the slots freed elsewhere, each node acquires a share proportional to its share of the
  * queued requests of the fleet, so that the nodes do not all compete for one slot. The free slots
  * of preferred engines are known almost exactly and are acquired with a fixed probability per poll.
+ * At a coordinated upstream, they are left to peers that queue more urgent requests, and acquired
+ * at once if no peer queues one that is as urgent; see slot_handover.
  *
  * If requests are shorter than the interval between two status messages, peer loads show how busy
  * the upstream is but not which engine has free capacity, so only the upstream as a whole is
@@ -122,12 +131,38 @@
     void onPeerLoadsUpdated() { ++m_peerLoadGeneration; }
 
     /** Sets the upstreams whose requests the nodes coordinate; see scheduling_settings. */
-    void setCoordinated(std::set<std::string, std::less<>> upstreams)
+    void setCoordinated(std::set<std::string, std::less<>> upstreams);
+
+    bool isCoordinated(std::string_view upstream) const { return m_coordinated.contains(upstream); }
+
+    /** Sets the other nodes that prefer each engine that the node `self`, this one, prefers. */
+    void setPeersOfPreferredEngines(std::uint32_t self, engine_affinity peers)
     {
-        m_coordinated = std::move(upstreams);
+        m_handover.setPeers(self, std::move(peers));
     }
 
-    bool isCoordinated(std::string_view upstream) const { return m_coordinated.contains(upstream); }
+    /** Applies the reports of a peer on the queues of coordinated upstreams. */
+    void onPeerQueues(std::uint32_t peer, std::span<const node_status::queue_length> queues,
+                      core::time_point now);
+
+    /** Applies the queues in a status of a peer to the coordinated upstreams. */
+    void onPeerStatus(std::uint32_t peer, std::span<const node_status::queue_length> queues,
+                      core::time_point now);
+
+    /** Drops the reports of an unreachable peer. */
+    void onPeerUnreachable(std::uint32_t peer) { m_handover.removePeer(peer); }
+
+    /** Returns true if takeQueueReports() would return a non-empty list. */
+    bool hasQueueReports(core::time_point now) const;
+
+    /**
+     * Returns the highest priority and the number of its requests for the queues of coordinated
+     * upstreams in which these have changed since the last call, or were last reported some time
+     * ago; a count of zero for a queue that is empty now.
+     */
+    std::vector<node_status::queue_length> takeQueueReports(core::time_point now);
+
+    const slot_handover &handover() const noexcept { return m_handover; }
 
     /** Decides on a new request, or on a retry at another engine. */
     admission_decision submit(const admission_request &request, core::time_point now);
@@ -193,6 +228,22 @@
         std::map<std::uint32_t, std::size_t> refusedInPause;
     };
 
+    /** What the peers were last told about the queue of a coordinated upstream. */
+    struct reported_queue
+    {
+        std::uint32_t count = 0;
+        std::uint32_t priority = 0;
+        core::time_point at{};
+    };
+    reported_queue currentQueue(std::string_view upstream, core::time_point now) const;
+    static bool mustReport(const reported_queue &last, const reported_queue &current);
+
+    /** Which contested slots of preferred engines a request of a coordinated upstream may take. */
+    enum class contested_slots : std::uint8_t { All, Drawn, None };
+    /** Returns the engines that the request has tried or must leave to requests of peers. */
+    std::vector<std::string> excludedEngines(const admission_request &request,
+                                             contested_slots contested, core::time_point now);
+
     /** Returns why the request cannot be queued; `None` if it can. */
     refusal_cause causeToRefuse(const admission_request &request, const upstream_state &state,
                                 const admission_decision &decision, core::time_point now) const;
@@ -219,10 +270,12 @@
     std::optional<double> peerRequestsPerSlot(upstream_state &state, const std::string &upstream,
                                               core::time_point now);
     engine_selection choose(upstream_state &state, const admission_request &request,
-                            engine_choice engines, core::time_point now);
+                            engine_choice engines, core::time_point now,
+                            contested_slots contested = contested_slots::All);
     /** Starts up to `maxGrants` queued requests and returns their number. */
     std::size_t grant(upstream_state &state, std::size_t maxGrants, engine_choice engines,
-                      std::vector<admission_grant> &grants, core::time_point now);
+                      std::vector<admission_grant> &grants, core::time_point now,
+                      contested_slots contested = contested_slots::All);
     std::size_t drawPreferredSlots(const std::string &upstream, core::time_point now);
     static double decayed(double rate, core::time_point since, core::time_point now);
     static void recordEvent(double &rate, core::time_point &since, core::time_point now);
@@ -232,6 +285,8 @@
     std::minstd_rand m_random;
     core::duration m_loadAge{};
     std::set<std::string, std::less<>> m_coordinated;
+    slot_handover m_handover;
+    std::map<std::string, reported_queue, std::less<>> m_reportedQueues;
     std::uint64_t m_peerLoadGeneration = 1;
     std::unordered_map<std::string, upstream_state> m_upstreams;
     std::unordered_map<core::request_id, admission_request> m_requests;
--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -689,6 +689,20 @@
                        [](const engine &each) { return each.preference == affinity::Preferred; });
 }
 
+std::vector<preferred_slots> engine_registry::preferredSlots(std::string_view upstream,
+                                                             core::time_point now) const
+{
+    std::vector<preferred_slots> result;
+    for (const engine *each : enginesOf(upstream)) {
+        if (each->preference != affinity::Preferred || !isUsable(*each, now))
+            continue;
+        const std::uint32_t slots = usableSlots(*each, now);
+        const std::uint32_t used = std::min(slots, each->running + each->peersRunning);
+        result.push_back({each->key, &each->entry.id, slots - used});
+    }
+    return result;
+}
+
 template<typename Filter>
 engine_registry::engine_capacity
 engine_registry::sumCapacity(std::string_view upstream, core::time_point now, Filter filter) const
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -44,6 +44,15 @@
     double prefillSecondsPerToken = 0;
 };
 
+/** Free slots of an engine that this node prefers. */
+struct preferred_slots
+{
+    engine_key engine = 0;
+    /** Id of the engine; valid until the registry changes. */
+    const std::string *id = nullptr;
+    std::uint32_t free = 0;
+};
+
 /** Input of an engine selection. */
 struct selection_request
 {
@@ -270,6 +279,10 @@
     /** Like capacityOf(), for the engines that this node prefers. */
     engine_capacity preferredCapacityOf(std::string_view upstream, core::time_point now) const;
 
+    /** Returns the usable engines of an upstream that this node prefers, full ones included. */
+    std::vector<preferred_slots> preferredSlots(std::string_view upstream,
+                                                core::time_point now) const;
+
     /** Visits the entries of all engines. */
     template<typename Visitor>
     void forEach(Visitor visit) const
--- a/src/dispatch/engine_subsetting.h
+++ b/src/dispatch/engine_subsetting.h
@@ -5,8 +5,11 @@
 #include "dispatch/fleet_member.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace comfreypass::dispatch {
@@ -25,16 +28,22 @@
 
     /**
      * Recomputes the subsets if nodes or engines have changed. `nodes` are the reachable nodes
-     * including this one, ordered by address.
+     * including this one, ordered by address. Returns true if they were recomputed.
      */
-    void update(std::vector<node_location> nodes);
+    bool update(std::vector<node_location> nodes);
 
     /**
      * Returns the updates since the last call by the address of the receiver; the calling code sets
      * address, incarnation and sequence. Loads are sent to the nodes that prefer the engine,
-     * ejections to all `peers`.
+     * ejections to all `peers`, and each of the `queues` to the nodes that prefer an engine of its
+     * upstream that this node prefers, too.
      */
-    std::map<std::uint32_t, engine_update> takeUpdates(std::span<const std::uint32_t> peers);
+    std::map<std::uint32_t, engine_update>
+    takeUpdates(std::span<const std::uint32_t> peers,
+                std::span<const node_status::queue_length> queues = {});
+
+    /** Returns the other nodes that prefer each engine that this node prefers. */
+    engine_affinity peersOfPreferredEngines() const;
 
 private:
     std::uint32_t m_self;
@@ -42,6 +51,8 @@
     std::vector<node_location> m_nodes;
     std::uint64_t m_registryVersion = 0;
     engine_affinity m_affinity;
+    /** The nodes that share a preferred engine of an upstream with this one. */
+    std::map<std::string, std::set<std::uint32_t>, std::less<>> m_sharingNodes;
 };
 
 } // namespace comfreypass::dispatch
--- a/src/dispatch/wait_queue.cpp
+++ b/src/dispatch/wait_queue.cpp
@@ -81,6 +81,12 @@
     return count;
 }
 
+std::size_t wait_queue::countOf(std::uint32_t priority) const noexcept
+{
+    const auto found = m_byPriority.find(priority);
+    return found == m_byPriority.end() ? 0 : found->second.size();
+}
+
 std::optional<std::uint32_t> wait_queue::highestPriority() const noexcept
 {
     if (m_byPriority.empty())
--- a/src/dispatch/wait_queue.h
+++ b/src/dispatch/wait_queue.h
@@ -55,6 +55,9 @@
     /** Returns the number of requests that a new one of this priority may not overtake. */
     std::size_t ahead(std::uint32_t priority) const noexcept;
 
+    /** Returns the number of queued requests with exactly this priority. */
+    std::size_t countOf(std::uint32_t priority) const noexcept;
+
     /** Returns the highest priority of the queued requests; nothing if the queue is empty. */
     std::optional<std::uint32_t> highestPriority() const noexcept;
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -392,6 +392,10 @@
     m_metrics.set(metric::GatewayConnections, {}, static_cast<double>(m_connections.size()));
     m_metrics.set(metric::GatewayConfigurationVersion, {},
                   static_cast<double>(m_catalogue.configurationVersion()));
+    m_metrics.set(metric::GatewaySlotsYielded, {},
+                  static_cast<double>(m_admission.handover().yieldedCount()));
+    m_metrics.set(metric::GatewaySlotsReclaimed, {},
+                  static_cast<double>(m_admission.handover().reclaimedCount()));
     m_metrics.set(metric::GatewayRecordCalls, {}, static_cast<double>(m_records.calls()));
     m_metrics.set(metric::GatewayLogLinesLeftOut, {}, static_cast<double>(m_log.suppressed()));
 }
@@ -610,6 +614,8 @@
         m_registry.onPeerEjected(key, now);
         m_quarantine.onEngineDown(key, now);
     }
+    m_admission.onPeerQueues(update.address, update.queues, now);
+    startQueuedAfterPeerUpdate();
     sendEngineUpdatesSoon();
 }
 
@@ -665,7 +671,8 @@
 
 void gateway_node::sendEngineUpdatesSoon()
 {
-    const bool pending = m_registry.hasPendingUpdates() || m_quarantine.hasNews();
+    const bool pending = m_registry.hasPendingUpdates() || m_quarantine.hasNews()
+                         || m_admission.hasQueueReports(monotonicNow());
     if (pending && !std::exchange(m_engineUpdatesPending, true))
         m_engineUpdateTimer.startOnce(engineUpdateDelay);
 }
@@ -674,7 +681,9 @@
 {
     m_engineUpdatesPending = false;
     const std::vector<std::uint32_t> peers = m_fleet.peers();
-    for (auto &[peer, update] : m_subsetting.takeUpdates(peers)) {
+    const std::vector<dispatch::node_status::queue_length> queues
+        = m_admission.takeQueueReports(monotonicNow());
+    for (auto &[peer, update] : m_subsetting.takeUpdates(peers, queues)) {
         update.address = m_settings.peers.address;
         update.incarnation = m_incarnation;
         update.sequence = ++m_sequence;
@@ -691,6 +700,8 @@
     const core::time_point now = monotonicNow();
     const std::uint32_t address = from.address;
     const std::vector<dispatch::engine_load> loads = received.loads;
+    const std::vector<dispatch::node_status::queue_length> queues = received.queues;
+    const std::uint64_t sequence = received.sequence;
     m_registry.onPeerLatencies(received.latencies);
     const dispatch::status_change change = m_fleet.onStatus(std::move(received), now);
     if (change.isNew)
@@ -702,6 +713,10 @@
     for (const dispatch::node_status::team_usage &use : change.newUsage)
         m_quotas.addPeerUsage(use.team, use.total);
     m_registry.setPeerLoads(address, loads);
+    // The view ignores a status that arrives after a later message.
+    const auto member = m_fleet.members().find(address);
+    if (member != m_fleet.members().end() && member->second.status.sequence == sequence)
+        m_admission.onPeerStatus(address, queues, now);
     // A new node learns about the fleet immediately, and one that was cut off what it has missed.
     if (!change.isNew && !change.restarted && !change.returned)
         return;
@@ -787,13 +802,17 @@
         endRequests(now);
     if (m_admission.queuedCount() > 0)
         startAllQueued();
+    if (m_admission.hasQueueReports(now))
+        sendEngineUpdatesSoon();
     const bool hasConfiguration = m_catalogue.routes() != nullptr;
     if (hasConfiguration && now < m_nextPeerCheckAt)
         return;
     const std::size_t peers = m_fleet.members().size();
     if (peers > maxPeersCheckedOnEachTick)
         m_nextPeerCheckAt = now + peerCheckIntervalPerPeer * static_cast<int>(peers);
-    m_subsetting.update(m_fleet.activeNodes(now));
+    if (m_subsetting.update(m_fleet.activeNodes(now)))
+        m_admission.setPeersOfPreferredEngines(m_settings.peers.address,
+                                               m_subsetting.peersOfPreferredEngines());
     updateSourceReading(now);
     catchUpWithPeers(now);
 }
@@ -804,6 +823,7 @@
     for (const std::uint32_t unreachable : m_fleet.takeUnreachable(now)) {
         logPeer("peer_silent", "node is unreachable", unreachable);
         m_registry.setPeerLoads(unreachable, {});
+        m_admission.onPeerUnreachable(unreachable);
     }
     m_fleet.removeExpired(now);
     const dispatch::fleet_view::reader_rank rank = m_fleet.readerRank(now);
@@ -884,6 +904,14 @@
         startQueued(queue.upstream, dispatch::poll_trigger::RemoteChange);
 }
 
+void gateway_node::startQueuedAfterPeerUpdate()
+{
+    for (const dispatch::node_status::queue_length &queue : m_admission.queues()) {
+        if (m_admission.isCoordinated(queue.upstream))
+            startQueued(queue.upstream, dispatch::poll_trigger::PeerUpdate);
+    }
+}
+
 void gateway_node::startQueued(const std::string &upstream, dispatch::poll_trigger trigger)
 {
     // A granted request that ends immediately frees its slot and reenters this function.
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -143,6 +143,8 @@
     void endRequests(core::time_point now);
     void startQueued(const std::string &upstream, dispatch::poll_trigger trigger);
     void startAllQueued();
+    /** Starts queued requests of coordinated upstreams whose slots a peer has reported free. */
+    void startQueuedAfterPeerUpdate();
     request_flow *findFlow(core::request_id id);
     request_flow *flowOf(http1::server_connection &connection);
     void logPeer(std::string_view event, std::string_view message, std::uint32_t address);
--- a/src/observe/metric_info.h
+++ b/src/observe/metric_info.h
@@ -48,6 +48,8 @@
     GatewaySuspectedCrashes,
     GatewayConnections,
     GatewayConfigurationVersion,
+    GatewaySlotsYielded,
+    GatewaySlotsReclaimed,
     GatewayRecordCalls,
     GatewayLogLinesLeftOut,
 };
