Refuse early by a forecast of the wait, and spread the return of callers

Cause: in waves of load above the capacity, callers were queued for the whole queue time and then refused, and returned 0.3 s later into the same overload. A second attempt counted its objective from its own arrival.

Change, for coordinated upstreams only: caller_age finds the time that a caller has spent before this attempt; wait_forecast refuses at once a request that would wait for too long, counting the more urgent ones that arrive meanwhile; retry_schedule spreads Retry-After over a third of the time left.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -60,8 +60,9 @@
 
 std::string_view toString(refusal_cause cause) noexcept
 {
-    static constexpr std::array<std::string_view, 6> names
-        = {"none", "no_engine", "queue_full", "wait_too_long", "engines_leaving", "engines_paused"};
+    static constexpr std::array<std::string_view, 7> names
+        = {"none",           "no_engine",        "queue_full", "wait_too_long", "engines_leaving",
+           "engines_paused", "forecast_too_long"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
@@ -73,6 +74,9 @@
 {
     upstream_state &state = m_upstreams[request.upstream];
     admission_decision decision;
+    // Retries at another engine are not counted again.
+    if (!request.restrictsEngines())
+        state.returns.onAsked(request.priority, now);
     if (!mustWait(request, state, now)) {
         decision.basis = chooseWithinAllowance(state, request, now);
         if (decision.basis.outcome == selection_outcome::Selected) {
@@ -80,6 +84,8 @@
             decision.engine = *decision.basis.engine;
             m_registry.onStart(decision.engine.id, now);
             recordEvent(state.startsPerSecond, state.startsUpdatedAt, now);
+            state.forecast.onAdmitted(request.priority, now);
+            state.forecast.onGranted(request.priority, now);
             return decision;
         }
     }
@@ -87,18 +93,19 @@
     decision.expectedWait = expectedWait(request.upstream, decision.ahead, now);
     decision.cause = causeToRefuse(request, state, decision, now);
     if (decision.cause != refusal_cause::None) {
-        decision.retryAfter = retryAfter(request.upstream, request.priority, now);
+        state.returns.onRefused(request.priority, now);
+        decision.retryAfter = retryAfter(request.upstream, request.priority, now, request.deadline);
         return decision;
     }
     decision.outcome = admission_outcome::Wait;
+    state.forecast.onAdmitted(request.priority, now);
     state.queue.push({request.id, request.priority, latestStart(request, state),
                       request.queueDeadline, request.isRunning});
     m_requests.insert_or_assign(request.id, request);
     return decision;
 }
 
-refusal_cause admission::causeToRefuse(const admission_request &request,
-                                       const upstream_state &state,
+refusal_cause admission::causeToRefuse(const admission_request &request, upstream_state &state,
                                        const admission_decision &decision,
                                        core::time_point now) const
 {
@@ -107,8 +114,9 @@
         return refusal_cause::EnginesPaused;
     if (state.queue.size() >= maxQueuedRequests)
         return refusal_cause::QueueFull;
-    if (decision.ahead > 0 && now + decision.expectedWait > request.queueDeadline)
-        return refusal_cause::WaitTooLong;
+    if (const refusal_cause cause = causeByWait(request, state, decision, now);
+        cause != refusal_cause::None)
+        return cause;
     if (request.queueDeadline > now)
         return refusal_cause::None;
     const refusal_cause excluded = exclusionCause(request.upstream, now);
@@ -119,6 +127,22 @@
     return noEngine ? refusal_cause::NoEngine : refusal_cause::WaitTooLong;
 }
 
+// A request that has been sent to an engine already keeps its chance at another one.
+refusal_cause admission::causeByWait(const admission_request &request, upstream_state &state,
+                                     const admission_decision &decision, core::time_point now) const
+{
+    if (isCoordinated(request.upstream) && !request.restrictsEngines()) {
+        const bool refused
+            = state.forecast.mustRefuse({.priority = request.priority,
+                                         .ahead = decision.ahead,
+                                         .isLate = latestStart(request, state) <= now},
+                                        request.queueDeadline - now, now);
+        return refused ? refusal_cause::Forecast : refusal_cause::None;
+    }
+    const bool tooLong = decision.ahead > 0 && now + decision.expectedWait > request.queueDeadline;
+    return tooLong ? refusal_cause::WaitTooLong : refusal_cause::None;
+}
+
 std::vector<admission_grant> admission::poll(const std::string &upstream, poll_trigger trigger,
                                              core::time_point now)
 {
@@ -182,6 +206,7 @@
         grants.push_back({id, *basis.engine, basis});
         m_registry.onStart(basis.engine->id, now);
         recordEvent(state.startsPerSecond, state.startsUpdatedAt, now);
+        state.forecast.onGranted(request.priority, now);
         state.queue.remove(id);
         m_requests.erase(id);
         if (++granted == maxGrants)
@@ -249,6 +274,7 @@
         for (const waiting_request &each :
              state.queue.takeExpired(pause ? std::max(now, pause->endsAt) : now)) {
             expired.push_back(each.id);
+            state.returns.onRefused(each.priority, now);
             m_requests.erase(each.id);
         }
     }
@@ -332,7 +358,7 @@
 }
 
 core::duration admission::retryAfter(const std::string &upstream, std::uint32_t priority,
-                                     core::time_point now)
+                                     core::time_point now, std::optional<core::time_point> deadline)
 {
     upstream_state &state = m_upstreams[upstream];
     if (const auto pause = m_registry.pauseOf(upstream, now))
@@ -341,7 +367,11 @@
     // Jitter keeps callers that were refused together from retrying together.
     const double factor = std::uniform_real_distribution<double>(0.7, 1.3)(m_random);
     const core::duration bounded = std::clamp(wait, minRetryAfter, maxRetryAfter);
-    return fromSeconds(seconds(bounded) * factor);
+    const core::duration usual = fromSeconds(seconds(bounded) * factor);
+    if (!deadline || !isCoordinated(upstream))
+        return usual;
+    return state.returns.delay(priority, usual, *deadline - now,
+                               std::uniform_real_distribution<double>(0, 1)(m_random), now);
 }
 
 std::vector<node_status::queue_length> admission::queues() const
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -4,6 +4,8 @@
 #include "core/time_point.h"
 #include "dispatch/engine_registry.h"
 #include "dispatch/fleet_view.h"
+#include "dispatch/retry_schedule.h"
+#include "dispatch/wait_forecast.h"
 #include "dispatch/wait_queue.h"
 
 #include <cstdint>
@@ -56,7 +58,9 @@
     QueueFull,
     WaitTooLong,
     EnginesLeaving,
-    EnginesPaused
+    EnginesPaused,
+    /** As WaitTooLong, by the forecast of a coordinated upstream. */
+    Forecast
 };
 
 /** Returns the stable name in logs. Thread-safe. */
@@ -154,10 +158,12 @@
 
     /**
      * Returns the delay after which a caller that is refused now should retry. If all engines are
-     * paused, the callers return one after another when the first engine does, by priority.
+     * paused, the callers return one after another when the first engine does, by priority. Those
+     * of a coordinated upstream are spread over a third of the time until their deadline, if known.
      */
     core::duration retryAfter(const std::string &upstream, std::uint32_t priority,
-                              core::time_point now);
+                              core::time_point now,
+                              std::optional<core::time_point> deadline = std::nullopt);
 
     /** Returns why no engine of the upstream accepts requests; `None` if one does or is full. */
     refusal_cause exclusionCause(const std::string &upstream, core::time_point now) const;
@@ -191,11 +197,17 @@
         /** End of the last pause of all engines, and the callers refused in it, by priority. */
         core::time_point pauseEndsAt{};
         std::map<std::uint32_t, std::size_t> refusedInPause;
+        /** Of coordinated upstreams only. */
+        wait_forecast forecast;
+        retry_schedule returns;
     };
 
     /** Returns why the request cannot be queued; `None` if it can. */
-    refusal_cause causeToRefuse(const admission_request &request, const upstream_state &state,
+    refusal_cause causeToRefuse(const admission_request &request, upstream_state &state,
                                 const admission_decision &decision, core::time_point now) const;
+    /** Refuses a request that is not expected to start before its queue deadline. */
+    refusal_cause causeByWait(const admission_request &request, upstream_state &state,
+                              const admission_decision &decision, core::time_point now) const;
     /** Returns the latest start time with which the request is expected to meet its objective. */
     static core::time_point latestStart(const admission_request &request,
                                         const upstream_state &state);
--- a/src/gateway/flow_context.h
+++ b/src/gateway/flow_context.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time_point.h"
 #include "dispatch/admission.h"
+#include "dispatch/caller_age.h"
 #include "dispatch/quota_pool.h"
 #include "dispatch/request_quarantine.h"
 #include "dispatch/retry_budget.h"
@@ -30,6 +31,7 @@
     dispatch::engine_registry &registry;
     const dispatch::fleet_view &fleet;
     dispatch::admission &admission;
+    dispatch::caller_age &callerAges;
     dispatch::quota_pool &quotas;
     dispatch::retry_budget &retries;
     dispatch::request_quarantine &quarantine;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -160,6 +160,7 @@
     dispatch::fleet_view m_fleet;
     dispatch::engine_subsetting m_subsetting;
     dispatch::admission m_admission;
+    dispatch::caller_age m_callerAges;
     dispatch::quota_pool m_quotas;
     dispatch::retry_budget m_retries;
     dispatch::request_quarantine m_quarantine;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -148,6 +148,9 @@
     m_upstream = chooseTarget();
     m_record.upstream = m_upstream;
     m_features = findFeatures();
+    if (m_context.admission.isCoordinated(m_upstream))
+        m_callerAge
+            = m_context.callerAges.onRequest(m_route->name, timeout, m_route->timeout, m_arrivedAt);
     m_context.retries.onRequest(m_upstream, m_arrivedAt);
     m_deadlineTimer.startOnce(timeout + deadlineSlack);
     submit();
@@ -295,7 +298,7 @@
         {.id = m_id,
          .upstream = m_upstream,
          .priority = m_record.priority,
-         .objectiveAt = m_arrivedAt + m_route->objective,
+         .objectiveAt = m_arrivedAt - m_callerAge + m_route->objective,
          .queueDeadline = std::min(queueDeadline, m_deadline),
          .excluded = {excluded.begin(), excluded.end()},
          .promptTokens = isStreamRoute() ? m_metadata.promptTokens.value_or(0) : 0,
@@ -432,7 +435,7 @@
     const dispatch::refusal_cause cause = m_context.admission.exclusionCause(m_upstream, now);
     respondRefused(unavailable,
                    cause == dispatch::refusal_cause::None ? "waited_too_long" : toString(cause),
-                   m_context.admission.retryAfter(m_upstream, m_record.priority, now));
+                   m_context.admission.retryAfter(m_upstream, m_record.priority, now, m_deadline));
 }
 
 void request_flow::startAttempt(const dispatch::engine_entry &engine,
@@ -951,8 +954,9 @@
     else if (m_mayHaveRun)
         respondLocally(badGateway, flow_outcome::Failed, "engines_refused_repeat");
     else
-        respondRefused(unavailable, "engines_refused",
-                       m_context.admission.retryAfter(m_upstream, m_record.priority, now));
+        respondRefused(
+            unavailable, "engines_refused",
+            m_context.admission.retryAfter(m_upstream, m_record.priority, now, m_deadline));
 }
 
 // The caller of a begun stream can be told nothing, so another engine is sought while it waits.
