Choose engines by pending prompts on coordinated upstreams

Cause: an engine interleaves the prompts that it reads, and engines differ in speed, but the choice counted requests only. Long prompts shared slow engines and came late, and a busy engine was learned as a slow one. Change: prefill_backlog counts the prompt tokens that each engine has yet to read, own and reported by peers; engine_fit predicts the first event from them and adds the delay of the prompts being read there. A request that would be late at all free engines waits while one that is full now can still meet its objective. Upstreams that are not coordinated are unchanged.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -78,7 +78,7 @@
         if (decision.basis.outcome == selection_outcome::Selected) {
             decision.outcome = admission_outcome::Start;
             decision.engine = *decision.basis.engine;
-            m_registry.onStart(decision.engine.id, now);
+            recordStart(request, decision.engine.id, now);
             recordEvent(state.startsPerSecond, state.startsUpdatedAt, now);
             return decision;
         }
@@ -175,12 +175,12 @@
         const engine_selection basis = choose(state, request, engines, now);
         if (basis.outcome != selection_outcome::Selected) {
             // The free slots may all be at engines that only this request excludes.
-            if (!request.restrictsEngines())
+            if (!request.restrictsEngines() && !basis.waitsForFasterEngine)
                 break;
             continue;
         }
         grants.push_back({id, *basis.engine, basis});
-        m_registry.onStart(basis.engine->id, now);
+        recordStart(request, basis.engine->id, now);
         recordEvent(state.startsPerSecond, state.startsUpdatedAt, now);
         state.queue.remove(id);
         m_requests.erase(id);
@@ -190,6 +190,17 @@
     return granted;
 }
 
+void admission::recordStart(const admission_request &request, const std::string &engineId,
+                            core::time_point now)
+{
+    m_registry.onStart(engineId, now);
+    if (isCoordinated(request.upstream))
+        m_registry.onPromptStart(engineId, {.request = request.id,
+                                            .tokens = request.promptTokens,
+                                            .startedAt = now,
+                                            .objectiveAt = request.objectiveAt});
+}
+
 std::size_t admission::drawPreferredSlots(const std::string &upstream, core::time_point now)
 {
     const engine_registry::engine_capacity capacity = m_registry.preferredCapacityOf(upstream, now);
@@ -426,7 +437,8 @@
          .responsiveOnly = request.isRunning,
          .freshLoadOnly = engines == engine_choice::FreshLoad,
          .peerRequestsPerSlot = peerRequestsPerSlot(state, request.upstream, now),
-         .coordinated = isCoordinated(request.upstream)},
+         .coordinated = isCoordinated(request.upstream),
+         .objectiveLeft = request.objectiveAt - now},
         share, now);
 }
 
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -223,6 +223,9 @@
     /** Starts up to `maxGrants` queued requests and returns their number. */
     std::size_t grant(upstream_state &state, std::size_t maxGrants, engine_choice engines,
                       std::vector<admission_grant> &grants, core::time_point now);
+    /** Counts the request at the engine, and its prompt if the upstream is coordinated. */
+    void recordStart(const admission_request &request, const std::string &engineId,
+                     core::time_point now);
     std::size_t drawPreferredSlots(const std::string &upstream, core::time_point now);
     static double decayed(double rate, core::time_point since, core::time_point now);
     static void recordEvent(double &rate, core::time_point &since, core::time_point now);
--- a/src/dispatch/engine_registry.cpp
+++ b/src/dispatch/engine_registry.cpp
@@ -67,6 +67,12 @@
 /** Smaller prompts do not show the prefill rate, as they mostly wait for the next engine step. */
 constexpr double minPromptTokensForPrefill = 3'000;
 
+/**
+ * Smaller prompts of coordinated upstreams are read before the peers could act on a report, and
+ * the engine step that they wait for takes as long as reading them.
+ */
+constexpr double minReportedPromptTokens = 1'000;
+
 /** Range of the random cost that keeps nodes with equal views from selecting the same engine. */
 constexpr double tieBreakCost = 0.04;
 
@@ -106,6 +112,15 @@
     return std::chrono::duration<double>(time).count();
 }
 
+fit_request fitRequest(const selection_request &request, double tokensPerEvent)
+{
+    return {.promptTokens = request.promptTokens,
+            .outputEvents = request.outputTokens / tokensPerEvent,
+            .objective = request.objective,
+            .objectiveLeft = request.objectiveLeft,
+            .timeLeft = request.timeLeft};
+}
+
 } // namespace
 
 engine_registry::engine_registry(std::string domain, std::uint32_t seed)
@@ -216,6 +231,7 @@
         addPeersRunning(each.engine, each.running);
     for (const engine_load &each : before)
         subtractPeersRunning(each.engine, each.running);
+    m_backlog.setPeerLoads(peer, loads);
 }
 
 void engine_registry::addPeersRunning(engine_key key, std::uint32_t count)
@@ -248,6 +264,7 @@
         loads.erase(known);
     addPeersRunning(load.engine, load.running);
     subtractPeersRunning(load.engine, before);
+    m_backlog.setPeerLoad(peer, load);
 }
 
 void engine_registry::onPeerEjected(engine_key key, core::time_point now)
@@ -307,7 +324,7 @@
     std::vector<engine_load> loads;
     for (const engine_key key : std::exchange(m_changedLoads, {})) {
         const engine *target = engineOfKey(key);
-        loads.push_back({key, target == nullptr ? 0 : target->running});
+        loads.push_back({key, target == nullptr ? 0 : target->running, m_backlog.ownTokens(key)});
     }
     return loads;
 }
@@ -346,15 +363,20 @@
         if (each->eventIntervalSeconds > 0)
             fastest = std::min(fastest, each->eventIntervalSeconds);
     }
+    const std::vector<engine *> usable = request.coordinated ? candidates : std::vector<engine *>();
     std::erase_if(candidates, [&](const engine *each) {
         return !hasFreeCapacity(*each, request, unreported, now)
                || !allowsColdRequest(*each, share, now)
                || (request.freshLoadOnly && each->preference == affinity::Other);
     });
+    if (request.coordinated && shouldWaitForFasterEngine(usable, candidates, request, fastest, now))
+        return {.outcome = selection_outcome::NoCapacity, .waitsForFasterEngine = true};
     std::vector<candidate> eligible;
     eligible.reserve(candidates.size());
     for (engine *each : candidates)
-        eligible.push_back({each, fixedCost(*each, request, fastest, now)});
+        eligible.push_back({each, request.coordinated
+                                      ? coordinatedCost(*each, request, fastest, now)
+                                      : fixedCost(*each, request, fastest, now)});
     keepLowestFixedCost(eligible);
     const auto isPreferred = [](const candidate &each) {
         return each.target->preference == affinity::Preferred;
@@ -399,6 +421,43 @@
     recordLoadChange(target->key);
 }
 
+void engine_registry::onPromptStart(std::string_view id, const pending_prompt &prompt)
+{
+    engine *target = findEngine(id);
+    if (target == nullptr || prompt.tokens <= 0)
+        return;
+    m_backlog.expire(target->key, prompt.startedAt);
+    const engine_speed speed = speedOf(*target, target->eventIntervalSeconds);
+    pending_prompt added = prompt;
+    added.predicted = std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(
+        fitOf({.promptTokens = prompt.tokens}, speed, m_backlog, target->key, prompt.startedAt)
+            .firstEventSeconds));
+    m_backlog.add(target->key, added, speed.prefillSecondsPerToken);
+}
+
+std::optional<core::duration>
+engine_registry::onPromptRead(std::string_view id, core::request_id request, core::time_point now)
+{
+    const std::optional<pending_prompt> prompt = m_backlog.remove(keyOf(id), request);
+    engine *target = findEngine(id);
+    if (!prompt || target == nullptr)
+        return std::nullopt;
+    // Peers act on a prompt that is read only if that frees much of the engine.
+    if (prompt->tokens >= minReportedPromptTokens)
+        recordLoadChange(target->key);
+    const core::duration time = now - prompt->startedAt;
+    const double reading = seconds(time) - eventsBeforeFirst * target->eventIntervalSeconds;
+    if (reading > 0 && prompt->tokens >= minReportedPromptTokens)
+        learnPrefill(*target, reading / (prompt->tokens + prompt->sharedTokens),
+                     std::min(1.0, prompt->tokens / minPromptTokensForPrefill));
+    return time - prompt->predicted;
+}
+
+void engine_registry::onPromptEnd(std::string_view id, core::request_id request)
+{
+    m_backlog.remove(keyOf(id), request);
+}
+
 void engine_registry::onBytes(std::string_view id, core::time_point now)
 {
     engine *target = findEngine(id);
@@ -654,16 +713,17 @@
     engine *target = findEngine(id);
     if (target == nullptr || promptTokens < minPromptTokensForPrefill)
         return;
-    const double value = seconds(time) / promptTokens;
-    target->prefillSecondsPerToken
-        = target->prefillSecondsPerToken > 0
-              ? target->prefillSecondsPerToken
-                    + latencyWeight * (value - target->prefillSecondsPerToken)
-              : value;
-    m_minPrefillSecondsPerToken
-        = m_minPrefillSecondsPerToken > 0
-              ? std::min(m_minPrefillSecondsPerToken, target->prefillSecondsPerToken)
-              : target->prefillSecondsPerToken;
+    learnPrefill(*target, seconds(time) / promptTokens, 1);
+}
+
+void engine_registry::learnPrefill(engine &target, double secondsPerToken, double weight)
+{
+    double &learned = target.prefillSecondsPerToken;
+    learned = learned > 0 ? learned + weight * latencyWeight * (secondsPerToken - learned)
+                          : secondsPerToken;
+    m_minPrefillSecondsPerToken = m_minPrefillSecondsPerToken > 0
+                                      ? std::min(m_minPrefillSecondsPerToken, learned)
+                                      : learned;
 }
 
 std::vector<engine_load> engine_registry::ownLoads() const
@@ -671,7 +731,7 @@
     std::vector<engine_load> loads;
     for (const auto &[id, each] : m_engines) {
         if (each.running > 0)
-            loads.push_back({each.key, each.running});
+            loads.push_back({each.key, each.running, m_backlog.ownTokens(each.key)});
     }
     return loads;
 }
@@ -817,9 +877,7 @@
 double engine_registry::fixedCost(const engine &candidate, const selection_request &request,
                                   double fastest, core::time_point now) const
 {
-    double sum = failureCost * decayedFailures(candidate, now);
-    if (candidate.entry.domain != m_domain)
-        sum += crossDomainRequests / std::max<double>(1, candidate.entry.slots);
+    double sum = placementCost(candidate, now);
     // An engine without measurements counts as fast; one response is enough to measure it.
     const double eventIntervalSeconds
         = candidate.eventIntervalSeconds > 0 ? candidate.eventIntervalSeconds : fastest;
@@ -840,6 +898,56 @@
     return sum;
 }
 
+double engine_registry::placementCost(const engine &candidate, core::time_point now) const
+{
+    const double failures = failureCost * decayedFailures(candidate, now);
+    if (candidate.entry.domain == m_domain)
+        return failures;
+    return failures + crossDomainRequests / std::max<double>(1, candidate.entry.slots);
+}
+
+double engine_registry::coordinatedCost(const engine &candidate, const selection_request &request,
+                                        double fastest, core::time_point now) const
+{
+    return placementCost(candidate, now)
+           + fitOf(fitRequest(request, candidate.tokensPerEvent), speedOf(candidate, fastest),
+                   m_backlog, candidate.key, now)
+                 .cost;
+}
+
+// An engine without measurements counts as fast; one response is enough to measure it.
+engine_speed engine_registry::speedOf(const engine &candidate, double fastest) const
+{
+    engine_speed speed{candidate.eventIntervalSeconds, candidate.prefillSecondsPerToken};
+    const bool isFastestKnown = fastest > 0 && fastest < unknownEventIntervalSeconds;
+    if (speed.eventIntervalSeconds <= 0)
+        speed.eventIntervalSeconds = isFastestKnown ? fastest : 0;
+    if (speed.prefillSecondsPerToken <= 0)
+        speed.prefillSecondsPerToken
+            = m_minPrefillSecondsPerToken
+              * (isFastestKnown ? speed.eventIntervalSeconds / fastest : 1);
+    return speed;
+}
+
+bool engine_registry::shouldWaitForFasterEngine(std::span<engine *const> usable,
+                                                std::span<engine *const> free,
+                                                const selection_request &request, double fastest,
+                                                core::time_point now) const
+{
+    if (free.empty() || request.objectiveLeft <= core::duration::zero())
+        return false;
+    const auto fit = [&](const engine *each) {
+        return fitOf(fitRequest(request, each->tokensPerEvent), speedOf(*each, fastest), m_backlog,
+                     each->key, now);
+    };
+    if (std::ranges::any_of(free, [&](const engine *each) { return fit(each).meetsObjective; }))
+        return false;
+    return std::ranges::any_of(usable, [&](const engine *each) {
+        return each->preference != affinity::Other
+               && isWorthWaiting(fitRequest(request, each->tokensPerEvent), fit(each));
+    });
+}
+
 double engine_registry::loadCost(const engine &candidate, double peersRunning)
 {
     const double load
--- a/src/dispatch/engine_registry.h
+++ b/src/dispatch/engine_registry.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "core/ids.h"
 #include "core/time_point.h"
 #include "dispatch/engine_entry.h"
+#include "dispatch/engine_fit.h"
+#include "dispatch/engine_load.h"
 #include "dispatch/engine_statement.h"
 #include "dispatch/fleet_share.h"
+#include "dispatch/prefill_backlog.h"
 #include "dispatch/upstream_pause.h"
 #include "dispatch/upstream_settings.h"
 
@@ -22,18 +26,6 @@
 
 namespace comfreypass::dispatch {
 
-/** Compact engine id in messages between nodes; the same on all nodes. */
-using engine_key = std::uint32_t;
-
-/** Number of requests that one node runs at one engine. */
-struct engine_load
-{
-    engine_key engine = 0;
-    std::uint32_t running = 0;
-    /** Prompt tokens of those of them that have had no first event yet; 0 if not reported. */
-    std::uint32_t pendingPromptTokens = 0;
-};
-
 /** Engine latency as one node measured it. */
 struct engine_latency
 {
@@ -71,6 +63,8 @@
     std::optional<double> peerRequestsPerSlot = {};
     /** The nodes coordinate the requests of the upstream; see scheduling_settings. */
     bool coordinated = false;
+    /** Time until the objective; only used if coordinated. Negative if it has been missed. */
+    core::duration objectiveLeft{};
 };
 
 enum class selection_outcome : std::uint8_t {
@@ -91,6 +85,11 @@
     std::uint32_t ownRunning = 0;
     std::uint32_t peersRunning = 0;
     bool cold = false;
+    /**
+     * NoCapacity although slots are free: the objective would be missed at their engines, but can
+     * be met at one that is full now. A less urgent request may take the slots.
+     */
+    bool waitsForFasterEngine = false;
 };
 
 /** How an attempt at an engine ended. */
@@ -226,6 +225,26 @@
     /** Counts a request that is about to be sent to the engine. */
     void onStart(std::string_view id, core::time_point now);
 
+    /**
+     * Records that the engine reads the prompt of a request counted by onStart(), which belongs to
+     * a coordinated upstream.
+     */
+    void onPromptStart(std::string_view id, const pending_prompt &prompt);
+
+    /**
+     * Records the first event of such a request, and learns the speed of the engine from it. Must
+     * be called instead of onFirstEvent(). Returns the error of the predicted time to it, actual
+     * minus predicted; nothing if the prompt is unknown.
+     */
+    std::optional<core::duration> onPromptRead(std::string_view id, core::request_id request,
+                                               core::time_point now);
+
+    /** Records that such a request has ended; no effect after its first event. */
+    void onPromptEnd(std::string_view id, core::request_id request);
+
+    /** Returns the prompt tokens of this node's requests that wait for their first event. */
+    double pendingPromptTokens() const { return m_backlog.ownTokens(); }
+
     /** Ends a request counted by onStart() and records its result. */
     void onEnd(std::string_view id, attempt_result result, core::time_point now);
 
@@ -363,6 +382,17 @@
     /** Returns the cost that does not depend on the load: latency, failures, failure domain. */
     double fixedCost(const engine &candidate, const selection_request &request, double fastest,
                      core::time_point now) const;
+    /** Like fixedCost(), for a request of a coordinated upstream. */
+    double coordinatedCost(const engine &candidate, const selection_request &request,
+                           double fastest, core::time_point now) const;
+    /** Returns the cost of recent failures and of another failure domain. */
+    double placementCost(const engine &candidate, core::time_point now) const;
+    engine_speed speedOf(const engine &candidate, double fastest) const;
+    /** Returns true if the request should wait for one of `usable` instead of taking `free`. */
+    bool shouldWaitForFasterEngine(std::span<engine *const> usable, std::span<engine *const> free,
+                                   const selection_request &request, double fastest,
+                                   core::time_point now) const;
+    void learnPrefill(engine &target, double secondsPerToken, double weight);
     double loadCost(const engine &candidate, double peersRunning);
     static bool isStalled(const engine &candidate, core::time_point now);
     static double decayedFailures(const engine &candidate, core::time_point now);
@@ -397,6 +427,7 @@
     std::unordered_map<engine_key, std::uint32_t> m_peersRunning;
     /** Statements of engines whose entry was removed; it may return while the process runs. */
     std::map<std::string, engine_statement> m_keptStatements;
+    prefill_backlog m_backlog;
     std::vector<engine_key> m_changedLoads;
     std::vector<engine_key> m_newlyEjected;
     std::uint64_t m_membershipVersion = 0;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -891,11 +891,13 @@
         return;
     for (const dispatch::admission_grant &grant :
          m_admission.poll(upstream, trigger, monotonicNow())) {
-        if (request_flow *flow = findFlow(grant.id))
+        if (request_flow *flow = findFlow(grant.id)) {
             flow->onGrant(grant);
-        else
-            m_admission.onEnd(upstream, grant.engine.id, dispatch::attempt_result::Neutral,
-                              core::duration::zero(), monotonicNow());
+            continue;
+        }
+        m_registry.onPromptEnd(grant.engine.id, grant.id);
+        m_admission.onEnd(upstream, grant.engine.id, dispatch::attempt_result::Neutral,
+                          core::duration::zero(), monotonicNow());
     }
     m_startingQueued = false;
     sendEngineUpdatesSoon();
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -403,6 +403,7 @@
 
 void request_flow::returnSlot(const dispatch::engine_entry &engine)
 {
+    m_context.registry.onPromptEnd(engine.id, m_id);
     m_context.admission.onEnd(m_upstream, engine.id, dispatch::attempt_result::Neutral,
                               core::duration::zero(), m_context.now());
 }
@@ -766,7 +767,10 @@
 
 void request_flow::onFirstEvent(core::duration time)
 {
-    m_context.registry.onFirstEvent(m_engine->id, m_metadata.promptTokens.value_or(0), time);
+    if (m_context.admission.isCoordinated(m_upstream))
+        m_context.registry.onPromptRead(m_engine->id, m_id, m_context.now());
+    else
+        m_context.registry.onFirstEvent(m_engine->id, m_metadata.promptTokens.value_or(0), time);
     m_context.admission.onFirstEvent(m_upstream, m_record.priority, time);
 }
 
@@ -1034,6 +1038,7 @@
             m_context.engineConnections.discard(std::move(m_connection.connection));
     }
     m_connection = {};
+    m_context.registry.onPromptEnd(engineId, m_id);
     m_context.admission.onEnd(m_upstream, engineId, result, now - m_attemptStartedAt, now);
     m_context.slotFreed(m_upstream);
 }
