Bound the memory that a node holds for its callers

Cause: a node kept bodies, pipelined input and unsent output of all callers without a bound; a body over the limit stayed allocated, since a cleared string keeps its memory, until its connection ended 2 s later; the body was copied twice for the engine; freed large buffers stayed in the heap.

Change: memory_budget with a reservation per connection, taken before bytes are kept. A request without room is refused with 503 and Retry-After; requests without progress for 500 ms are refused first; a quarter of the budget is kept for small requests and an address gets nine sixteenths. Bodies are freed when refused and shared with the engine's connection.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -7,6 +7,8 @@
 #include "observe/log_setup.h"
 #include "transport/clock.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <chrono>
 #include <sstream>
@@ -107,6 +109,12 @@
 /** Share of the descriptors for callers; the rest is left for engines and peers. */
 constexpr int callerDescriptorPercent = 60;
 
+/** Returning less memory than this to the system is not worth the time that it takes. */
+constexpr std::size_t minTrimmedBytes = 4'194'304;
+constexpr core::duration memoryTrimInterval = 1s;
+
+constexpr core::duration memoryLogInterval = 1s;
+
 /** A caller's connection is aborted when its unsent output exceeds this. */
 constexpr std::size_t maxUnsentBytes = 4'194'304;
 
@@ -180,6 +188,7 @@
                            record_source &records, observe::metric_registry &metrics)
     : m_reactor(reactor), m_settings(std::move(settings)), m_records(records), m_metrics(metrics),
       m_incarnation(randomIncarnation()), m_random(static_cast<std::uint32_t>(m_incarnation)),
+      m_callerMemory(m_settings.callerMemoryBytes),
       m_registry(m_settings.domain, static_cast<std::uint32_t>(m_random())),
       m_fleet(m_settings.peers.address, m_settings.domain, {}),
       m_subsetting(m_settings.peers.address, m_registry),
@@ -390,19 +399,87 @@
         static_cast<double>(m_quarantine.quarantinedCount(dispatch::feature_kind::Request, now)));
     m_metrics.set(metric::GatewaySuspectedCrashes, {}, static_cast<double>(m_suspectedCrashes));
     m_metrics.set(metric::GatewayConnections, {}, static_cast<double>(m_connections.size()));
+    m_metrics.set(metric::GatewayCallerMemory, {"used"},
+                  static_cast<double>(m_callerMemory.usedBytes()));
+    m_metrics.set(metric::GatewayCallerMemory, {"limit"},
+                  static_cast<double>(m_callerMemory.limitBytes()));
+    const auto &refusals = m_callerMemory.counts();
+    m_metrics.set(metric::GatewayCallerMemoryRefusals, {"limit"},
+                  static_cast<double>(refusals.refusedByLimit));
+    m_metrics.set(metric::GatewayCallerMemoryRefusals, {"address_share"},
+                  static_cast<double>(refusals.refusedByShare));
+    m_metrics.set(metric::GatewayCallerMemoryRefusals, {"no_progress"},
+                  static_cast<double>(refusals.reclaimed));
+    m_metrics.set(metric::GatewayCallerMemoryRefusals, {"connections"},
+                  static_cast<double>(m_rejectedConnections));
     m_metrics.set(metric::GatewayConfigurationVersion, {},
                   static_cast<double>(m_catalogue.configurationVersion()));
     m_metrics.set(metric::GatewayRecordCalls, {}, static_cast<double>(m_records.calls()));
     m_metrics.set(metric::GatewayLogLinesLeftOut, {}, static_cast<double>(m_log.suppressed()));
 }
 
-void gateway_node::onAccepted(http1::socket_handle socket)
+bool gateway_node::makeRoomForConnection()
 {
     const std::size_t maxConnections = m_settings.descriptors * callerDescriptorPercent / 100;
-    if (m_connections.size() >= maxConnections)
+    while (m_connections.size() >= maxConnections) {
+        if (!closeLingering() && !m_callerMemory.reclaimOldest(monotonicNow()))
+            return false;
+    }
+    return true;
+}
+
+// A refused caller may keep its connection open for seconds, which a new one needs more.
+bool gateway_node::closeLingering()
+{
+    for (const auto &[pointer, connection] : m_connections) {
+        if (connection->closeIfLingering())
+            return true;
+    }
+    return false;
+}
+
+// The machine counts the resident set, in which memory that the allocator keeps remains.
+void gateway_node::manageMemory(core::time_point now)
+{
+    const std::size_t used = m_callerMemory.usedBytes();
+    m_peakCallerMemory = std::max(m_peakCallerMemory, used);
+    if (m_peakCallerMemory - used >= minTrimmedBytes && now >= m_memoryTrimAllowedAt) {
+        ::malloc_trim(0);
+        m_peakCallerMemory = used;
+        m_memoryTrimAllowedAt = now + memoryTrimInterval;
+    }
+    while (m_callerMemory.usedBytes() > m_callerMemory.limitBytes()
+           && m_callerMemory.reclaimOldest(now)) {
+    }
+    const auto &counts = m_callerMemory.counts();
+    const std::uint64_t refusals
+        = counts.refusedByLimit + counts.refusedByShare + counts.reclaimed + m_rejectedConnections;
+    if (refusals == m_loggedMemoryRefusals || now < m_memoryLogAllowedAt)
+        return;
+    logEvent(log_level::Warning, "caller_memory",
+             "callers were refused, since they hold too much memory or too many connections",
+             {{"since_last", std::to_string(refusals - m_loggedMemoryRefusals)},
+              {"used_bytes", std::to_string(m_callerMemory.usedBytes())},
+              {"limit_bytes", std::to_string(m_callerMemory.limitBytes())},
+              {"refused_limit", std::to_string(counts.refusedByLimit)},
+              {"refused_share", std::to_string(counts.refusedByShare)},
+              {"reclaimed", std::to_string(counts.reclaimed)},
+              {"rejected_connections", std::to_string(m_rejectedConnections)},
+              {"connections", std::to_string(m_connections.size())}});
+    m_loggedMemoryRefusals = refusals;
+    m_memoryLogAllowedAt = now + memoryLogInterval;
+}
+
+void gateway_node::onAccepted(http1::socket_handle socket)
+{
+    if (!makeRoomForConnection()) {
+        ++m_rejectedConnections;
         return;
+    }
+    const std::uint32_t address = http1::peerAddress(socket);
     auto connection = std::make_shared<http1::server_connection>(
-        m_reactor, std::move(socket), m_limits, [] { return monotonicNow(); }, *this);
+        m_reactor, std::move(socket), m_limits, m_callerMemory, address,
+        [] { return monotonicNow(); }, *this);
     if (m_leaving)
         connection->closeAfterResponse();
     m_connections.emplace(connection.get(), connection);
@@ -825,6 +902,7 @@
             connection->closeIfIdle();
         connection->checkTimeouts(now);
     }
+    manageMemory(now);
     m_log.reportSuppressed();
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -25,6 +25,7 @@
 #include "gateway/udp_socket.h"
 #include "http1/deferred_deleter.h"
 #include "http1/listener.h"
+#include "http1/memory_budget.h"
 #include "http1/server_connection.h"
 #include "observe/metric_registry.h"
 #include "transport/http_client.h"
@@ -108,6 +109,9 @@
                     dispatch::record_revision revision) override;
     void onAvailability(collection_id collection, bool available, std::string_view detail) override;
 
+    bool makeRoomForConnection();
+    bool closeLingering();
+    void manageMemory(core::time_point now);
     void onAccepted(http1::socket_handle socket);
     void onDatagram(const http1::endpoint &from, std::string_view bytes);
     void onFlowDone(core::request_id id, const flow_record &record);
@@ -154,6 +158,7 @@
     std::uint64_t m_incarnation;
     std::minstd_rand m_random;
 
+    http1::memory_budget m_callerMemory;
     http1::deferred_deleter m_deleter;
     http1::server_limits m_limits;
     dispatch::engine_registry m_registry;
@@ -198,6 +203,13 @@
     core::time_point m_startedAt{};
     source_monitor m_source;
     bool m_startingQueued = false;
+    /** Largest use of memory since free memory was last returned to the system, in bytes. */
+    std::size_t m_peakCallerMemory = 0;
+    core::time_point m_memoryTrimAllowedAt{};
+    core::time_point m_memoryLogAllowedAt{};
+    std::uint64_t m_loggedMemoryRefusals = 0;
+    /** Connections that were closed when they were accepted. */
+    std::uint64_t m_rejectedConnections = 0;
 
     bool m_leaving = false;
     core::time_point m_leavingSince{};
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -39,6 +39,9 @@
  */
 constexpr std::size_t minProgressBytes = 1'024;
 
+/** A larger body is not copied for the engine; head and body of others leave in one packet. */
+constexpr std::size_t maxCopiedBodyBytes = 65'536;
+
 /** Reading from the engine pauses while more output than this waits for the caller. */
 constexpr std::size_t maxWaitingOutputBytes = 262'144;
 
@@ -107,8 +110,9 @@
                            http1::server_connection &caller, http1::message_head head,
                            std::string body)
     : m_context(context), m_id(id), m_caller(caller), m_head(std::move(head)),
-      m_body(std::move(body)), m_metadata(context.callerProtocol.readRequest(m_head)),
-      m_arrivedAt(context.now()), m_deadlineTimer(context.reactor, [this] { onDeadline(); }),
+      m_body(std::make_shared<const std::string>(std::move(body))),
+      m_metadata(context.callerProtocol.readRequest(m_head)), m_arrivedAt(context.now()),
+      m_deadlineTimer(context.reactor, [this] { onDeadline(); }),
       m_attemptTimer(context.reactor, [this] { checkAttempt(); })
 {
     m_record.attemptId = m_metadata.attemptId;
@@ -316,7 +320,7 @@
                                                                         .host = m_metadata.host,
                                                                         .target = m_head.target,
                                                                         .team = m_record.team,
-                                                                        .body = m_body})});
+                                                                        .body = *m_body})});
     return features;
 }
 
@@ -470,7 +474,8 @@
     m_connection = connectionForAttempt(now);
     m_triedAddresses.push_back(*m_engineAddress);
     m_context.quarantine.onAttempt(m_features, now);
-    m_connection.connection->start(buildRequest(engine), *this);
+    m_connection.connection->start(buildRequest(engine), *this,
+                                   sendsBodyShared() ? m_body : nullptr);
     m_attemptTimer.startOnce(m_connection.connection->connected() ? stallTimeout()
                                                                   : connectTimeout);
 }
@@ -498,12 +503,19 @@
     std::string text = m_head.method + " " + m_head.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : m_context.callerProtocol.engineHeaders(m_head, attempt))
         http1::appendField(text, name, value);
-    if (!m_body.empty() || m_head.contentLength || m_head.chunked)
-        http1::appendField(text, "Content-Length", std::to_string(m_body.size()));
-    text.append("\r\n").append(m_body);
+    if (!m_body->empty() || m_head.contentLength || m_head.chunked)
+        http1::appendField(text, "Content-Length", std::to_string(m_body->size()));
+    text.append("\r\n");
+    if (!sendsBodyShared())
+        text.append(*m_body);
     return text;
 }
 
+bool request_flow::sendsBodyShared() const noexcept
+{
+    return m_body->size() > maxCopiedBodyBytes;
+}
+
 void request_flow::checkAttempt()
 {
     if (!m_engine) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -102,6 +102,7 @@
                       const dispatch::engine_selection &basis);
     engine_connection connectionForAttempt(core::time_point now);
     std::string buildRequest(const dispatch::engine_entry &engine) const;
+    bool sendsBodyShared() const noexcept;
     void checkAttempt();
     void onConnectTimeout();
     bool isStalled() const;
@@ -154,7 +155,8 @@
     core::request_id m_id;
     http1::server_connection &m_caller;
     http1::message_head m_head;
-    std::string m_body;
+    /** Shared with the connection to the engine, which may send it after this flow has ended. */
+    std::shared_ptr<const std::string> m_body;
     request_metadata m_metadata;
     flow_record m_record;
 
--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -22,6 +22,9 @@
 /** Consumed input is erased once it reaches this size, which bounds the cost of moving the rest. */
 constexpr std::size_t compactionThresholdBytes = 65'536;
 
+/** An empty buffer of at most this size is kept: enough for a typical head or stream event. */
+constexpr std::size_t keptBufferBytes = 4'096;
+
 /**
  * TCP_USER_TIMEOUT: closes a connection whose output stays unacknowledged, since a peer that lost
  * power never resets it. Equals the shortest request timeout.
@@ -39,6 +42,13 @@
     setSocketOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedTimeoutMs);
 }
 
+/** Frees the memory of an empty buffer that is not small; assignment would keep it. */
+void releaseIfLarge(std::string &buffer)
+{
+    if (buffer.capacity() > keptBufferBytes)
+        std::string().swap(buffer);
+}
+
 bool wouldBlock(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -89,10 +99,25 @@
         else if (sent < 0 && !wouldBlock(errno))
             onSendError(errno);
     }
+    if (const std::shared_ptr<const std::string> shared = std::exchange(m_shared, nullptr))
+        m_output.append(*shared, m_sharedSent);
     m_output.append(bytes);
     updateMask();
 }
 
+void byte_stream::sendShared(std::shared_ptr<const std::string> bytes)
+{
+    if (!isOpen() || !bytes || bytes->empty() || m_sendError != 0)
+        return;
+    if (m_shared) {
+        send(*bytes);
+        return;
+    }
+    m_shared = std::move(bytes);
+    m_sharedSent = 0;
+    updateMask();
+}
+
 void byte_stream::consume(std::size_t count)
 {
     COMFREYPASS_INVARIANT(count <= m_input.size() - m_consumed);
@@ -100,6 +125,7 @@
     if (m_consumed == m_input.size()) {
         m_input.clear();
         m_consumed = 0;
+        releaseIfLarge(m_input);
     } else if (m_consumed >= compactionThresholdBytes) {
         m_input.erase(0, m_consumed);
         m_consumed = 0;
@@ -132,6 +158,10 @@
                                  ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
     m_mask = ACE_Event_Handler::NULL_MASK;
     m_socket.reset();
+    // Nothing reads them any more, and the object may be deleted later.
+    m_shared.reset();
+    std::string().swap(m_output);
+    m_sent = 0;
 }
 
 void byte_stream::abort() noexcept
@@ -199,21 +229,17 @@
 
 void byte_stream::flush()
 {
+    const bool wasWaiting = unsentBytes() > 0;
     while (unsentBytes() > 0) {
-        const ssize_t sent
-            = ::send(m_socket.get(), m_output.data() + m_sent, unsentBytes(), MSG_NOSIGNAL);
+        const std::string_view next = nextOutput();
+        const ssize_t sent = ::send(m_socket.get(), next.data(), next.size(), MSG_NOSIGNAL);
         if (sent < 0) {
             if (wouldBlock(errno))
                 break;
             onSendError(errno);
             return;
         }
-        m_sent += static_cast<std::size_t>(sent);
-    }
-    const bool wasWaiting = !m_output.empty();
-    if (unsentBytes() == 0) {
-        m_output.clear();
-        m_sent = 0;
+        onBytesSent(static_cast<std::size_t>(sent));
     }
     updateMask();
     if (unsentBytes() > 0 || !wasWaiting)
@@ -223,6 +249,31 @@
     m_events.onSent();
 }
 
+std::string_view byte_stream::nextOutput() const noexcept
+{
+    const std::string_view rest = std::string_view(m_output).substr(m_sent);
+    return rest.empty() ? std::string_view(*m_shared).substr(m_sharedSent) : rest;
+}
+
+void byte_stream::onBytesSent(std::size_t count)
+{
+    if (m_sent == m_output.size()) {
+        m_sharedSent += count;
+        if (m_sharedSent == m_shared->size())
+            m_shared.reset();
+        return;
+    }
+    m_sent += count;
+    if (m_sent == m_output.size()) {
+        m_output.clear();
+        m_sent = 0;
+        releaseIfLarge(m_output);
+    } else if (m_sent >= compactionThresholdBytes && m_sent >= m_output.size() / 2) {
+        m_output.erase(0, m_sent);
+        m_sent = 0;
+    }
+}
+
 // The peer may have responded before it closed, so the received bytes are read first. The end is
 // reported from handle_input, never from within send().
 void byte_stream::onSendError(int error)
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -66,6 +67,9 @@
     /** Sends as much as the kernel accepts and buffers the rest. No effect once closed. */
     void send(std::string_view bytes);
 
+    /** As send, but keeps a reference to the bytes that the kernel does not accept, not a copy. */
+    void sendShared(std::shared_ptr<const std::string> bytes);
+
     /** Returns the unconsumed input. The view is valid until the next event or consume(). */
     std::string_view input() const noexcept { return std::string_view(m_input).substr(m_consumed); }
 
@@ -73,7 +77,10 @@
     void consume(std::size_t count);
 
     /** Returns the number of buffered bytes that the kernel has not accepted yet. */
-    std::size_t unsentBytes() const noexcept { return m_output.size() - m_sent; }
+    std::size_t unsentBytes() const noexcept { return m_output.size() - m_sent + sharedBytes(); }
+
+    /** Returns the memory of the buffers, in bytes, without shared bytes. */
+    std::size_t bufferBytes() const noexcept { return m_input.capacity() + m_output.capacity(); }
 
     /** Enables or disables reading; while disabled, TCP flow control slows the peer down. */
     void setReading(bool reading);
@@ -97,6 +104,12 @@
 
     void finishConnect();
     void flush();
+    std::string_view nextOutput() const noexcept;
+    std::size_t sharedBytes() const noexcept
+    {
+        return m_shared ? m_shared->size() - m_sharedSent : 0;
+    }
+    void onBytesSent(std::size_t count);
     void onSendError(int error);
     void closeAndReport(stream_end reason);
     void updateMask();
@@ -108,6 +121,9 @@
     std::size_t m_consumed = 0;
     std::string m_output;
     std::size_t m_sent = 0;
+    /** Output after m_output. */
+    std::shared_ptr<const std::string> m_shared;
+    std::size_t m_sharedSent = 0;
     /** The first error of a send, which the kernel does not report again; 0 if none failed. */
     int m_sendError = 0;
     ACE_Reactor_Mask m_mask = ACE_Event_Handler::NULL_MASK;
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -29,7 +29,8 @@
     : m_stream(reactor, target, *this)
 { }
 
-void client_connection::start(std::string_view request, client_events &events)
+void client_connection::start(std::string_view request, client_events &events,
+                              std::shared_ptr<const std::string> rest)
 {
     m_events = &events;
     m_isHeadRequest = request.starts_with("HEAD ");
@@ -39,6 +40,7 @@
     m_parser.reset();
     m_stream.setReading(true);
     m_stream.send(request);
+    m_stream.sendShared(std::move(rest));
 }
 
 void client_connection::cancel() noexcept
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -74,9 +74,11 @@
 
     /**
      * Sends a request as soon as the connection is established. `events` must live until the last
-     * event of the request. Precondition: no request is running, and usable().
+     * event of the request. `rest` is sent after `request` without a copy, if it is not null.
+     * Precondition: no request is running, and usable().
      */
-    void start(std::string_view request, client_events &events);
+    void start(std::string_view request, client_events &events,
+               std::shared_ptr<const std::string> rest = nullptr);
 
     /** Closes the connection; no event follows. */
     void cancel() noexcept;
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -2,6 +2,7 @@
 
 #include "core/time_point.h"
 #include "http1/byte_stream.h"
+#include "http1/memory_reservation.h"
 #include "http1/message_parser.h"
 #include "http1/server_limits.h"
 
@@ -49,12 +50,14 @@
     using clock_function = std::function<core::time_point()>;
 
     /**
-     * Reactor, limits and events must outlive the connection. Limits may change during its life;
-     * lower ones apply to requests and idle periods that begin afterwards, since the caller relies
-     * on the limits that it knows.
+     * Reactor, limits, memory and events must outlive the connection. `address` is the IPv4 address
+     * of the caller, whose share of the memory the connection uses. Limits may change during its
+     * life; lower ones apply to requests and idle periods that begin afterwards, since the caller
+     * relies on the limits that it knows.
      */
     server_connection(ACE_Reactor &reactor, socket_handle connection, const server_limits &limits,
-                      clock_function clock, server_events &events);
+                      memory_budget &memory, std::uint32_t address, clock_function clock,
+                      server_events &events);
 
     /**
      * Sends a complete response; the body is left out if the request is HEAD. `headers` may then
@@ -97,6 +100,9 @@
      */
     void checkTimeouts(core::time_point now);
 
+    /** Closes the connection if it was refused or answered for the last time. */
+    bool closeIfLingering();
+
     /** Closes the connection if it is idle(). */
     void closeIfIdle();
 
@@ -116,10 +122,20 @@
 
     void readRequest();
     void rejectRequest(unsigned status, std::string_view reason);
+    void respondAndClose(unsigned status, const transport::http_headers &headers,
+                         std::string_view body);
     std::string buildResponseHead(unsigned status, const transport::http_headers &headers);
     void finishResponse();
     void closeNow();
     void beginRequest();
+    void appendBody(std::string_view bytes);
+    bool reserveBody(std::size_t bytes);
+    bool reserveHead();
+    void dropBody() noexcept;
+    std::size_t heldBytes() const noexcept;
+    void updateMemory();
+    void releaseMemory();
+    void refuseRequest();
 
     const server_limits &m_limits;
     /** The limits at the start of the current request. */
@@ -128,6 +144,15 @@
     server_events &m_events;
     std::optional<message_parser> m_parser;
     std::string m_body;
+    /** Memory of the body that is being received, or was passed on for the pending response. */
+    std::size_t m_bodyMemory = 0;
+    /** Memory of the parsed header of the current request. */
+    std::size_t m_headMemory = 0;
+    bool m_bodyTooLarge = false;
+    bool m_memoryRefused = false;
+    /** Unsent output at the last check, and when it was seen to shrink. */
+    std::size_t m_lastUnsentBytes = 0;
+    core::time_point m_lastSentAt;
     core::time_point m_lastActivity;
     core::time_point m_requestStartedAt;
     /** The limit at the start of the current idle period. */
@@ -143,6 +168,8 @@
     bool m_closing = false;
     bool m_closed = false;
     bool m_reading = false;
+    memory_budget &m_budget;
+    memory_reservation m_memory;
     byte_stream m_stream;
 };
 
--- a/src/http1/socket_handle.cpp
+++ b/src/http1/socket_handle.cpp
@@ -1,5 +1,8 @@
 #include "http1/socket_handle.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <utility>
@@ -30,4 +33,13 @@
         ::close(std::exchange(m_descriptor, -1));
 }
 
+std::uint32_t peerAddress(const socket_handle &socket) noexcept
+{
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (::getpeername(socket.get(), reinterpret_cast<sockaddr *>(&peer), &size) != 0)
+        return 0;
+    return ntohl(peer.sin_addr.s_addr);
+}
+
 } // namespace comfreypass::http1
--- a/src/http1/socket_handle.h
+++ b/src/http1/socket_handle.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 namespace comfreypass::http1 {
 
 /** Owns a file descriptor and closes it on destruction. Not thread-safe. */
@@ -25,4 +27,7 @@
     int m_descriptor = -1;
 };
 
+/** Returns the IPv4 address of the peer in host byte order; 0 if it is unknown. Thread-safe. */
+std::uint32_t peerAddress(const socket_handle &socket) noexcept;
+
 } // namespace comfreypass::http1
--- a/src/observe/metric_info.h
+++ b/src/observe/metric_info.h
@@ -47,6 +47,8 @@
     GatewayQuarantined,
     GatewaySuspectedCrashes,
     GatewayConnections,
+    GatewayCallerMemory,
+    GatewayCallerMemoryRefusals,
     GatewayConfigurationVersion,
     GatewayRecordCalls,
     GatewayLogLinesLeftOut,
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -37,6 +37,9 @@
 /** Body bytes over the limit that are read and discarded, so that the caller can read the 413. */
 constexpr std::size_t maxDiscardedBodyBytes = 8'388'608;
 
+/** Bodies up to this size may use all of the memory for bodies. */
+constexpr std::size_t smallBodyBytes = 65'536;
+
 struct daemon_deleter
 {
     void operator()(MHD_Daemon *daemon) const noexcept { MHD_stop_daemon(daemon); }
@@ -167,6 +170,9 @@
         bool tooLarge = false;
         bool passedToHandler = false;
         std::size_t receivedBytes = 0;
+        /** Bytes of the body that count against totalBodyBytes. */
+        std::size_t heldBytes = 0;
+        bool refused = false;
     };
 
     static MHD_Result onAccess(void *self, MHD_Connection *connection, const char *url,
@@ -184,6 +190,8 @@
     MHD_Result beginRequest(MHD_Connection *connection, const char *url, const char *method,
                             void **state);
     MHD_Result passToHandler(pending_request &pending);
+    void appendBody(pending_request &pending, std::string_view data);
+    void dropBody(pending_request &pending);
 
     ACE_Reactor &m_reactor;
     http_server_settings m_settings;
@@ -194,6 +202,8 @@
     int m_epoll = -1;
     std::uint16_t m_port = 0;
     std::set<std::shared_ptr<mhd_exchange>> m_exchanges;
+    /** Bytes of all bodies that are held. */
+    std::size_t m_heldBytes = 0;
 };
 
 core::result<std::uint16_t> http_server::implementation::listen()
@@ -342,12 +352,7 @@
         pending.receivedBytes += data.size();
         if (pending.receivedBytes > m_settings.bodyBytes + maxDiscardedBodyBytes)
             return MHD_NO;
-        std::string &body = pending.exchange->mutableRequest().body;
-        pending.tooLarge = pending.receivedBytes > m_settings.bodyBytes;
-        if (pending.tooLarge)
-            body.clear();
-        else
-            body += data;
+        appendBody(pending, data);
         return MHD_YES;
     }
     if (!pending.passedToHandler)
@@ -355,6 +360,31 @@
     return pending.exchange->advance();
 }
 
+// The rest of a refused body is read and discarded, so that the caller can read the response.
+void http_server::implementation::appendBody(pending_request &pending, std::string_view data)
+{
+    pending.tooLarge = pending.receivedBytes > m_settings.bodyBytes;
+    const bool isSmall = pending.receivedBytes <= smallBodyBytes;
+    const std::size_t limit
+        = isSmall ? m_settings.totalBodyBytes : m_settings.totalBodyBytes / 4 * 3;
+    if (m_heldBytes + data.size() > limit)
+        pending.refused = true;
+    if (pending.tooLarge || pending.refused) {
+        dropBody(pending);
+        return;
+    }
+    pending.exchange->mutableRequest().body += data;
+    pending.heldBytes += data.size();
+    m_heldBytes += data.size();
+}
+
+void http_server::implementation::dropBody(pending_request &pending)
+{
+    m_heldBytes -= std::exchange(pending.heldBytes, 0);
+    // Clearing would keep the memory.
+    std::string().swap(pending.exchange->mutableRequest().body);
+}
+
 MHD_Result http_server::implementation::beginRequest(MHD_Connection *connection, const char *url,
                                                      const char *method, void **state)
 {
@@ -404,6 +434,12 @@
             .respondTo(*exchange);
         return exchange->advance();
     }
+    if (pending.refused) {
+        makeProblem(MHD_HTTP_SERVICE_UNAVAILABLE, "No memory for the request body",
+                    "memory_exhausted")
+            .respondTo(*exchange, {{"Retry-After", "1"}, {"Connection", "close"}});
+        return exchange->advance();
+    }
     m_exchanges.insert(exchange);
     // The handler gets a shared pointer of its own, so that releasing the exchange without a
     // response is detected.
@@ -429,7 +465,9 @@
         return;
     const std::unique_ptr<pending_request> pending(static_cast<pending_request *>(*state));
     *state = nullptr;
-    static_cast<implementation *>(self)->m_exchanges.erase(pending->exchange);
+    auto &server = *static_cast<implementation *>(self);
+    server.m_exchanges.erase(pending->exchange);
+    server.m_heldBytes -= std::exchange(pending->heldBytes, 0);
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
         guarded("connection log", [&] {
             BOOST_LOG_TRIVIAL(info)
--- a/src/transport/http_server_settings.h
+++ b/src/transport/http_server_settings.h
@@ -20,6 +20,11 @@
     std::size_t headerBytes = 65'536;
     /** Maximum size of the request body; larger ones get a 413. */
     std::size_t bodyBytes = 1'000'000;
+    /**
+     * Maximum memory of all bodies that are being received or processed. Beyond three quarters of
+     * it, bodies larger than 65,536 bytes get a 503; beyond all of it, every body does.
+     */
+    std::size_t totalBodyBytes = 67'108'864;
     /** Idle time after which a connection is closed, unless it is suspended for the handler. */
     std::uint32_t idleSeconds = 30;
     /** Maximum number of bytes buffered for one streamed response. */
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -56,6 +56,7 @@
     }
 
     server_limits limits;
+    memory_budget memory{67'108'864};
     std::vector<message_head> heads;
     std::vector<std::string> bodies;
     std::vector<std::shared_ptr<server_connection>> connections;
@@ -69,7 +70,8 @@
     void accept(socket_handle socket)
     {
         connections.push_back(std::make_shared<server_connection>(
-            m_reactor, std::move(socket), limits, [] { return transport::monotonicNow(); }, *this));
+            m_reactor, std::move(socket), limits, memory, INADDR_LOOPBACK,
+            [] { return transport::monotonicNow(); }, *this));
     }
 
     ACE_Reactor &m_reactor;
@@ -101,6 +103,9 @@
     CPPUNIT_TEST(slowHeaderIsRejectedAfterTheReadTimeout);
     CPPUNIT_TEST(endlessChunkMetadataIsRejected);
     CPPUNIT_TEST(sentOutputIsReported);
+    CPPUNIT_TEST(bodyWithoutMemoryIsRefusedWithItsHeader);
+    CPPUNIT_TEST(memoryOfARefusedBodyIsReleased);
+    CPPUNIT_TEST(stalledBodyIsRefusedWhenMemoryIsShort);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -467,6 +472,53 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.current->unsentBytes());
     }
 
+    // Guards against a node that reads bodies for which it has no memory.
+    void bodyWithoutMemoryIsRefusedWithItsHeader()
+    {
+        recording_server server(m_loop.reactor());
+        memory_reservation others(server.memory, 1, [] {});
+        others.resize(server.memory.largeLimitBytes());
+        tests::raw_socket caller(server.port());
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\n");
+        m_loop.waitFor("a refusal", [&] { return caller.receive().starts_with("HTTP/1.1 503 "); });
+        CPPUNIT_ASSERT(caller.receive().find("Retry-After: ") != std::string::npos);
+        CPPUNIT_ASSERT(caller.receive().find("Connection: close") != std::string::npos);
+        server.respondsImmediately = true;
+        tests::raw_socket small(server.port());
+        small.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc");
+        m_loop.waitFor("a response", [&] { return small.receive().starts_with("HTTP/1.1 200 "); });
+    }
+
+    // Guards against a body over the limit that is kept until its connection ends.
+    void memoryOfARefusedBodyIsReleased()
+    {
+        recording_server server(m_loop.reactor());
+        server.limits.bodyBytes = 200'000;
+        tests::raw_socket caller(server.port());
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n"
+                    + std::string(300'000, 'x'));
+        m_loop.waitFor("a refusal", [&] { return caller.receive().starts_with("HTTP/1.1 413 "); });
+        CPPUNIT_ASSERT(server.memory.usedBytes() < 50'000);
+    }
+
+    // Guards against callers that stop short of the end and keep others out.
+    void stalledBodyIsRefusedWhenMemoryIsShort()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\nabc");
+        m_loop.waitFor("a partial body",
+                       [&] { return server.memory.usedBytes() > std::size_t{4'000'000}; });
+        memory_reservation others(server.memory, 1, [] {});
+        const core::time_point later = transport::monotonicNow() + 1s;
+        CPPUNIT_ASSERT(others.tryResize(server.memory.addressLimitBytes(), later));
+        memory_reservation next(server.memory, 2, [] {});
+        CPPUNIT_ASSERT(next.tryResize(
+            server.memory.largeLimitBytes() - server.memory.addressLimitBytes() - 100'000, later));
+        m_loop.waitFor("a refusal", [&] { return caller.receive().starts_with("HTTP/1.1 503 "); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, server.memory.counts().reclaimed);
+    }
+
 private:
     /** Bytes after which a caller that was not rejected counts as accepted. */
     static constexpr std::size_t maxEndlessBytes = 67'108'864;
--- a/tests/integration/memory_crowd.py
+++ b/tests/integration/memory_crowd.py
@@ -148,11 +148,11 @@
         return next(int(line.split()[1]) / 1024 for line in file if line.startswith("VmHWM"))
 
 
-def main(head, piece, count):
+def main(head, piece, count, crowd=Crowd):
     parser = argparse.ArgumentParser()
     parser.add_argument("--node", required=True)
     program = parser.parse_known_args()[0].node
     with tempfile.TemporaryDirectory() as folder:
-        failures = asyncio.run(Crowd(program, head, piece, count).run(folder))
+        failures = asyncio.run(crowd(program, head, piece, count).run(folder))
     print("failed: " + "; ".join(failures) if failures else "passed")
     sys.exit(1 if failures else 0)
