Keep nodes from starting two requests in one handed-over slot

Cause: a new request took a slot that a queued request of a peer was about to take, a completion granted a slot of another engine than its own, and peers that did not know of a queued request took its slot. Change: a new request leaves slots of engines with queues at peers until they have been free for 15 ms; a completion takes the slot of its own engine only, if others are contested; an update of a peer grants only to requests whose priority was reported at least 4 ms ago.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -44,6 +44,9 @@
 /** Includes the queued requests of all priorities. */
 constexpr std::uint32_t lowestPriority = std::numeric_limits<std::uint32_t>::max();
 
+/** The latency between failure domains is below 4 ms. */
+constexpr core::duration reportTravelTime = 4ms;
+
 /** Below the lifetime of a report, so that a queue that does not change remains known to peers. */
 constexpr core::duration queueReportInterval = 60ms;
 
@@ -146,12 +149,12 @@
     if (trigger == poll_trigger::PeerUpdate) {
         if (handsOver)
             grant(state, queue.size(), engine_choice::FreshLoad, grants, now,
-                  contested_slots::None);
+                  slot_event::PeerUpdate);
         return grants;
     }
     updateAllowance(upstream, state, m_requests.at(next->id), now);
     if (handsOver)
-        grant(state, queue.size(), engine_choice::FreshLoad, grants, now, contested_slots::Drawn);
+        grant(state, queue.size(), engine_choice::FreshLoad, grants, now, slot_event::Tick);
     else
         grant(state, drawPreferredSlots(upstream, now), engine_choice::FreshLoad, grants, now);
     // These slots become free without the end of a request, here or at a peer.
@@ -160,7 +163,8 @@
             grant(state, shareOf(free, upstream, state, m_requests.at(waiting->id), now),
                   engine_choice::Any, grants, now);
     }
-    state.allowance -= grant(state, state.allowance, engine_choice::Any, grants, now);
+    state.allowance
+        -= grant(state, state.allowance, engine_choice::Any, grants, now, slot_event::Tick);
     return grants;
 }
 
@@ -170,13 +174,14 @@
                                                   core::time_point now)
 {
     const engine_selection fresh
-        = choose(state, request, engine_choice::FreshLoad, now, contested_slots::Drawn);
+        = choose(state, request, engine_choice::FreshLoad, now, slot_event::Arrival);
     if (fresh.outcome == selection_outcome::Selected || !m_registry.isSubsetted(request.upstream))
         return fresh;
     updateAllowance(request.upstream, state, request, now);
     if (state.allowance == 0)
         return fresh;
-    const engine_selection any = choose(state, request, engine_choice::Any, now);
+    const engine_selection any
+        = choose(state, request, engine_choice::Any, now, slot_event::Arrival);
     if (any.outcome == selection_outcome::Selected)
         --state.allowance;
     return any;
@@ -184,14 +189,14 @@
 
 std::size_t admission::grant(upstream_state &state, std::size_t maxGrants, engine_choice engines,
                              std::vector<admission_grant> &grants, core::time_point now,
-                             contested_slots contested)
+                             slot_event event)
 {
     std::size_t granted = 0;
     if (maxGrants == 0)
         return granted;
     for (const core::request_id id : state.queue.inOrder(now)) {
         const admission_request &request = m_requests.at(id);
-        const engine_selection basis = choose(state, request, engines, now, contested);
+        const engine_selection basis = choose(state, request, engines, now, event);
         if (basis.outcome != selection_outcome::Selected) {
             // The free slots may all be at engines that only this request excludes.
             if (!request.restrictsEngines())
@@ -292,6 +297,7 @@
     m_registry.onEnd(engineId, result, now);
     upstream_state &state = m_upstreams[upstream];
     recordEvent(state.completionsPerSecond, state.completionsUpdatedAt, now);
+    state.freedEngine = engineId;
     if (result != attempt_result::Served || serviceTime <= core::duration::zero())
         return;
     const double value = seconds(serviceTime);
@@ -429,25 +435,54 @@
     return state.queue.empty() ? state.peerRequestsPerSlot : 0;
 }
 
+bool admission::mustLeave(slot_claim claim, slot_event event, bool isFreedEngine, bool isKnown)
+{
+    switch (claim) {
+    case slot_claim::Yielded:
+        return true;
+    case slot_claim::Unclaimed:
+    case slot_claim::OpenSettled:
+        return false;
+    case slot_claim::Open:
+        // A peer that does not know of the request may take the slot at the same time.
+        return event != slot_event::Completion && !isKnown;
+    case slot_claim::Contested:
+        return event != slot_event::Completion || !isFreedEngine;
+    case slot_claim::ContestedSettled:
+        break;
+    }
+    if (event == slot_event::Completion && isFreedEngine)
+        return false;
+    return event == slot_event::PeerUpdate
+           || !std::bernoulli_distribution(preferredSlotProbability)(m_random);
+}
+
 std::vector<std::string> admission::excludedEngines(const admission_request &request,
-                                                    contested_slots contested, core::time_point now)
+                                                    slot_event event, std::string_view freedEngine,
+                                                    core::time_point now)
 {
     std::vector<std::string> excluded = request.excluded;
+    const bool isKnown = event != slot_event::Arrival && isKnownToPeers(request, now);
     const std::vector<preferred_slots> engines = m_registry.preferredSlots(request.upstream, now);
     const std::vector<slot_claim> claims
         = m_handover.assess(request.upstream, request.priority, engines, now);
     for (std::size_t i = 0; i < engines.size(); ++i) {
-        bool isExcluded = claims[i] == slot_claim::Yielded;
-        if (claims[i] == slot_claim::Contested && contested == contested_slots::None)
-            isExcluded = true;
-        if (claims[i] == slot_claim::Contested && contested == contested_slots::Drawn)
-            isExcluded = !std::bernoulli_distribution(preferredSlotProbability)(m_random);
-        if (isExcluded)
+        if (mustLeave(claims[i], event, *engines[i].id == freedEngine, isKnown))
             excluded.push_back(*engines[i].id);
     }
     return excluded;
 }
 
+bool admission::isKnownToPeers(const admission_request &request, core::time_point now) const
+{
+    const auto found = m_reportedQueues.find(request.upstream);
+    if (found == m_reportedQueues.end())
+        return false;
+    const reported_queue &last = found->second;
+    return last.count > 0 && last.priority == request.priority
+           && now - last.prioritySince >= reportTravelTime;
+}
+
 void admission::setCoordinated(std::set<std::string, std::less<>> upstreams)
 {
     m_coordinated = std::move(upstreams);
@@ -512,20 +547,23 @@
         reported_queue &last = m_reportedQueues[upstream];
         if (!mustReport(last, current))
             continue;
+        const bool samePriority = last.count > 0 && last.priority == current.priority;
+        const core::time_point since = samePriority ? last.prioritySince : now;
         last = current;
+        last.prioritySince = since;
         reports.push_back({upstream, current.count, current.priority});
     }
     return reports;
 }
 
 engine_selection admission::choose(upstream_state &state, const admission_request &request,
-                                   engine_choice engines, core::time_point now,
-                                   contested_slots contested)
+                                   engine_choice engines, core::time_point now, slot_event event)
 {
     const bool handsOver
         = isCoordinated(request.upstream) && m_registry.isSubsetted(request.upstream);
     const std::vector<std::string> excluded
-        = handsOver ? excludedEngines(request, contested, now) : std::vector<std::string>{};
+        = handsOver ? excludedEngines(request, event, state.freedEngine, now)
+                    : std::vector<std::string>{};
     const fleet_share share = m_fleet.share(now);
     const auto peers = static_cast<double>(share.reachable - 1);
     // Callers are spread evenly over the nodes, so each peer starts about as many as this node.
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -226,6 +226,8 @@
         /** End of the last pause of all engines, and the callers refused in it, by priority. */
         core::time_point pauseEndsAt{};
         std::map<std::uint32_t, std::size_t> refusedInPause;
+        /** Engine at which a request of this node ended last. */
+        std::string freedEngine;
     };
 
     /** What the peers were last told about the queue of a coordinated upstream. */
@@ -234,15 +236,24 @@
         std::uint32_t count = 0;
         std::uint32_t priority = 0;
         core::time_point at{};
+        /** Time of the first of the last reports with the same priority. */
+        core::time_point prioritySince{};
     };
+    /** Returns true if the peers know that this node has a request with this priority. */
+    bool isKnownToPeers(const admission_request &request, core::time_point now) const;
     reported_queue currentQueue(std::string_view upstream, core::time_point now) const;
     static bool mustReport(const reported_queue &last, const reported_queue &current);
 
-    /** Which contested slots of preferred engines a request of a coordinated upstream may take. */
-    enum class contested_slots : std::uint8_t { All, Drawn, None };
+    /** The event that lets a request of a coordinated upstream take a slot. */
+    enum class slot_event : std::uint8_t { Arrival, Completion, Tick, PeerUpdate };
+    /**
+     * Returns true if the request may not take a free slot of a preferred engine. New requests do
+     * not take slots that a queued one is about to take, and equally urgent nodes draw.
+     */
+    bool mustLeave(slot_claim claim, slot_event event, bool isFreedEngine, bool isKnown);
     /** Returns the engines that the request has tried or must leave to requests of peers. */
-    std::vector<std::string> excludedEngines(const admission_request &request,
-                                             contested_slots contested, core::time_point now);
+    std::vector<std::string> excludedEngines(const admission_request &request, slot_event event,
+                                             std::string_view freedEngine, core::time_point now);
 
     /** Returns why the request cannot be queued; `None` if it can. */
     refusal_cause causeToRefuse(const admission_request &request, const upstream_state &state,
@@ -271,11 +282,11 @@
                                               core::time_point now);
     engine_selection choose(upstream_state &state, const admission_request &request,
                             engine_choice engines, core::time_point now,
-                            contested_slots contested = contested_slots::All);
+                            slot_event event = slot_event::Completion);
     /** Starts up to `maxGrants` queued requests and returns their number. */
     std::size_t grant(upstream_state &state, std::size_t maxGrants, engine_choice engines,
                       std::vector<admission_grant> &grants, core::time_point now,
-                      contested_slots contested = contested_slots::All);
+                      slot_event event = slot_event::Completion);
     std::size_t drawPreferredSlots(const std::string &upstream, core::time_point now);
     static double decayed(double rate, core::time_point since, core::time_point now);
     static void recordEvent(double &rate, core::time_point &since, core::time_point now);
--- a/src/dispatch/slot_handover.cpp
+++ b/src/dispatch/slot_handover.cpp
@@ -25,6 +25,9 @@
  */
 constexpr core::duration suspension = 540ms;
 
+/** A peer that takes a slot reports it within the batch time of updates and the network latency. */
+constexpr core::duration settleTime = 15ms;
+
 /** Two poll intervals. Without a poll for longer, the slot may have been used in between. */
 constexpr core::duration maxObservationGap = 40ms;
 
@@ -73,7 +76,7 @@
                                               std::span<const preferred_slots> engines,
                                               core::time_point now)
 {
-    std::vector<slot_claim> claims(engines.size(), slot_claim::Open);
+    std::vector<slot_claim> claims(engines.size(), slot_claim::Unclaimed);
     const peer_reports reports = freshReports(upstream, now);
     peer_reports remaining = reports;
     for (const preferred_slots &each : engines)
@@ -109,8 +112,13 @@
             return report != reports.end()
                    && precedes(peer, report->second, priority, slots.engine);
         });
+        const bool claimed = std::ranges::any_of(
+            peers->second, [&](std::uint32_t peer) { return reports.contains(peer); });
+        const bool settled = now - yield.freeSince >= settleTime;
         if (contested)
-            claims[index] = slot_claim::Contested;
+            claims[index] = settled ? slot_claim::ContestedSettled : slot_claim::Contested;
+        else if (claimed)
+            claims[index] = settled ? slot_claim::OpenSettled : slot_claim::Open;
     }
     return claims;
 }
@@ -119,6 +127,8 @@
 {
     const bool taken = free < yield.free;
     const bool unobserved = now - yield.assessedAt > maxObservationGap;
+    if (free != yield.free || unobserved)
+        yield.freeSince = now;
     yield.free = free;
     yield.assessedAt = now;
     if (!yield.active)
--- a/src/dispatch/slot_handover.h
+++ b/src/dispatch/slot_handover.h
@@ -18,10 +18,15 @@
 
 /** Whether a request may take a free slot that peers see, too. */
 enum class slot_claim : std::uint8_t {
-    /** No peer has a request that precedes this one. */
+    /** No peer that shares the engine reports a queue. */
+    Unclaimed,
+    /** Peers report queues, but no request that precedes this one. */
     Open,
     /** A peer with a request that is at least as urgent may start it at the same time. */
     Contested,
+    /** As Open or Contested, but no node has taken the slots for longer than a report takes. */
+    OpenSettled,
+    ContestedSettled,
     /** All free slots of the engine are left to more urgent requests of peers. */
     Yielded,
 };
@@ -85,6 +90,7 @@
         bool active = false;
         std::uint32_t priority = 0;
         std::uint32_t free = 0;
+        core::time_point freeSince{};
         core::time_point since{};
         core::time_point assessedAt{};
         core::time_point suspendedUntil{};
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -34,6 +34,10 @@
     CPPUNIT_TEST(queuedRequestsAreRefusedWhenThePauseOutlastsThem);
     CPPUNIT_TEST(callersReturnAfterThePauseByPriority);
     CPPUNIT_TEST(queuedRequestsReturnGraduallyAfterAPause);
+    CPPUNIT_TEST(freeSlotIsLeftToTheMoreUrgentPeer);
+    CPPUNIT_TEST(mostUrgentRequestStartsWithThePeersUpdate);
+    CPPUNIT_TEST(queueReportsFollowTheMostUrgentRequests);
+    CPPUNIT_TEST(uncoordinatedUpstreamsIgnoreQueueReports);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -415,7 +419,86 @@
             CPPUNIT_ASSERT(submit(++next, 0).outcome == admission_outcome::Wait);
     }
 
+    // Guards against a freed slot, or a new request, that overtakes urgent requests of a peer.
+    void freeSlotIsLeftToTheMoreUrgentPeer()
+    {
+        shareEngine(true);
+        submit(1, 16);
+        submit(2, 16);
+        CPPUNIT_ASSERT(submit(3, 16).outcome == admission_outcome::Wait);
+        m_admission.onPeerQueues(2, std::vector<node_status::queue_length>{{"u", 1, 0}}, m_now);
+        m_admission.onEnd("u", "e1", attempt_result::Served, {}, m_now);
+        CPPUNIT_ASSERT(m_admission.poll("u", poll_trigger::OwnCompletion, m_now).empty());
+        CPPUNIT_ASSERT(submit(4, 15).outcome == admission_outcome::Wait);
+        m_admission.cancel(4);
+        // The peer does not take the slot, nor report again.
+        const core::time_point later = m_now + 101ms;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             m_admission.poll("u", poll_trigger::RemoteChange, later).size());
+    }
+
+    // Guards against urgent requests that wait for the next poll, or for a draw.
+    void mostUrgentRequestStartsWithThePeersUpdate()
+    {
+        shareEngine(true);
+        m_registry.setPeerLoad(2, {.engine = engine_registry::keyOf("e1"), .running = 2});
+        CPPUNIT_ASSERT(submit(1, 0).outcome == admission_outcome::Wait);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_admission.takeQueueReports(m_now).size());
+        m_admission.onPeerQueues(2, std::vector<node_status::queue_length>{{"u", 3, 16}}, m_now);
+        m_registry.setPeerLoad(2, {.engine = engine_registry::keyOf("e1"), .running = 1});
+        const auto grants = m_admission.poll("u", poll_trigger::PeerUpdate, m_now + 5ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
+    }
+
+    // Guards against peers that leave slots to requests that have started, and against reports that
+    // expire while a queue does not change.
+    void queueReportsFollowTheMostUrgentRequests()
+    {
+        shareEngine(true);
+        CPPUNIT_ASSERT(!m_admission.hasQueueReports(m_now));
+        m_registry.setPeerLoad(2, {.engine = engine_registry::keyOf("e1"), .running = 2});
+        submit(1, 0);
+        submit(2, 16);
+        const auto reports = m_admission.takeQueueReports(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, reports.at(0).count);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, reports.at(0).highestPriority);
+        CPPUNIT_ASSERT(!m_admission.hasQueueReports(m_now + 59ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_admission.takeQueueReports(m_now + 60ms).size());
+        m_admission.cancel(1);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{16},
+                             m_admission.takeQueueReports(m_now).at(0).highestPriority);
+        m_admission.cancel(2);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_admission.takeQueueReports(m_now).at(0).count);
+        CPPUNIT_ASSERT(!m_admission.hasQueueReports(m_now + 1s));
+    }
+
+    // Guards against a change at upstreams that are not coordinated.
+    void uncoordinatedUpstreamsIgnoreQueueReports()
+    {
+        shareEngine(false);
+        submit(1, 16);
+        submit(2, 16);
+        submit(3, 16);
+        CPPUNIT_ASSERT(!m_admission.hasQueueReports(m_now));
+        m_admission.onPeerQueues(2, std::vector<node_status::queue_length>{{"u", 1, 0}}, m_now);
+        m_admission.onEnd("u", "e1", attempt_result::Served, {}, m_now);
+        CPPUNIT_ASSERT(m_admission.poll("u", poll_trigger::PeerUpdate, m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             m_admission.poll("u", poll_trigger::OwnCompletion, m_now).size());
+    }
+
 private:
+    /** Lets this node and the node with address 2 prefer the engine. */
+    void shareEngine(bool coordinated)
+    {
+        const engine_key key = engine_registry::keyOf("e1");
+        m_registry.setPreferred("u", std::vector<engine_key>{key}, true);
+        m_admission.setPeersOfPreferredEngines(1, {{key, {2}}});
+        if (coordinated)
+            m_admission.setCoordinated({"u"});
+    }
+
     admission_request request(core::request_id id, std::uint32_t priority) const
     {
         return {.id = id,
--- a/tests/dispatch/slot_handover_test.cpp
+++ b/tests/dispatch/slot_handover_test.cpp
@@ -32,6 +32,7 @@
         report(20, 1, 16);
         CPPUNIT_ASSERT(assess(17, {{1, 1}}) == claims{slot_claim::Yielded});
         CPPUNIT_ASSERT(assess(15, {{1, 1}}) == claims{slot_claim::Open});
+        CPPUNIT_ASSERT(assess(16, {{3, 1}}) == claims{slot_claim::Unclaimed});
     }
 
     // Guards against equally urgent nodes that all take the slot of one report, or all leave it.
@@ -52,7 +53,7 @@
     void onlyPeersOfTheEngineCount()
     {
         report(20, 5, 0);
-        CPPUNIT_ASSERT(assess(16, {{3, 1}}) == claims{slot_claim::Open});
+        CPPUNIT_ASSERT(assess(16, {{3, 1}}) == claims{slot_claim::Unclaimed});
     }
 
     // Guards against idle slots: one queued request is not worth a slot of each shared engine.
@@ -73,7 +74,7 @@
             report(20, 1, 0);
             CPPUNIT_ASSERT(assess(16, {{1, 1}}) == claims{slot_claim::Yielded});
         }
-        CPPUNIT_ASSERT(assess(16, {{1, 1}}) == claims{slot_claim::Contested});
+        CPPUNIT_ASSERT(assess(16, {{1, 1}}) == claims{slot_claim::ContestedSettled});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_handover.reclaimedCount());
         m_now += 600ms;
         report(20, 1, 0);
@@ -96,10 +97,10 @@
     {
         report(20, 1, 0);
         m_now += 101ms;
-        CPPUNIT_ASSERT(assess(16, {{1, 1}}) == claims{slot_claim::Open});
+        CPPUNIT_ASSERT(assess(16, {{1, 1}}) == claims{slot_claim::Unclaimed});
         report(20, 1, 0);
         m_handover.removePeer(20);
-        CPPUNIT_ASSERT(assess(16, {{1, 1}}) == claims{slot_claim::Open});
+        CPPUNIT_ASSERT(assess(16, {{1, 1}}) == claims{slot_claim::Unclaimed});
     }
 
     // Guards against reports that a lost datagram leaves outdated, and against the total length of
@@ -114,7 +115,7 @@
         m_now += 90ms;
         CPPUNIT_ASSERT(assess(16, {{1, 2}}) == claims{slot_claim::Yielded});
         status(20, {});
-        CPPUNIT_ASSERT(assess(16, {{1, 2}}) == claims{slot_claim::Open});
+        CPPUNIT_ASSERT(assess(16, {{1, 2}}) == claims{slot_claim::Unclaimed});
     }
 
 private:
