--- a/src/dispatch/slot_handover.cpp
+++ b/src/dispatch/slot_handover.cpp
@@ -84,8 +84,9 @@
     // Slots that are left to a peer already stay with it.
     std::vector<std::size_t> order(engines.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
-    std::ranges::stable_partition(
-        order, [&](std::size_t index) { return m_yields[engines[index].engine].active; });
+    std::stable_partition(order.begin(), order.end(), [&](std::size_t index) {
+        return m_yields[engines[index].engine].active;
+    });
     for (const std::size_t index : order) {
         const preferred_slots &slots = engines[index];
         const auto peers = m_peers.find(slots.engine);
--- a/tests/dispatch/slot_handover_test.cpp
+++ b/tests/dispatch/slot_handover_test.cpp
@@ -139,6 +139,7 @@
     claims assess(std::uint32_t priority, const std::vector<free_slots> &engines)
     {
         std::vector<preferred_slots> slots;
+        slots.reserve(engines.size());
         for (const free_slots &each : engines)
             slots.push_back({.engine = each.engine, .free = each.free});
         return m_handover.assess("u", priority, slots, m_now);
