--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -50,6 +50,12 @@
 /** Below the lifetime of a report, so that a queue that does not change remains known to peers. */
 constexpr core::duration queueReportInterval = 60ms;
 
+/**
+ * Interval of the reports that change only the number of requests. Each goes to all nodes that
+ * share an engine, so they would be most of the traffic of a node in overload.
+ */
+constexpr core::duration minQueueReportInterval = 40ms;
+
 double seconds(core::duration time)
 {
     return std::chrono::duration<double>(time).count();
@@ -521,8 +527,10 @@
 
 bool admission::mustReport(const reported_queue &last, const reported_queue &current)
 {
-    if (last.count != current.count || last.priority != current.priority)
+    if (last.priority != current.priority || (last.count == 0) != (current.count == 0))
         return true;
+    if (last.count != current.count)
+        return current.at - last.at >= minQueueReportInterval;
     return current.count > 0 && current.at - last.at >= queueReportInterval;
 }
 
