Drop the yield state of engines that are no longer preferred

Cause: the state of each engine that was ever preferred was kept. Change: setPeers() erases it. Conclusion: the state is bounded by the preferred engines.

--- a/src/dispatch/slot_handover.h
+++ b/src/dispatch/slot_handover.h
@@ -50,6 +50,8 @@
     {
         m_self = self;
         m_peers = std::move(peers);
+        std::erase_if(m_yields,
+                      [this](const auto &entry) { return !m_peers.contains(entry.first); });
     }
 
     /** Replaces the report of a peer on its queue; `count` refers to the highest priority. */
