Refuse queued requests that more urgent ones leave no time

Cause: a request that was admitted by the forecast stayed queued up to its deadline when more urgent requests arrived behind it; late requests of a priority were counted as if they overtook one another.

Change, for coordinated upstreams only: each tick repeats the forecast for the queue. Only requests that can be on time count as overtaking a late one. A priority is not refused within 1 s of a grant to a less urgent one. Requests that an engine has seen are never refused by the forecast, as their streams would be cut.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -36,6 +36,12 @@
 /** Lower bound on the completion rate in the expected wait, for nodes without completions. */
 constexpr double minCompletionsPerSecond = 2;
 
+/**
+ * A queued request is refused if its forecast exceeds the time that it may still wait by this
+ * factor; the rates of a small node vary by a fifth.
+ */
+constexpr double forecastTolerance = 1.5;
+
 /** Bounds of the retry delay in refusals. */
 constexpr core::duration minRetryAfter = 300ms;
 constexpr core::duration maxRetryAfter = 4s;
@@ -74,8 +80,7 @@
 {
     upstream_state &state = m_upstreams[request.upstream];
     admission_decision decision;
-    // Retries at another engine are not counted again.
-    if (!request.restrictsEngines())
+    if (request.isNew())
         state.returns.onAsked(request.priority, now);
     if (!mustWait(request, state, now)) {
         decision.basis = chooseWithinAllowance(state, request, now);
@@ -84,7 +89,7 @@
             decision.engine = *decision.basis.engine;
             m_registry.onStart(decision.engine.id, now);
             recordEvent(state.startsPerSecond, state.startsUpdatedAt, now);
-            state.forecast.onAdmitted(request.priority, now);
+            state.forecast.onAdmitted(request.priority, latestStart(request, state) <= now, now);
             state.forecast.onGranted(request.priority, now);
             return decision;
         }
@@ -93,12 +98,13 @@
     decision.expectedWait = expectedWait(request.upstream, decision.ahead, now);
     decision.cause = causeToRefuse(request, state, decision, now);
     if (decision.cause != refusal_cause::None) {
-        state.returns.onRefused(request.priority, now);
+        if (request.isNew())
+            state.returns.onRefused(request.priority, now);
         decision.retryAfter = retryAfter(request.upstream, request.priority, now, request.deadline);
         return decision;
     }
     decision.outcome = admission_outcome::Wait;
-    state.forecast.onAdmitted(request.priority, now);
+    state.forecast.onAdmitted(request.priority, latestStart(request, state) <= now, now);
     state.queue.push({request.id, request.priority, latestStart(request, state),
                       request.queueDeadline, request.isRunning});
     m_requests.insert_or_assign(request.id, request);
@@ -127,11 +133,10 @@
     return noEngine ? refusal_cause::NoEngine : refusal_cause::WaitTooLong;
 }
 
-// A request that has been sent to an engine already keeps its chance at another one.
 refusal_cause admission::causeByWait(const admission_request &request, upstream_state &state,
                                      const admission_decision &decision, core::time_point now) const
 {
-    if (isCoordinated(request.upstream) && !request.restrictsEngines()) {
+    if (isCoordinated(request.upstream) && request.isNew()) {
         const bool refused
             = state.forecast.mustRefuse({.priority = request.priority,
                                          .ahead = decision.ahead,
@@ -274,13 +279,39 @@
         for (const waiting_request &each :
              state.queue.takeExpired(pause ? std::max(now, pause->endsAt) : now)) {
             expired.push_back(each.id);
-            state.returns.onRefused(each.priority, now);
+            if (m_requests.at(each.id).isNew())
+                state.returns.onRefused(each.priority, now);
             m_requests.erase(each.id);
         }
+        if (isCoordinated(upstream) && !pause)
+            takeHopeless(state, expired, now);
     }
     return expired;
 }
 
+// More urgent requests have arrived since these were queued. Refused now, their callers lose less.
+void admission::takeHopeless(upstream_state &state, std::vector<core::request_id> &hopeless,
+                             core::time_point now)
+{
+    std::size_t ahead = 0;
+    for (const core::request_id id : state.queue.inOrder(now)) {
+        const admission_request &request = m_requests.at(id);
+        const wait_forecast::newcomer position = {.priority = request.priority,
+                                                  .ahead = ahead,
+                                                  .isLate = latestStart(request, state) <= now};
+        const core::duration limit
+            = fromSeconds(forecastTolerance * seconds(request.queueDeadline - now));
+        if (!request.isNew() || !state.forecast.exceeds(position, limit, now)) {
+            ahead += request.isRunning ? 0 : 1;
+            continue;
+        }
+        hopeless.push_back(id);
+        state.returns.onRefused(request.priority, now);
+        state.queue.remove(id);
+        m_requests.erase(id);
+    }
+}
+
 void admission::cancel(core::request_id id)
 {
     const auto found = m_requests.find(id);
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -44,6 +44,11 @@
      * and new requests may overtake it.
      */
     bool isRunning = false;
+    /** The request has been sent to an engine before, so the forecast does not refuse it. */
+    bool isRepeated = false;
+
+    /** Returns true if no engine has seen the request. */
+    bool isNew() const noexcept { return !isRepeated && !restrictsEngines(); }
 
     /** Returns true if another request may start at an engine that this one does not accept. */
     bool restrictsEngines() const noexcept { return isRunning || !excluded.empty(); }
@@ -211,6 +216,9 @@
     /** Returns the latest start time with which the request is expected to meet its objective. */
     static core::time_point latestStart(const admission_request &request,
                                         const upstream_state &state);
+    /** Removes the requests that are no longer expected to start before their queue deadline. */
+    void takeHopeless(upstream_state &state, std::vector<core::request_id> &hopeless,
+                      core::time_point now);
     bool mustWait(const admission_request &request, const upstream_state &state,
                   core::time_point now) const;
     /** Returns true if most requests reported by peers have completed since the report. */
--- a/src/dispatch/wait_forecast.cpp
+++ b/src/dispatch/wait_forecast.cpp
@@ -20,7 +20,7 @@
 constexpr double minGrantsPerSecond = 2;
 
 /** A grant of a less urgent request this recent shows that slots are left for this priority. */
-constexpr core::duration recentGrant = 250ms;
+constexpr core::duration recentGrant = 1s;
 
 /** Interval at which one request per priority is admitted against the forecast. */
 constexpr core::duration probeInterval = 1s;
@@ -41,15 +41,18 @@
     priority_state &state = m_priorities[priority];
     const double factor = decay(state.updatedAt, now);
     state.admitted *= factor;
+    state.admittedOnTime *= factor;
     state.granted *= factor;
     state.updatedAt = now;
     return &state;
 }
 
-void wait_forecast::onAdmitted(std::uint32_t priority, core::time_point now)
+void wait_forecast::onAdmitted(std::uint32_t priority, bool isLate, core::time_point now)
 {
-    if (priority_state *state = advanced(priority, now))
+    if (priority_state *state = advanced(priority, now)) {
         state->admitted += 1 / timeConstantSeconds;
+        state->admittedOnTime += isLate ? 0 : 1 / timeConstantSeconds;
+    }
 }
 
 void wait_forecast::onGranted(std::uint32_t priority, core::time_point now)
@@ -67,8 +70,10 @@
     for (const auto &[each, state] : m_priorities) {
         const double factor = decay(state.updatedAt, now);
         granted += state.granted * factor;
-        if (each < request.priority || (request.isLate && each == request.priority))
+        if (each < request.priority)
             overtaking += state.admitted * factor;
+        else if (each == request.priority && request.isLate)
+            overtaking += state.admittedOnTime * factor;
     }
     const double left = std::max(granted, minGrantsPerSecond) - overtaking;
     const double wait = left > 0 ? static_cast<double>(request.ahead) / left : maxWaitSeconds;
@@ -76,15 +81,20 @@
         std::chrono::duration<double>(std::min(wait, maxWaitSeconds)));
 }
 
-bool wait_forecast::mustRefuse(const newcomer &request, core::duration limit, core::time_point now)
+bool wait_forecast::exceeds(const newcomer &request, core::duration limit,
+                            core::time_point now) const
 {
     if (request.ahead == 0 || expectedWait(request, now) <= limit)
         return false;
-    for (auto each = m_priorities.upper_bound(request.priority); each != m_priorities.end();
-         ++each) {
-        if (now - each->second.grantedAt < recentGrant)
-            return false;
-    }
+    return std::none_of(
+        m_priorities.upper_bound(request.priority), m_priorities.end(),
+        [now](const auto &each) { return now - each.second.grantedAt < recentGrant; });
+}
+
+bool wait_forecast::mustRefuse(const newcomer &request, core::duration limit, core::time_point now)
+{
+    if (!exceeds(request, limit, now))
+        return false;
     priority_state *state = advanced(request.priority, now);
     if (state == nullptr || now - state->probedAt < probeInterval)
         return true;
--- a/src/dispatch/wait_forecast.h
+++ b/src/dispatch/wait_forecast.h
@@ -27,8 +27,11 @@
         bool isLate = false;
     };
 
-    /** Records that a request was started or queued. Precondition: `now` does not go back. */
-    void onAdmitted(std::uint32_t priority, core::time_point now);
+    /**
+     * Records that a request was started or queued; `isLate` as of a newcomer. Precondition: `now`
+     * does not go back.
+     */
+    void onAdmitted(std::uint32_t priority, bool isLate, core::time_point now);
 
     /** Records that a request got a slot, at once or from the queue. */
     void onGranted(std::uint32_t priority, core::time_point now);
@@ -37,9 +40,14 @@
     core::duration expectedWait(const newcomer &request, core::time_point now) const;
 
     /**
-     * Returns true if a new request should be refused because it is expected to wait for longer
-     * than `limit`. Returns false while a less urgent request was granted a slot recently, and for
-     * one request per priority and second, so that the rates stay measured.
+     * Returns true if a request is expected to wait for longer than `limit`. Returns false if none
+     * is ahead, and while a less urgent request was granted a slot recently.
+     */
+    bool exceeds(const newcomer &request, core::duration limit, core::time_point now) const;
+
+    /**
+     * Returns true if a new request should be refused because its wait exceeds `limit`. Returns
+     * false for one request per priority and second, so that the rates stay measured.
      */
     bool mustRefuse(const newcomer &request, core::duration limit, core::time_point now);
 
@@ -48,6 +56,7 @@
     {
         /** Smoothed rates per second. */
         double admitted = 0;
+        double admittedOnTime = 0;
         double granted = 0;
         core::time_point updatedAt{};
         core::time_point grantedAt{};
--- a/src/gateway/flow_record.h
+++ b/src/gateway/flow_record.h
@@ -63,6 +63,9 @@
     /** Time from the last event that was forwarded to the end; zero if there was none. */
     core::duration sinceLastEvent{};
     core::duration objective{};
+    /** Of coordinated upstreams, else zero: time spent before this attempt, and of a refusal. */
+    core::duration callerAge{};
+    core::duration retryAfter{};
     std::uint64_t events = 0;
     double units = 0;
 };
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -457,11 +457,17 @@
                    record.reason});
     if (record.outcome == flow_outcome::Answered || record.outcome == flow_outcome::TimedOut)
         m_durations.record(record.route, record.total - record.waited);
+    const auto tier
+        = static_cast<core::tier>(std::min<std::uint32_t>(record.priority, core::lowestTier));
     if (record.outcome == flow_outcome::Answered)
-        m_metrics.record(
-            observe::metric::GatewayFirstByte,
-            static_cast<core::tier>(std::min<std::uint32_t>(record.priority, core::lowestTier)),
-            record.upstream, record.firstByte);
+        m_metrics.record(observe::metric::GatewayFirstByte, tier, record.upstream,
+                         record.firstByte);
+    if (record.callerAge > core::duration::zero())
+        m_metrics.record(observe::metric::GatewayCallerAge, tier, record.upstream,
+                         record.callerAge);
+    if (record.retryAfter > core::duration::zero())
+        m_metrics.record(observe::metric::GatewayRetryAfter, tier, record.upstream,
+                         record.retryAfter);
     const auto found = m_flows.find(id);
     if (found == m_flows.end())
         return;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -149,7 +149,7 @@
     m_record.upstream = m_upstream;
     m_features = findFeatures();
     if (m_context.admission.isCoordinated(m_upstream))
-        m_callerAge
+        m_record.callerAge
             = m_context.callerAges.onRequest(m_route->name, timeout, m_route->timeout, m_arrivedAt);
     m_context.retries.onRequest(m_upstream, m_arrivedAt);
     m_deadlineTimer.startOnce(timeout + deadlineSlack);
@@ -298,14 +298,15 @@
         {.id = m_id,
          .upstream = m_upstream,
          .priority = m_record.priority,
-         .objectiveAt = m_arrivedAt - m_callerAge + m_route->objective,
+         .objectiveAt = m_arrivedAt - m_record.callerAge + m_route->objective,
          .queueDeadline = std::min(queueDeadline, m_deadline),
          .excluded = {excluded.begin(), excluded.end()},
          .promptTokens = isStreamRoute() ? m_metadata.promptTokens.value_or(0) : 0,
          .objective = m_route->objective,
          .outputTokens = m_metadata.expectedOutputTokens.value_or(0),
          .deadline = m_deadline,
-         .isRunning = m_engine.has_value()},
+         .isRunning = m_engine.has_value(),
+         .isRepeated = m_record.attempts > 0},
         m_context.now());
 }
 
@@ -1074,6 +1075,8 @@
 {
     if (std::exchange(m_quotaCharged, false))
         m_context.quotas.refund(*m_team, m_record.units);
+    if (m_context.admission.isCoordinated(m_upstream))
+        m_record.retryAfter = retryAfter;
     respondLocally(status, flow_outcome::Refused, reason, retryAfter);
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -165,8 +165,6 @@
     /** What the quarantine knows the request by; the segments first. */
     std::vector<dispatch::request_feature> m_features;
     core::time_point m_arrivedAt;
-    /** Time that the caller has spent before this request, if the upstream is coordinated. */
-    core::duration m_callerAge{};
     core::time_point m_deadline;
     bool m_quotaCharged = false;
 
--- a/src/observe/metric_info.cpp
+++ b/src/observe/metric_info.cpp
@@ -249,6 +249,18 @@
                 "lines",
                 {},
                 "Log lines that were left out to bound the volume"},
+    metric_info{metric::GatewayCallerAge,
+                "comfreypass_gateway_caller_age_seconds",
+                Histogram,
+                "seconds",
+                {"tier", "upstream"},
+                "Time that callers of coordinated upstreams have spent before a second attempt"},
+    metric_info{metric::GatewayRetryAfter,
+                "comfreypass_gateway_retry_after_seconds",
+                Histogram,
+                "seconds",
+                {"tier", "upstream"},
+                "Retry-After of refusals by coordinated upstreams"},
 };
 
 } // namespace
--- a/src/observe/metric_info.h
+++ b/src/observe/metric_info.h
@@ -50,6 +50,8 @@
     GatewayConfigurationVersion,
     GatewayRecordCalls,
     GatewayLogLinesLeftOut,
+    GatewayCallerAge,
+    GatewayRetryAfter,
 };
 
 enum class metric_type : std::uint8_t { Counter, Gauge, Histogram };
--- a/tests/dispatch/admission_test.cpp
+++ b/tests/dispatch/admission_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(queuedRequestsAreRefusedWhenThePauseOutlastsThem);
     CPPUNIT_TEST(callersReturnAfterThePauseByPriority);
     CPPUNIT_TEST(queuedRequestsReturnGraduallyAfterAPause);
+    CPPUNIT_TEST(coordinatedRequestsAreRefusedByTheForecast);
+    CPPUNIT_TEST(requestsThatMayHaveRunAreNotRefusedByTheForecast);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -415,7 +417,55 @@
             CPPUNIT_ASSERT(submit(++next, 0).outcome == admission_outcome::Wait);
     }
 
+    // Guards against callers who are held for the whole queue time although more urgent requests
+    // have taken their turn, and against return times that they ignore.
+    void coordinatedRequestsAreRefusedByTheForecast()
+    {
+        m_admission.setCoordinated({"u"});
+        overloadWithUrgentRequests();
+        // One request is admitted against the forecast.
+        CPPUNIT_ASSERT(submit(2001, 5).outcome == admission_outcome::Wait);
+        const admission_decision decision = submit(2002, 5);
+        CPPUNIT_ASSERT(decision.cause == refusal_cause::Forecast);
+        m_now += 20ms;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_admission.takeExpired(m_now).size());
+        for (core::request_id id = 3000; id < 3050; ++id)
+            submit(id, 5);
+        for (int i = 0; i < 20; ++i) {
+            const core::duration delay = m_admission.retryAfter("u", 5, m_now, m_now + 12s);
+            CPPUNIT_ASSERT(delay > 1900ms && delay <= 4s);
+        }
+    }
+
+    // Guards against a stream that is cut off because the forecast gives its repeat no chance.
+    void requestsThatMayHaveRunAreNotRefusedByTheForecast()
+    {
+        m_admission.setCoordinated({"u"});
+        overloadWithUrgentRequests();
+        submit(2001, 5);
+        CPPUNIT_ASSERT(submit(2002, 5).outcome == admission_outcome::Refuse);
+        admission_request repeated = request(2003, 5);
+        repeated.isRepeated = true;
+        CPPUNIT_ASSERT(m_admission.submit(repeated, m_now).outcome == admission_outcome::Wait);
+        m_now += 20ms;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_admission.takeExpired(m_now).size());
+    }
+
 private:
+    /** Priority 0 takes all slots, 20 a second, and is queued. */
+    void overloadWithUrgentRequests()
+    {
+        for (core::request_id id = 1; id <= 100; ++id, m_now += 50ms) {
+            submit(id, 0);
+            if (id <= 2)
+                continue;
+            m_admission.onEnd("u", "e1", attempt_result::Served, 100ms, m_now);
+            m_admission.poll("u", poll_trigger::OwnCompletion, m_now);
+        }
+        submit(1001, 0);
+        submit(1002, 0);
+    }
+
     admission_request request(core::request_id id, std::uint32_t priority) const
     {
         return {.id = id,
--- a/tests/dispatch/overload_return_test.cpp
+++ b/tests/dispatch/overload_return_test.cpp
@@ -317,6 +317,8 @@
             CPPUNIT_ASSERT(now.share(now.onTime) >= before[i].share(before[i].onTime) - tolerance);
             CPPUNIT_ASSERT(now.worth() >= before[i].worth() - tolerance);
             CPPUNIT_ASSERT(now.meanHeld() <= std::max(0.1, 0.6 * before[i].meanHeld()));
+            CPPUNIT_ASSERT(now.share(now.refusedSecond)
+                           <= before[i].share(before[i].refusedSecond) + 2 * tolerance);
             // The largest tenth is served at least half as often as all requests.
             CPPUNIT_ASSERT(now.largestServed() >= now.served() / 2);
             if (i > 0) {
--- a/tests/dispatch/wait_forecast_test.cpp
+++ b/tests/dispatch/wait_forecast_test.cpp
@@ -24,7 +24,7 @@
     {
         for (int i = 0; i < 200; ++i, m_now += 100ms) {
             const std::uint32_t priority = i % 10 < urgentOfTen ? 0 : 1;
-            m_forecast.onAdmitted(priority, m_now);
+            m_forecast.onAdmitted(priority, false, m_now);
             m_forecast.onGranted(priority, m_now);
         }
         m_now += 300ms;
