Record the gateway metrics of a coordinated upstream in their test

Change: the fixture can make its upstream coordinated; the test also plays a second attempt and a refusal, and expects 16 metrics instead of 14. No check is dropped.

Conclusion: the histograms of the callers' age and of Retry-After are recorded.

--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -26,6 +26,7 @@
     settings.retryRatio = 0.2;
     settings.retryExtra = 50;
     settings.gracePeriod = gracePeriod;
+    settings.scheduling.coordinateFromObjective = 750ms;
     return settings;
 }
 
@@ -110,8 +111,10 @@
                        makeRoute("stream", request_kind::Streaming, true),
                        makeRoute("fragile", request_kind::Streaming, false)};
     for (dispatch::route &each : settings.routes) {
-        if (each.kind == request_kind::Streaming)
-            each.longestPause = longestPause;
+        if (each.kind != request_kind::Streaming)
+            continue;
+        each.longestPause = longestPause;
+        each.objective = streamObjective;
     }
     settings.upstreams = std::move(upstreams);
     settings.teams = std::move(teams);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -86,6 +86,8 @@
     dispatch::caller_limits limits;
     /** Longest pause that the streaming routes of the next configuration declare. */
     core::duration longestPause{};
+    /** Objective of its streaming routes; from 750 ms, the upstream is coordinated. */
+    core::duration streamObjective = std::chrono::milliseconds(500);
 
 private:
     std::unique_ptr<test_node> startedNode(core::duration gracePeriod);
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -323,17 +323,21 @@
     void everyGatewayMetricIsRecorded()
     {
         listening_socket &listener = m_gateway.addEngine("e1");
+        m_gateway.streamObjective = 1s;
         m_gateway.configure(1);
         const auto answered = m_gateway.call("/once/", "1");
         raw_socket engine = m_gateway.acceptAt(listener);
         m_gateway.requestAt(engine);
         engine.send(response("200 OK", "Id: 1\r\nSigned: s\r\n", "fine"));
         m_gateway.responseOf(*answered);
-        const auto failed = m_gateway.call("/once/", "2");
+        const auto failed = m_gateway.call("/once/", "2", "Wait-Ms: 3000\r\n");
         m_gateway.waitFor("second request",
                           [&] { return contains(engine.receive(), "Id: 2\r\n"); });
         engine.close();
         m_gateway.responseOf(*failed);
+        m_gateway.stopEngine(listener);
+        const auto refused = m_gateway.call("/once/", "3");
+        CPPUNIT_ASSERT(contains(m_gateway.responseOf(*refused), " 503 "));
         m_gateway.node.node->refreshMetrics();
         std::ostringstream text;
         m_gateway.node.metrics.writeText(text, std::chrono::system_clock::now());
@@ -348,7 +352,7 @@
                                           : "\n" + name + (info.labelCount() > 0 ? "{" : " ");
             CPPUNIT_ASSERT_MESSAGE(name, contains(text.str(), first));
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{14}, checked);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, checked);
     }
 
     // Guards against running a non-resumable stream twice, and against ending it as if complete.
