--- a/src/observe/metric_info.h
+++ b/src/observe/metric_info.h
@@ -54,6 +54,8 @@
     GatewaySlotsReclaimed,
     GatewayRecordCalls,
     GatewayLogLinesLeftOut,
+    GatewayCallerAge,
+    GatewayRetryAfter,
 };
 
 enum class metric_type : std::uint8_t { Counter, Gauge, Histogram };
