Show the error of predicted first events and the pending prompt tokens

Cause: an operator could not see whether the prediction of coordinated upstreams holds. The fixture of the gateway tests takes scheduling settings, and the test of the metrics sends a stream with prompt tokens that leave the backlog with the first event. Conclusion: the figures are exported; nothing changes for other upstreams.

--- a/src/gateway/flow_record.h
+++ b/src/gateway/flow_record.h
@@ -59,6 +59,11 @@
     core::duration waited{};
     /** Time to the first event or the complete response; zero if there was none. */
     core::duration firstByte{};
+    /**
+     * Actual minus predicted time from the start of the last attempt to its first event; none if
+     * the upstream is not coordinated.
+     */
+    std::optional<core::duration> firstEventError;
     core::duration total{};
     /** Time from the last event that was forwarded to the end; zero if there was none. */
     core::duration sinceLastEvent{};
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -377,6 +377,7 @@
     m_metrics.set(metric::GatewayPeers, {"in_touch"}, static_cast<double>(share.reachable - 1));
     m_metrics.set(metric::GatewayRunning, {}, static_cast<double>(m_flows.size()));
     m_metrics.set(metric::GatewayWaiting, {}, static_cast<double>(m_admission.queuedCount()));
+    m_metrics.set(metric::GatewayPendingPromptTokens, {}, m_registry.pendingPromptTokens());
     m_metrics.set(metric::GatewayEngines, {}, static_cast<double>(m_registry.size()));
     m_metrics.set(metric::GatewayExcludedEngines, {"leaving"},
                   static_cast<double>(m_registry.leavingCount()));
@@ -456,11 +457,14 @@
                    record.reason});
     if (record.outcome == flow_outcome::Answered || record.outcome == flow_outcome::TimedOut)
         m_durations.record(record.route, record.total - record.waited);
+    const auto tier
+        = static_cast<core::tier>(std::min<std::uint32_t>(record.priority, core::lowestTier));
     if (record.outcome == flow_outcome::Answered)
-        m_metrics.record(
-            observe::metric::GatewayFirstByte,
-            static_cast<core::tier>(std::min<std::uint32_t>(record.priority, core::lowestTier)),
-            record.upstream, record.firstByte);
+        m_metrics.record(observe::metric::GatewayFirstByte, tier, record.upstream,
+                         record.firstByte);
+    if (record.firstEventError)
+        m_metrics.record(observe::metric::GatewayFirstEventError, tier, record.upstream,
+                         std::chrono::abs(*record.firstEventError));
     const auto found = m_flows.find(id);
     if (found == m_flows.end())
         return;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -768,7 +768,8 @@
 void request_flow::onFirstEvent(core::duration time)
 {
     if (m_context.admission.isCoordinated(m_upstream))
-        m_context.registry.onPromptRead(m_engine->id, m_id, m_context.now());
+        m_record.firstEventError
+            = m_context.registry.onPromptRead(m_engine->id, m_id, m_context.now());
     else
         m_context.registry.onFirstEvent(m_engine->id, m_metadata.promptTokens.value_or(0), time);
     m_context.admission.onFirstEvent(m_upstream, m_record.priority, time);
--- a/src/observe/metric_registry.cpp
+++ b/src/observe/metric_registry.cpp
@@ -62,6 +62,7 @@
     m_histograms.emplace(metric::FirstToken, latency_histogram(firstTokenBounds));
     m_histograms.emplace(metric::RequestTime, latency_histogram(requestBounds));
     m_histograms.emplace(metric::GatewayFirstByte, latency_histogram(firstTokenBounds));
+    m_histograms.emplace(metric::GatewayFirstEventError, latency_histogram(queueBounds));
     m_histograms.emplace(metric::QueueTime, latency_histogram(queueBounds));
     set(metric::NodeInfo, {node.name.text(), std::to_string(node.incarnation)}, 1);
 }
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -15,7 +15,8 @@
 
 gateway::node_settings settingsOf(std::uint32_t address, std::uint16_t callerPort,
                                   std::uint16_t peerPort, std::vector<std::uint32_t> seeds,
-                                  core::duration gracePeriod)
+                                  core::duration gracePeriod,
+                                  const dispatch::scheduling_settings &scheduling)
 {
     gateway::node_settings settings;
     settings.name = "n" + std::to_string(address & 0xff);
@@ -26,6 +27,7 @@
     settings.retryRatio = 0.2;
     settings.retryExtra = 50;
     settings.gracePeriod = gracePeriod;
+    settings.scheduling = scheduling;
     return settings;
 }
 
@@ -48,10 +50,11 @@
 
 test_node::test_node(ACE_Reactor &reactor, std::uint32_t address, std::uint16_t callerPort,
                      std::uint16_t peerPort, std::vector<std::uint32_t> seeds,
-                     core::duration gracePeriod)
+                     core::duration gracePeriod, const dispatch::scheduling_settings &scheduling)
     : metrics({core::node_name("n"), 1}),
       node(std::make_unique<gateway::gateway_node>(
-          reactor, settingsOf(address, callerPort, peerPort, std::move(seeds), gracePeriod),
+          reactor,
+          settingsOf(address, callerPort, peerPort, std::move(seeds), gracePeriod, scheduling),
           callerProtocol, decoder, source, metrics))
 { }
 
@@ -64,14 +67,16 @@
 }
 
 // A free port may be taken before the node binds it, or be in use by a UDP socket.
-std::unique_ptr<test_node> gateway_fixture::startedNode(core::duration gracePeriod)
+std::unique_ptr<test_node>
+gateway_fixture::startedNode(core::duration gracePeriod,
+                             const dispatch::scheduling_settings &scheduling)
 {
     constexpr int maxAttempts = 20;
     for (int attempt = 0; attempt < maxAttempts; ++attempt) {
         callerPort = transport::freePort();
-        auto started = std::make_unique<test_node>(loop.reactor(), INADDR_LOOPBACK, callerPort,
-                                                   transport::freePort(),
-                                                   std::vector<std::uint32_t>(), gracePeriod);
+        auto started = std::make_unique<test_node>(
+            loop.reactor(), INADDR_LOOPBACK, callerPort, transport::freePort(),
+            std::vector<std::uint32_t>(), gracePeriod, scheduling);
         if (started->node->start())
             return started;
     }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -22,7 +22,8 @@
 public:
     test_node(ACE_Reactor &reactor, std::uint32_t address, std::uint16_t callerPort,
               std::uint16_t peerPort, std::vector<std::uint32_t> seeds,
-              core::duration gracePeriod = std::chrono::seconds(8));
+              core::duration gracePeriod = std::chrono::seconds(8),
+              const dispatch::scheduling_settings &scheduling = {});
 
     /** Returns the receiver for events of this node's source. */
     gateway::record_source_events &events() { return *node; }
@@ -41,8 +42,9 @@
 class gateway_fixture
 {
 public:
-    explicit gateway_fixture(core::duration gracePeriod = std::chrono::seconds(8))
-        : owner(startedNode(gracePeriod))
+    explicit gateway_fixture(core::duration gracePeriod = std::chrono::seconds(8),
+                             const dispatch::scheduling_settings &scheduling = {})
+        : owner(startedNode(gracePeriod, scheduling))
     { }
 
     /** Adds an engine whose responses the test writes, and publishes its entry to the node. */
@@ -88,7 +90,8 @@
     core::duration longestPause{};
 
 private:
-    std::unique_ptr<test_node> startedNode(core::duration gracePeriod);
+    std::unique_ptr<test_node> startedNode(core::duration gracePeriod,
+                                           const dispatch::scheduling_settings &scheduling);
 
     std::vector<std::unique_ptr<listening_socket>> m_engines;
 };
--- a/tests/gateway/plain_protocol.cpp
+++ b/tests/gateway/plain_protocol.cpp
@@ -18,6 +18,8 @@
     metadata.key = head.headers.find("Key").value_or("");
     if (const auto wait = head.headers.find("Wait-Ms"))
         metadata.timeout = milliseconds(std::stol(std::string(*wait)));
+    if (const auto tokens = head.headers.find("Prompt-Tokens"))
+        metadata.promptTokens = std::stod(std::string(*tokens));
     if (const auto tokens = head.headers.find("Tokens"))
         metadata.tokens = std::stod(std::string(*tokens));
     if (const auto resume = head.headers.find("Resume"))
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -322,21 +322,31 @@
     // Guards against a gateway metric that is never recorded.
     void everyGatewayMetricIsRecorded()
     {
-        listening_socket &listener = m_gateway.addEngine("e1");
-        m_gateway.configure(1);
-        const auto answered = m_gateway.call("/once/", "1");
-        raw_socket engine = m_gateway.acceptAt(listener);
-        m_gateway.requestAt(engine);
+        gateway_fixture gateway(8s, {.coordinateFromObjective = 1ms});
+        listening_socket &listener = gateway.addEngine("e1");
+        gateway.configure(1);
+        const auto answered = gateway.call("/once/", "1");
+        raw_socket engine = gateway.acceptAt(listener);
+        gateway.requestAt(engine);
         engine.send(response("200 OK", "Id: 1\r\nSigned: s\r\n", "fine"));
-        m_gateway.responseOf(*answered);
-        const auto failed = m_gateway.call("/once/", "2");
-        m_gateway.waitFor("second request",
-                          [&] { return contains(engine.receive(), "Id: 2\r\n"); });
+        gateway.responseOf(*answered);
+        const auto failed = gateway.call("/once/", "2");
+        gateway.waitFor("second request", [&] { return contains(engine.receive(), "Id: 2\r\n"); });
         engine.close();
-        m_gateway.responseOf(*failed);
-        m_gateway.node.node->refreshMetrics();
+        gateway.responseOf(*failed);
+        const auto streamed = gateway.call("/fragile/", "3", "Prompt-Tokens: 10\r\n");
+        raw_socket second = gateway.acceptAt(listener);
+        gateway.requestAt(second);
+        gateway.node.node->refreshMetrics();
+        CPPUNIT_ASSERT_EQUAL(
+            10.0, gateway.node.metrics.value(observe::metric::GatewayPendingPromptTokens, {}));
+        second.send(streamHead("3") + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+        gateway.responseOf(*streamed);
+        gateway.node.node->refreshMetrics();
+        CPPUNIT_ASSERT_EQUAL(
+            0.0, gateway.node.metrics.value(observe::metric::GatewayPendingPromptTokens, {}));
         std::ostringstream text;
-        m_gateway.node.metrics.writeText(text, std::chrono::system_clock::now());
+        gateway.node.metrics.writeText(text, std::chrono::system_clock::now());
         std::size_t checked = 0;
         for (const observe::metric_info &info : observe::describeMetrics()) {
             const std::string name(info.name);
@@ -348,7 +358,7 @@
                                           : "\n" + name + (info.labelCount() > 0 ? "{" : " ");
             CPPUNIT_ASSERT_MESSAGE(name, contains(text.str(), first));
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{14}, checked);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, checked);
     }
 
     // Guards against running a non-resumable stream twice, and against ending it as if complete.
