Test that only coordinated requests wait for a faster engine

Cause: the wait of a request that would be late at all free engines was covered by the load test alone. Change: a test of the registry: a long prompt waits while the fast engine can still meet its objective, and neither later, nor with a short prompt, nor on an upstream that is not coordinated. Conclusion: no change of the product.

--- a/tests/dispatch/engine_registry_test.cpp
+++ b/tests/dispatch/engine_registry_test.cpp
@@ -47,9 +47,35 @@
     CPPUNIT_TEST(immediatelyFailingEngineIsEjected);
     CPPUNIT_TEST(enginesStayInUseIfAllFail);
     CPPUNIT_TEST(loadChangesAreReturnedOnce);
+    CPPUNIT_TEST(longPromptWaitsForTheFasterEngineOnlyIfCoordinated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against long prompts that come late at a slow engine while a fast one frees a slot
+    // soon, against waits that end after the objective, and against changes of other upstreams.
+    void longPromptWaitsForTheFasterEngineOnlyIfCoordinated()
+    {
+        engine_registry registry("d1", 1);
+        add(registry, "fast", 1);
+        add(registry, "slow", 2);
+        for (const auto &[id, prefill] : {std::pair("fast", 100ms), std::pair("slow", 900ms)}) {
+            registry.onEventInterval(id, 10ms);
+            registry.onFirstEvent(id, 10'000, prefill);
+        }
+        const core::time_point now{1h};
+        registry.onStart("fast", now);
+        selection_request request{.upstream = "u", .promptTokens = 10'000, .objective = 500ms};
+        request.objectiveLeft = 500ms;
+        CPPUNIT_ASSERT(registry.choose(request, {}, now).outcome == selection_outcome::Selected);
+        request.coordinated = true;
+        CPPUNIT_ASSERT(registry.choose(request, {}, now).waitsForFasterEngine);
+        request.objectiveLeft = 200ms;
+        CPPUNIT_ASSERT(registry.choose(request, {}, now).outcome == selection_outcome::Selected);
+        request.objectiveLeft = 500ms;
+        request.promptTokens = 600;
+        CPPUNIT_ASSERT(registry.choose(request, {}, now).outcome == selection_outcome::Selected);
+    }
+
     // Guards against requests that are queued at engines, which ignore priorities.
     void slotsAreNotExceeded()
     {
