--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -386,6 +386,7 @@
     m_metrics.set(metric::GatewayPeers, {"in_touch"}, static_cast<double>(share.reachable - 1));
     m_metrics.set(metric::GatewayRunning, {}, static_cast<double>(m_flows.size()));
     m_metrics.set(metric::GatewayWaiting, {}, static_cast<double>(m_admission.queuedCount()));
+    m_metrics.set(metric::GatewayPendingPromptTokens, {}, m_registry.pendingPromptTokens());
     m_metrics.set(metric::GatewayEngines, {}, static_cast<double>(m_registry.size()));
     m_metrics.set(metric::GatewayExcludedEngines, {"leaving"},
                   static_cast<double>(m_registry.leavingCount()));
@@ -548,6 +549,9 @@
     if (record.retryAfter > core::duration::zero())
         m_metrics.record(observe::metric::GatewayRetryAfter, tier, record.upstream,
                          record.retryAfter);
+    if (record.firstEventError)
+        m_metrics.record(observe::metric::GatewayFirstEventError, tier, record.upstream,
+                         std::chrono::abs(*record.firstEventError));
     const auto found = m_flows.find(id);
     if (found == m_flows.end())
         return;
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -322,25 +322,35 @@
     // Guards against a gateway metric that is never recorded.
     void everyGatewayMetricIsRecorded()
     {
-        listening_socket &listener = m_gateway.addEngine("e1");
-        m_gateway.streamObjective = 1s;
-        m_gateway.configure(1);
-        const auto answered = m_gateway.call("/once/", "1");
-        raw_socket engine = m_gateway.acceptAt(listener);
-        m_gateway.requestAt(engine);
+        gateway_fixture gateway(8s, {.coordinateFromObjective = 1ms});
+        listening_socket &listener = gateway.addEngine("e1");
+        gateway.configure(1);
+        const auto answered = gateway.call("/once/", "1");
+        raw_socket engine = gateway.acceptAt(listener);
+        gateway.requestAt(engine);
         engine.send(response("200 OK", "Id: 1\r\nSigned: s\r\n", "fine"));
-        m_gateway.responseOf(*answered);
-        const auto failed = m_gateway.call("/once/", "2", "Wait-Ms: 3000\r\n");
-        m_gateway.waitFor("second request",
-                          [&] { return contains(engine.receive(), "Id: 2\r\n"); });
+        gateway.responseOf(*answered);
+        const auto failed = gateway.call("/once/", "2", "Wait-Ms: 3000\r\n");
+        gateway.waitFor("second request", [&] { return contains(engine.receive(), "Id: 2\r\n"); });
         engine.close();
-        m_gateway.responseOf(*failed);
-        m_gateway.stopEngine(listener);
-        const auto refused = m_gateway.call("/once/", "3");
-        CPPUNIT_ASSERT(contains(m_gateway.responseOf(*refused), " 503 "));
-        m_gateway.node.node->refreshMetrics();
+        gateway.responseOf(*failed);
+        const auto streamed = gateway.call("/fragile/", "3", "Prompt-Tokens: 10\r\n");
+        raw_socket second = gateway.acceptAt(listener);
+        gateway.requestAt(second);
+        gateway.node.node->refreshMetrics();
+        CPPUNIT_ASSERT_EQUAL(
+            10.0, gateway.node.metrics.value(observe::metric::GatewayPendingPromptTokens, {}));
+        second.send(streamHead("3") + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+        gateway.responseOf(*streamed);
+        gateway.node.node->refreshMetrics();
+        CPPUNIT_ASSERT_EQUAL(
+            0.0, gateway.node.metrics.value(observe::metric::GatewayPendingPromptTokens, {}));
+        gateway.stopEngine(listener);
+        const auto refused = gateway.call("/once/", "4");
+        CPPUNIT_ASSERT(contains(gateway.responseOf(*refused), " 503 "));
+        gateway.node.node->refreshMetrics();
         std::ostringstream text;
-        m_gateway.node.metrics.writeText(text, std::chrono::system_clock::now());
+        gateway.node.metrics.writeText(text, std::chrono::system_clock::now());
         std::size_t checked = 0;
         for (const observe::metric_info &info : observe::describeMetrics()) {
             const std::string name(info.name);
