Reclaim incomplete requests before responses, and bound all bodies

Cause: at the limit of descriptors, a slowly read response was reset for a new connection; progress of output that grows was not seen; http_server bounded each body, but not all bodies together (1,024 connections of 1 MB).

Change: memory is reclaimed from incomplete requests first, and for descriptors only from these; progress is what the kernel accepts; http_server_settings::totalBodyBytes.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -422,7 +422,7 @@
 {
     const std::size_t maxConnections = m_settings.descriptors * callerDescriptorPercent / 100;
     while (m_connections.size() >= maxConnections) {
-        if (!closeLingering() && !m_callerMemory.reclaimOldest(monotonicNow()))
+        if (!closeLingering() && !m_callerMemory.reclaimOldestIncomplete(monotonicNow()))
             return false;
     }
     return true;
--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -257,6 +257,7 @@
 
 void byte_stream::onBytesSent(std::size_t count)
 {
+    m_flushedBytes += count;
     if (m_sent == m_output.size()) {
         m_sharedSent += count;
         if (m_sharedSent == m_shared->size())
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -79,6 +79,9 @@
     /** Returns the number of buffered bytes that the kernel has not accepted yet. */
     std::size_t unsentBytes() const noexcept { return m_output.size() - m_sent + sharedBytes(); }
 
+    /** Returns the number of buffered bytes that the kernel has accepted since the start. */
+    std::uint64_t flushedBytes() const noexcept { return m_flushedBytes; }
+
     /** Returns the memory of the buffers, in bytes, without shared bytes. */
     std::size_t bufferBytes() const noexcept { return m_input.capacity() + m_output.capacity(); }
 
@@ -124,6 +127,7 @@
     /** Output after m_output. */
     std::shared_ptr<const std::string> m_shared;
     std::size_t m_sharedSent = 0;
+    std::uint64_t m_flushedBytes = 0;
     /** The first error of a send, which the kernel does not report again; 0 if none failed. */
     int m_sendError = 0;
     ACE_Reactor_Mask m_mask = ACE_Event_Handler::NULL_MASK;
--- a/src/http1/memory_budget.cpp
+++ b/src/http1/memory_budget.cpp
@@ -3,6 +3,7 @@
 #include "http1/memory_reservation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace comfreypass::http1 {
 
@@ -28,7 +29,16 @@
 
 bool memory_budget::reclaimOldest(core::time_point now)
 {
-    return reclaim(nullptr, 0, false, now);
+    return reclaim({}, now);
+}
+
+bool memory_budget::reclaimOldestIncomplete(core::time_point now)
+{
+    return reclaim({.requester = nullptr,
+                    .sameAddress = false,
+                    .lastOrder = reclaim_order::IncompleteRequest,
+                    .minBytes = 0},
+                   now);
 }
 
 memory_budget::refusal memory_budget::check(const memory_reservation &reservation,
@@ -52,7 +62,11 @@
         const refusal cause = check(reservation, bytes);
         if (cause == refusal::None)
             break;
-        if (reclaim(&reservation, minReclaimedBytes, cause == refusal::Share, now))
+        const reclaim_scope scope{.requester = &reservation,
+                                  .sameAddress = cause == refusal::Share,
+                                  .lastOrder = reclaim_order::UnreadResponse,
+                                  .minBytes = minReclaimedBytes};
+        if (reclaim(scope, now))
             continue;
         ++(cause == refusal::Share ? m_counters.refusedByShare : m_counters.refusedByLimit);
         return false;
@@ -73,24 +87,26 @@
         m_usedByAddress.erase(reservation.m_address);
 }
 
-bool memory_budget::reclaim(const memory_reservation *requester, std::size_t minBytes,
-                            bool sameAddress, core::time_point now)
+bool memory_budget::reclaim(const reclaim_scope &scope, core::time_point now)
 {
-    memory_reservation *oldest = nullptr;
+    memory_reservation *first = nullptr;
     for (memory_reservation *each : m_reservations) {
-        const bool isCandidate = each != requester && each->m_lastProgress
-                                 && each->m_bytes >= minBytes
-                                 && now - *each->m_lastProgress >= stallTime
-                                 && !(sameAddress && each->m_address != requester->m_address);
-        if (isCandidate && (oldest == nullptr || *each->m_lastProgress < *oldest->m_lastProgress))
-            oldest = each;
+        if (each == scope.requester || !each->m_lastProgress || each->m_bytes < scope.minBytes
+            || each->m_order > scope.lastOrder || now - *each->m_lastProgress < stallTime)
+            continue;
+        if (scope.sameAddress && each->m_address != scope.requester->m_address)
+            continue;
+        if (first == nullptr
+            || std::pair(each->m_order, *each->m_lastProgress)
+                   < std::pair(first->m_order, *first->m_lastProgress))
+            first = each;
     }
-    if (oldest == nullptr)
+    if (first == nullptr)
         return false;
     // Ends the search even if the holder keeps its memory.
-    oldest->m_lastProgress.reset();
+    first->m_lastProgress.reset();
     ++m_counters.reclaimed;
-    oldest->m_reclaim();
+    first->m_reclaim();
     return true;
 }
 
--- a/src/http1/memory_budget.h
+++ b/src/http1/memory_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "http1/reclaim_order.h"
 
 #include <chrono>
 #include <cstddef>
@@ -57,6 +58,9 @@
      * none for stallTime. Returns false if there is no such holder. */
     bool reclaimOldest(core::time_point now);
 
+    /** As reclaimOldest, but asks only holders of incomplete requests. */
+    bool reclaimOldestIncomplete(core::time_point now);
+
 private:
     friend class memory_reservation;
 
@@ -65,8 +69,17 @@
     refusal check(const memory_reservation &reservation, std::size_t bytes) const;
     bool tryResize(memory_reservation &reservation, std::size_t bytes, core::time_point now);
     void resize(memory_reservation &reservation, std::size_t bytes);
-    bool reclaim(const memory_reservation *requester, std::size_t minBytes, bool sameAddress,
-                 core::time_point now);
+    struct reclaim_scope
+    {
+        /** Is not asked itself; null if memory is reclaimed for no holder. */
+        const memory_reservation *requester = nullptr;
+        /** Ask only holders of the requester's address. */
+        bool sameAddress = false;
+        reclaim_order lastOrder = reclaim_order::UnreadResponse;
+        std::size_t minBytes = 0;
+    };
+
+    bool reclaim(const reclaim_scope &scope, core::time_point now);
 
     std::size_t m_limit;
     std::size_t m_used = 0;
--- a/src/http1/memory_reservation.h
+++ b/src/http1/memory_reservation.h
@@ -2,6 +2,7 @@
 
 #include "core/time_point.h"
 #include "http1/memory_budget.h"
+#include "http1/reclaim_order.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -34,7 +35,11 @@
     void resize(std::size_t bytes);
 
     /** Allows the budget to reclaim the memory if no progress is made after `lastProgress`. */
-    void setReclaimable(core::time_point lastProgress) { m_lastProgress = lastProgress; }
+    void setReclaimable(reclaim_order order, core::time_point lastProgress)
+    {
+        m_order = order;
+        m_lastProgress = lastProgress;
+    }
     void setNotReclaimable() { m_lastProgress.reset(); }
 
     std::size_t bytes() const noexcept { return m_bytes; }
@@ -46,6 +51,7 @@
     std::uint32_t m_address;
     std::function<void()> m_reclaim;
     std::size_t m_bytes = 0;
+    reclaim_order m_order = reclaim_order::IncompleteRequest;
     std::optional<core::time_point> m_lastProgress;
 };
 
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -146,12 +146,12 @@
 {
     if (m_closed)
         return;
-    const std::size_t unsent = unsentBytes();
-    if (unsent == 0 || unsent < m_lastUnsentBytes || m_lastUnsentBytes == 0)
+    const std::uint64_t flushed = m_stream.flushedBytes();
+    if (unsentBytes() == 0 || flushed != m_lastFlushedBytes)
         m_lastSentAt = now;
-    m_lastUnsentBytes = unsent;
+    m_lastFlushedBytes = flushed;
     updateMemory();
-    if (m_responsePending || unsent > 0)
+    if (m_responsePending || unsentBytes() > 0)
         return;
     const core::duration inactivity = now - m_lastActivity;
     if (m_closing) {
@@ -338,9 +338,9 @@
     m_memory.resize(heldBytes());
     const bool isIncomplete = m_parser && m_parser->started();
     if (unsentBytes() > 0)
-        m_memory.setReclaimable(m_lastSentAt);
+        m_memory.setReclaimable(reclaim_order::UnreadResponse, m_lastSentAt);
     else if (isIncomplete && !m_responsePending)
-        m_memory.setReclaimable(m_lastActivity);
+        m_memory.setReclaimable(reclaim_order::IncompleteRequest, m_lastActivity);
     else
         m_memory.setNotReclaimable();
 }
@@ -362,9 +362,9 @@
 
 void server_connection::refuseRequest()
 {
-    transport::http_headers headers{{"Content-Type", "text/plain"},
-                                    {"Retry-After", retryAfterText(m_budget)}};
-    respondAndClose(unavailable, std::move(headers), "memory_exhausted\n");
+    const transport::http_headers headers{{"Content-Type", "text/plain"},
+                                          {"Retry-After", retryAfterText(m_budget)}};
+    respondAndClose(unavailable, headers, "memory_exhausted\n");
 }
 
 void server_connection::rejectRequest(unsigned status, std::string_view reason)
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -150,8 +150,8 @@
     std::size_t m_headMemory = 0;
     bool m_bodyTooLarge = false;
     bool m_memoryRefused = false;
-    /** Unsent output at the last check, and when it was seen to shrink. */
-    std::size_t m_lastUnsentBytes = 0;
+    /** Buffered bytes that had been sent at the last check, and when more were seen to be. */
+    std::uint64_t m_lastFlushedBytes = 0;
     core::time_point m_lastSentAt;
     core::time_point m_lastActivity;
     core::time_point m_requestStartedAt;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -141,7 +141,10 @@
         : m_reactor(reactor), m_settings(std::move(settings)), m_handler(handler),
           m_runTimer(reactor, [this] { run(); }),
           m_disconnectCheck(reactor, [this] { checkDisconnects(); })
-    { }
+    {
+        // A single body is taken whatever the limit for all of them is.
+        m_settings.totalBodyBytes = std::max(m_settings.totalBodyBytes, 2 * m_settings.bodyBytes);
+    }
 
     ~implementation() override
     {
--- a/tests/http1/server_connection_test.cpp
+++ b/tests/http1/server_connection_test.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(bodyWithoutMemoryIsRefusedWithItsHeader);
     CPPUNIT_TEST(memoryOfARefusedBodyIsReleased);
     CPPUNIT_TEST(stalledBodyIsRefusedWhenMemoryIsShort);
+    CPPUNIT_TEST(unreadResponseIsAbortedWhenMemoryIsShort);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -519,6 +520,27 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, server.memory.counts().reclaimed);
     }
 
+    // Guards against callers that never read their response and so keep its memory.
+    void unreadResponseIsAbortedWhenMemoryIsShort()
+    {
+        recording_server server(m_loop.reactor());
+        tests::raw_socket caller(server.port());
+        caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_loop.waitFor("a request", [&] { return server.current != nullptr; });
+        server.current->beginStream(200, {});
+        const std::string part(65'536, 'x');
+        while (server.current->unsentBytes() < 1'000'000)
+            server.current->write(part);
+        CPPUNIT_ASSERT(server.memory.usedBytes() >= std::size_t{1'000'000});
+        const core::time_point now = transport::monotonicNow();
+        server.current->checkTimeouts(now);
+        CPPUNIT_ASSERT(!server.memory.reclaimOldestIncomplete(now + 1s));
+        CPPUNIT_ASSERT(server.memory.reclaimOldest(now + 1s));
+        CPPUNIT_ASSERT_EQUAL(1, server.disconnects);
+        CPPUNIT_ASSERT_EQUAL(1, server.closed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.memory.usedBytes());
+    }
+
 private:
     /** Bytes after which a caller that was not rejected counts as accepted. */
     static constexpr std::size_t maxEndlessBytes = 67'108'864;
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(exchangeDroppedByHandlerIsClosed);
     CPPUNIT_TEST(throwingHandlerYieldsStatus500);
     CPPUNIT_TEST(oversizedBodyIsRefused);
+    CPPUNIT_TEST(bodiesBeyondTheirTotalMemoryAreRefused);
     CPPUNIT_TEST(oversizedHeaderIsRefused);
     CPPUNIT_TEST(malformedRequestIsRefused);
     CPPUNIT_TEST(requestWithoutACertainEndIsRefused);
@@ -246,6 +247,35 @@
         CPPUNIT_ASSERT(m_handler.exchanges().empty());
     }
 
+    // Guards against unbounded memory use for many bodies of legal size at once.
+    void bodiesBeyondTheirTotalMemoryAreRefused()
+    {
+        http_server_settings settings;
+        settings.bodyBytes = 1'000'000;
+        settings.totalBodyBytes = 2'000'000;
+        start([](http_exchange &each) { each.respond(200, {}, ""); }, settings);
+        const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ";
+        std::vector<std::unique_ptr<raw_socket>> stalled;
+        for (int i = 0; i < 2; ++i) {
+            stalled.push_back(std::make_unique<raw_socket>(m_server->port()));
+            stalled.back()->send(head + "900000\r\n\r\n" + std::string(700'000, 'x'));
+        }
+        m_loopback.waitFor("503", [&] {
+            raw_socket caller(m_server->port());
+            caller.send(head + "900000\r\n\r\n" + std::string(900'000, 'x'));
+            m_loopback.waitFor("response", [&] { return !caller.receive().empty(); });
+            return caller.receive().starts_with("HTTP/1.1 503");
+        });
+        // Small bodies still have room, and the ends of connections free theirs.
+        http_call call = get("/");
+        call.method = "POST";
+        call.body = std::string(10'000, 'x');
+        CPPUNIT_ASSERT_EQUAL(200U, run(call)->result().status);
+        stalled.clear();
+        call.body = std::string(900'000, 'x');
+        m_loopback.waitFor("200", [&] { return run(call)->result().status == 200U; });
+    }
+
     // Guards against unbounded memory use for a request header.
     void oversizedHeaderIsRefused()
     {
