Close the oldest idle connection when callers use all descriptors

Cause: connections without a request stay open for the idle timeout (15 s). A crowd of them took all descriptors for callers, and every new connection was closed at once.

Change: for a new connection, the one that has been idle for longest, and for 1 s at least, is closed.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -115,6 +115,9 @@
 
 constexpr core::duration memoryLogInterval = 1s;
 
+/** An idle connection is closed for a new one only after this time, since a request may follow. */
+constexpr core::duration minReplacedIdleTime = 1s;
+
 /** A caller's connection is aborted when its unsent output exceeds this. */
 constexpr std::size_t maxUnsentBytes = 4'194'304;
 
@@ -421,13 +424,29 @@
 bool gateway_node::makeRoomForConnection()
 {
     const std::size_t maxConnections = m_settings.descriptors * callerDescriptorPercent / 100;
+    const core::time_point now = monotonicNow();
     while (m_connections.size() >= maxConnections) {
-        if (!closeLingering() && !m_callerMemory.reclaimOldestIncomplete(monotonicNow()))
+        if (!closeLingering() && !m_callerMemory.reclaimOldestIncomplete(now)
+            && !closeOldestIdle(now))
             return false;
     }
     return true;
 }
 
+bool gateway_node::closeOldestIdle(core::time_point now)
+{
+    http1::server_connection *oldest = nullptr;
+    for (const auto &[pointer, connection] : m_connections) {
+        if (connection->idle() && now - connection->idleSince() >= minReplacedIdleTime
+            && (oldest == nullptr || connection->idleSince() < oldest->idleSince()))
+            oldest = pointer;
+    }
+    if (oldest == nullptr)
+        return false;
+    oldest->closeIfIdle();
+    return true;
+}
+
 // A refused caller may keep its connection open for seconds, which a new one needs more.
 bool gateway_node::closeLingering()
 {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -111,6 +111,7 @@
 
     bool makeRoomForConnection();
     bool closeLingering();
+    bool closeOldestIdle(core::time_point now);
     void manageMemory(core::time_point now);
     void onAccepted(http1::socket_handle socket);
     void onDatagram(const http1::endpoint &from, std::string_view bytes);
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -112,6 +112,9 @@
     /** Returns true if no request is partly read, and no response is pending or partly sent. */
     bool idle() const noexcept;
 
+    /** Returns when the connection was last used. Precondition: idle(). */
+    core::time_point idleSince() const noexcept { return m_lastActivity; }
+
     /** Returns the number of response bytes that the kernel has not accepted yet. */
     std::size_t unsentBytes() const noexcept { return m_stream.unsentBytes(); }
 
