--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -112,6 +112,9 @@
     /** Returns true if no request is partly read, and no response is pending or partly sent. */
     bool idle() const noexcept;
 
+    /** Returns when the connection was last used. Precondition: idle(). */
+    core::time_point idleSince() const noexcept { return m_lastActivity; }
+
     /** Returns the number of response bytes that the kernel has not accepted yet. */
     std::size_t unsentBytes() const noexcept { return m_stream.unsentBytes(); }
 
@@ -150,8 +153,8 @@
     std::size_t m_headMemory = 0;
     bool m_bodyTooLarge = false;
     bool m_memoryRefused = false;
-    /** Unsent output at the last check, and when it was seen to shrink. */
-    std::size_t m_lastUnsentBytes = 0;
+    /** Buffered bytes that had been sent at the last check, and when more were seen to be. */
+    std::uint64_t m_lastFlushedBytes = 0;
     core::time_point m_lastSentAt;
     core::time_point m_lastActivity;
     core::time_point m_requestStartedAt;
