--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -27,16 +27,6 @@
     }
 
 private:
-    /** Starts two nodes that never meet, since each uses a peer port of its own. */
-    bool startStrangers()
-    {
-        const std::vector<std::uint32_t> seeds = {address(1), address(9)};
-        for (const std::uint32_t i : {1U, 2U})
-            m_nodes.push_back(std::make_unique<test_node>(
-                m_loop.reactor(), address(i), transport::freePort(), transport::freePort(), seeds));
-        return m_nodes[0]->node->start() && m_nodes[1]->node->start();
-    }
-
     const gateway::gateway_node &m_node;
 };
 
@@ -146,7 +136,7 @@
         bool areStarted = false;
         for (int attempt = 0; attempt < maxAttempts && !areStarted; ++attempt) {
             m_nodes.clear();
-            areStarted = startStrangers();
+            areStarted = startUnconnectedNodes();
         }
         CPPUNIT_ASSERT(areStarted);
         test_node &seed = *m_nodes[0];
@@ -198,6 +188,16 @@
     }
 
 private:
+    /** Starts two nodes that never meet, since each uses a peer port of its own. */
+    bool startUnconnectedNodes()
+    {
+        const std::vector<std::uint32_t> seeds = {address(1), address(9)};
+        for (const std::uint32_t i : {1U, 2U})
+            m_nodes.push_back(std::make_unique<test_node>(
+                m_loop.reactor(), address(i), transport::freePort(), transport::freePort(), seeds));
+        return m_nodes[0]->node->start() && m_nodes[1]->node->start();
+    }
+
     static dispatch::configuration versioned(std::uint64_t version)
     {
         dispatch::configuration result;
