Review case 6: sound requests are quarantined if their answers have no length

One of four engines crashes at a time, six times in 24 s; equal lookups and different bookings, all answers end with their connection.

--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -134,30 +134,47 @@
 
 
 class Engine:
-    """A sound server: answers each request after a few milliseconds and records that it ran."""
+    """A sound server: answers each request after a few milliseconds and records that it ran.
+
+    If `has_length` is false, its answers have neither a length nor chunks and end with their channel.
+    """
 
     def __init__(self, name, service, zone, slots, record):
         self.name, self.service, self.zone, self.slots, self.record = (
             name, service, zone, slots, record)
-        self.running = 0
+        self.running, self.port, self.has_length, self.work_seconds = 0, 0, True, 0.015
+        self.server, self.channels = None, set()
 
     async def start(self, store):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
+        """Starts, also again after a crash: at the same address under the same id."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.running = 0
         await store.put("servers/" + self.name, {
-            "Service": self.service, "Address": "127.0.0.1:%d" % port, "Zone": self.zone,
+            "Service": self.service, "Address": "127.0.0.1:%d" % self.port, "Zone": self.zone,
             "Version": "v1", "Slots": self.slots, "State": "ready", "ColdLeftMs": 0,
             "born": int(time.time() * 1000), "Seq": 1})
 
+    def crash(self):
+        """Ends like a killed process: its channels end, and its port refuses new ones."""
+        self.record("crash of", self.name)
+        self.server.close()
+        for channel in self.channels:
+            channel.transport.abort()
+
     async def _serve(self, reader, writer):
+        self.channels.add(writer)
         try:
             while True:
                 _, headers = await read_head(reader)
                 await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._answer(headers, writer)
+                if not self.has_length:
+                    break
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.channels.discard(writer)
             writer.close()
 
     async def _answer(self, headers, writer):
@@ -172,10 +189,11 @@
         else:
             self.record("run", attempt, "at", self.name)
             self.running += 1
-            await asyncio.sleep(0.015)
+            await asyncio.sleep(self.work_seconds)
             self.running -= 1
+            length = b"Content-Length: 800\r\n" if self.has_length else b""
             writer.write(b"HTTP/1.1 200 OK\r\n" + echo + b"Comfreypass-Response-Seal: "
-                         + self.name.encode() + b"\r\nContent-Length: 800\r\n\r\n" + b"r" * 800)
+                         + self.name.encode() + b"\r\n" + length + b"\r\n" + b"r" * 800)
         await writer.drain()
 
 
@@ -255,7 +273,7 @@
     def __init__(self, folder):
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.store, self.nodes, self.store_port = Store(), [], 0
+        self.store, self.nodes, self.engines, self.store_port = Store(), [], [], 0
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.role = tomllib.load(file)["roles"]["gateway"]
         if not os.access(os.path.join(ROOT, self.role["run"].split()[0]), os.X_OK):
@@ -270,15 +288,19 @@
 
     async def start(self, count):
         self.store_port = await self.store.start()
-        for number in range(4):
-            await Engine("i-%d" % number, "lookup", "zone-a", 18, self.record).start(self.store)
+        self.engines = [Engine("i-%d" % number, "desk", "zone-a", 6, self.record)
+                        for number in range(4)]
+        for engine in self.engines:
+            await engine.start(self.store)
         await self.store.put("op/config", {
             "Version": 7, "Limits": LIMITS, "Tenants": [],
-            "Routes": [{"Name": "r-lookup", "Host": HOST, "PathPrefix": "/lookup/",
-                        "Kind": "idempotent", "TimeoutMs": 1500, "AimMs": 100, "Priority": 2,
-                        "Service": "lookup", "MaxAttempts": 2, "Public": True, "Sticky": False,
-                        "Resumable": False}],
-            "Services": [{"Name": "lookup", "HealthPath": "/health", "MaxConns": 620,
+            "Routes": [{"Name": "r-" + name, "Host": HOST, "PathPrefix": "/%s/" % name,
+                        "Kind": kind, "TimeoutMs": 1500, "AimMs": 100, "Priority": 2,
+                        "Service": "desk", "MaxAttempts": attempts, "Public": True,
+                        "Sticky": False, "Resumable": False}
+                       for name, kind, attempts in (("lookup", "idempotent", 2),
+                                                    ("booking", "non_idempotent", 1))],
+            "Services": [{"Name": "desk", "HealthPath": "/health", "MaxConns": 620,
                           "Protocol": "h1", "Tls": False, "ColdS": 0.0, "ColdPerS": 0.0}]})
         for number in range(count):
             self.nodes.append(Node(self, number, self.address(number), "zone-a", count))
@@ -299,18 +321,19 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def request_head(method, attempt, fields=""):
-    return ("%s /lookup/x HTTP/1.1\r\nHost: %s\r\nComfreypass-Attempt-Id: %s\r\n"
-            "Comfreypass-Deadline-Ms: 1500\r\n%s" % (method, HOST, attempt, fields)).encode()
+def request_head(method, attempt, fields="", path="/lookup/x"):
+    return (method + " " + path + " HTTP/1.1\r\nHost: %s\r\nComfreypass-Attempt-Id: %s\r\n"
+            "Comfreypass-Deadline-Ms: 1500\r\n%s" % (HOST, attempt, fields)).encode()
 
 
-async def ask(address, attempt, record):
-    """An ordinary caller: one GET on a new channel. Returns the status, or None without an answer."""
+async def ask(address, attempt, record, request=None):
+    """An ordinary caller: one request on a new channel, a lookup if none is given. Returns the status,
+    or None without an answer."""
     status, writer = None, None
     try:
         # As on the pages: a second for the channel, then the request's time limit.
         reader, writer = await asyncio.wait_for(asyncio.open_connection(address, FRONT_PORT), 1)
-        writer.write(request_head("GET", attempt) + b"\r\n")
+        writer.write(request or request_head("GET", attempt) + b"\r\n")
         answer = await asyncio.wait_for(read_answer(reader), 2)
         status = answer.status if answer.whole else None
     except (OSError, EOFError, asyncio.TimeoutError):
