--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
-"""Unfinished chunked bodies at the directory of each node, and new callers who ask where to connect."""
+"""Engines whose answers have no length crash one after the other; equal lookups and other requests."""
 
 import asyncio
-import json
+import collections
 import os
 import random
 import sys
@@ -12,98 +12,69 @@
 import fleet  # noqa: E402
 
 NODES = 3
-CROWD_PER_NODE = 300
-CALLERS = 10
-MEASURE_SECONDS = 12
+DAY_SECONDS = 90
+LOOKUPS_PER_SECOND, BOOKINGS_PER_SECOND = 80, 120
+# One of four engines at a time.
+CRASH_SECONDS = (1, 5, 9, 13, 17, 21)
+DOWN_SECONDS = 3
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# For comparison only: the answers have a length.
+HAS_LENGTH = os.environ.get("HAS_LENGTH", "0") != "0"
 
 
-async def send_unfinished_body(address, writers):
-    """A client that nobody controls: a chunked body that stops just short of its end."""
-    _, writer = await asyncio.wait_for(
-        asyncio.open_connection(address, fleet.DIRECTORY_PORT), 1)
-    writers.append(writer)
-    writer.write(b"POST /api/resolve HTTP/1.1\r\nHost: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
-                 % fleet.HOST.encode() + b"40\r\n" + b"x" * 64 + b"\r\n")
-    await writer.drain()
+async def send(kind, per_second, lab, end, served):
+    """Sound callers: lookups are all about one thing, bookings differ in their body."""
+    tasks, count = [], 0
 
+    async def one(attempt, request):
+        status = await fleet.ask(random.choice(lab.nodes).address, attempt, lab.record, request)
+        served[kind][status] += 1
 
-async def resolve(address):
-    """Asks one node's directory on a new channel; returns its addresses, or None."""
-    writer = None
-    try:
-        reader, writer = await asyncio.open_connection(address, fleet.DIRECTORY_PORT)
-        writer.write(b"GET /api/resolve?Name=h.example&Region=central-valley&Zone=zone-a HTTP/1.1"
-                     b"\r\nHost: directory\r\nConnection: close\r\n\r\n")
-        answer = await fleet.read_answer(reader)
-        return json.loads(answer.body)["Addresses"] if answer.status == 200 else None
-    finally:
-        if writer is not None:
-            writer.close()
-
+    while time.monotonic() < end:
+        count += 1
+        attempt = "%s-%d" % (kind, count)
+        if kind == "lookup":
+            request = fleet.request_head("GET", attempt) + b"\r\n"
+        else:
+            body = b"%08d" % count
+            request = fleet.request_head("POST", attempt, "Content-Length: 8\r\n",
+                                         "/booking/x") + b"\r\n" + body
+        tasks.append(asyncio.create_task(one(attempt, request)))
+        await asyncio.sleep(random.expovariate(per_second))
+    await asyncio.gather(*tasks)
 
-class Caller:
-    """A new caller, as on the pages: up to three nodes with one second each, then a request."""
 
-    def __init__(self, number, lab, end):
-        self.number, self.lab, self.end = number, lab, end
-        self.tries, self.answers, self.served = [], [], 0
-
-    async def run(self):
-        count = 0
-        while time.monotonic() < self.end:
-            count += 1
-            attempt = "c%d-%d" % (self.number, count)
-            addresses = None
-            for node in random.sample(self.lab.nodes, NODES):
-                self.tries.append(time.monotonic())
-                try:
-                    addresses = await asyncio.wait_for(resolve(node.address), 1)
-                except (OSError, EOFError, asyncio.TimeoutError):
-                    addresses = None
-                self.lab.record("resolve", attempt, "at", node.name, "answered",
-                                "nothing" if addresses is None else len(addresses))
-                if addresses:
-                    self.answers.append(time.monotonic())
-                    break
-            if addresses:
-                address = random.choice(addresses).split(":")[0]
-                self.served += await fleet.ask(address, attempt, self.lab.record) == 200
-            await asyncio.sleep(0.2)
+async def crash_engines(lab, begin):
+    for number, at in enumerate(CRASH_SECONDS):
+        await asyncio.sleep(begin + at - time.monotonic())
+        engine = lab.engines[number % len(lab.engines)]
+        engine.crash()
+        await asyncio.sleep(DOWN_SECONDS)
+        await engine.start(lab.store)
 
 
 async def main():
     lab = fleet.Fleet(HERE)
-    writers, readiness = [], []
+    served = {"lookup": collections.Counter(), "booking": collections.Counter()}
     try:
         await lab.start(NODES)
-        if TROUBLE:
-            for node in lab.nodes:
-                for _ in range(CROWD_PER_NODE):
-                    await send_unfinished_body(node.address, writers)
-                lab.record("crowd of", CROWD_PER_NODE, "at the directory of", node.name)
-        await asyncio.sleep(1)
+        for engine in lab.engines:
+            engine.has_length, engine.work_seconds = HAS_LENGTH, 0.06
         begin = time.monotonic()
-        end = begin + MEASURE_SECONDS
-        callers = [Caller(number, lab, end) for number in range(CALLERS)]
-        tasks = [asyncio.create_task(caller.run()) for caller in callers]
-        while time.monotonic() < end:
-            for node in lab.nodes:
-                readiness.append(await node.is_ready())
-                lab.record("ready", node.name, readiness[-1])
-            await asyncio.sleep(0.5)
+        end = begin + DAY_SECONDS
+        tasks = [send("lookup", LOOKUPS_PER_SECOND, lab, end, served),
+                 send("booking", BOOKINGS_PER_SECOND, lab, end, served)]
+        if TROUBLE:
+            tasks.append(crash_engines(lab, begin))
         await asyncio.gather(*tasks)
     finally:
         lab.stop()
-    answers = [each for caller in callers for each in caller.answers]
-    gap = fleet.longest_gap(answers, begin, end)
-    tried = sum(bool(caller.tries) for caller in callers)
-    print("%d callers tried %d times, %d directory answers, %d requests served; longest time "
-          "without a directory answer %.1f s; ready in %d of %d checks"
-          % (tried, sum(len(caller.tries) for caller in callers), len(answers),
-             sum(caller.served for caller in callers), gap, sum(readiness), len(readiness)))
-    broken = all(readiness) and tried >= 7 and gap > fleet.CONTACT_MS / 1000
-    return not broken
+    print(", ".join("%s: %s" % (kind, dict(counts)) for kind, counts in served.items()))
+    total = sum(sum(counts.values()) for counts in served.values())
+    share = sum(counts[200] for counts in served.values()) / total
+    shares = {kind: counts[200] / sum(counts.values()) for kind, counts in served.items()}
+    print("served: all %.3f, %s" % (share, shares))
+    return all(each >= share / 4 for each in shares.values())
 
 
 fleet.run_case(main)
--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -143,7 +143,7 @@
         self.name, self.service, self.zone, self.slots, self.record = (
             name, service, zone, slots, record)
         self.running, self.port, self.has_length, self.work_seconds = 0, 0, True, 0.015
-        self.server, self.channels = None, set()
+        self.server, self.channels, self.behaviour = None, set(), None
 
     async def start(self, store):
         """Starts, also again after a crash: at the same address under the same id."""
@@ -188,6 +188,9 @@
                          + b"Comfreypass-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
         else:
             self.record("run", attempt, "at", self.name)
+            if self.behaviour is not None:
+                await self.behaviour(self, headers, writer, echo)
+                return
             self.running += 1
             await asyncio.sleep(self.work_seconds)
             self.running -= 1
@@ -286,15 +289,16 @@
         # Derived from the process id, so that runs beside each other share no address.
         return "127.%d.%d.%d" % (10 + os.getpid() % 200, os.getpid() // 200 % 250, number + 1)
 
-    async def start(self, count):
+    async def start(self, count, engines=None, routes=None, tenants=()):
+        """Starts `count` nodes and, if none are given, four engines with a route of each kind."""
         self.store_port = await self.store.start()
-        self.engines = [Engine("i-%d" % number, "desk", "zone-a", 6, self.record)
-                        for number in range(4)]
+        self.engines = engines or [Engine("i-%d" % number, "desk", "zone-a", 6, self.record)
+                                   for number in range(4)]
         for engine in self.engines:
             await engine.start(self.store)
         await self.store.put("op/config", {
-            "Version": 7, "Limits": LIMITS, "Tenants": [],
-            "Routes": [{"Name": "r-" + name, "Host": HOST, "PathPrefix": "/%s/" % name,
+            "Version": 7, "Limits": LIMITS, "Tenants": list(tenants),
+            "Routes": routes or [{"Name": "r-" + name, "Host": HOST, "PathPrefix": "/%s/" % name,
                         "Kind": kind, "TimeoutMs": 1500, "AimMs": 100, "Priority": 2,
                         "Service": "desk", "MaxAttempts": attempts, "Public": True,
                         "Sticky": False, "Resumable": False}
