Treat a response with a status outside of HTTP as a failure of the engine

Callers saw, gateway, on fresh and kept connections alike: 000 reached no caller, but on a connection that stayed open, callers of routes that allow no repeat waited for their 504 at the deadline, and a sound response behind it was taken for the answer. 600 reached callers as a response, with the engine's body, on such routes. What followed a 101 reached all callers. serve: 502 for 000 (libcurl rejects it), 504 at the deadline for 101; 600 and 999 reached callers with the engine's body.

Cause: Beast accepts any three digits, libcurl 100 to 999. The gateway took statuses below 200 for interim ones and so waited for the final response; both readers took all others for final ones.

Change: transport::isResponseStatus names the statuses of a response, 100 to 599 without 101, since no request asks for another protocol. The parser of the gateway and the lines that libcurl passes on, where the status line is now parsed exactly, are checked against it. Anything else fails the attempt as malformed: a retry where the route allows it, else 502.

Why it works: the status line is the first thing that each reader sees, so neither fields nor body of such a response are used, and nothing that follows on the connection is.

Readers: the parser serves all engines of the gateway; curl_transfer serves the engines of serve, its load poller, the store client, fetches from peers, the configuration service and the instance list.

Conclusion: such a response reaches no caller, and no caller waits for it.

--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "http1/client_connection.h"
 
+#include "transport/response_status.h"
+
 #include <array>
 #include <cstddef>
 #include <utility>
@@ -14,8 +16,6 @@
 /** Limit on interim responses and on late responses to earlier requests, per request. */
 constexpr std::size_t maxSkippedBytes = 262'144;
 
-constexpr unsigned firstFinalStatus = 200;
-
 } // namespace
 
 std::string_view toString(exchange_failure failure) noexcept
@@ -131,7 +131,7 @@
     if (std::exchange(m_headReported, true))
         return !m_skipping;
     const message_head &head = m_parser->head();
-    if (head.status < firstFinalStatus) {
+    if (transport::isInterimStatus(head.status)) {
         m_skipping = true;
         m_events->onInterimHead(head);
         return false;
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -1,6 +1,7 @@
 #include "http1/message_parser.h"
 
 #include "transport/message_framing.h"
+#include "transport/response_status.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -138,10 +139,13 @@
     }
 
     void on_response_impl(int code, beast::string_view reason, int version,
-                          beast_error & /*error*/) override
+                          beast_error &error) override
     {
         head.isHttp11 = version >= http11;
         head.status = static_cast<unsigned>(code);
+        // Beast accepts any three digits.
+        if (!transport::isResponseStatus(head.status))
+            error = beast::http::error::bad_status;
         head.reason = toView(reason);
     }
 
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -39,8 +39,9 @@
      * returns the number of bytes consumed. The caller passes the rest again, followed by more
      * input. Consumes nothing beyond the end of the message. Errors: ParseFailed, also if the
      * header does not determine the end of the message for each recipient alike (see
-     * transport::framingFault); TooLarge for a header over the limit. Precondition: no earlier call
-     * failed.
+     * transport::framingFault) or its status is not one of a response (see
+     * transport::isResponseStatus); TooLarge for a header over the limit. Precondition: no earlier
+     * call failed.
      */
     core::result<std::size_t> parse(std::string_view bytes);
 
--- a/src/transport/curl_transfer.cpp
+++ b/src/transport/curl_transfer.cpp
@@ -3,6 +3,7 @@
 #include "transport/callback_guard.h"
 #include "transport/clock.h"
 #include "transport/message_framing.h"
+#include "transport/response_status.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -191,12 +192,10 @@
         return false;
     }
     const std::string_view text = trim(line);
+    if (m_headerStatus == 0)
+        return processStatusLine(text);
     if (text.empty())
         return finishHeader();
-    if (text.starts_with("HTTP/")) {
-        m_responseHeaders = {};
-        return true;
-    }
     const std::size_t colon = text.find(':');
     if (colon != std::string_view::npos)
         m_responseHeaders.add(std::string(text.substr(0, colon)),
@@ -204,19 +203,30 @@
     return true;
 }
 
+bool curl_transfer::processStatusLine(std::string_view line)
+{
+    // libcurl accepts status lines that are malformed, and any status.
+    const auto status = parseStatusLine(line);
+    if (!status) {
+        m_errorDetail = "the response does not begin with a valid status line";
+        return false;
+    }
+    m_headerStatus = *status;
+    m_responseHeaders = {};
+    return true;
+}
+
 bool curl_transfer::finishHeader()
 {
-    long status = 0;
-    curl_easy_getinfo(m_easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    // An interim response (1xx); the final one follows.
-    if (status < 200)
+    const unsigned status = std::exchange(m_headerStatus, 0);
+    if (isInterimStatus(status))
         return true;
     m_headerComplete = true;
     if (const auto fault = framingFault(m_responseHeaders)) {
         m_errorDetail = std::string(*fault);
         return false;
     }
-    m_result.status = static_cast<unsigned>(status);
+    m_result.status = status;
     m_events->onHeaders(m_result.status, m_responseHeaders);
     return !m_cancelled;
 }
--- a/src/transport/curl_transfer.h
+++ b/src/transport/curl_transfer.h
@@ -73,6 +73,7 @@
     void setHeaders();
     bool maySendRequest();
     bool processHeaderLine(std::string_view line);
+    bool processStatusLine(std::string_view line);
     bool finishHeader();
     bool isResponseFramed() const;
     http_call_result::error_kind classify(CURLcode code) const;
@@ -82,6 +83,8 @@
     std::shared_ptr<http_call_events> m_events;
     std::unique_ptr<CURL, easy_deleter> m_easy;
     std::unique_ptr<curl_slist, list_deleter> m_fields;
+    /** Status of the header that is being read; 0 before its status line. */
+    unsigned m_headerStatus = 0;
     http_headers m_responseHeaders;
     std::size_t m_headerBytes = 0;
     std::size_t m_bodyBytes = 0;
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace comfreypass;
@@ -59,6 +60,9 @@
     CPPUNIT_TEST(oversizedHeaderReportsTooLarge);
     CPPUNIT_TEST(headerWithoutEndIsLimitedInAnyPieces);
     CPPUNIT_TEST(numberOfFieldsIsLimited);
+    CPPUNIT_TEST(statusesWithoutResponseAreRejected);
+    CPPUNIT_TEST(statusesOfResponsesAreAccepted);
+    CPPUNIT_TEST(fieldNamesHoldTokenBytesOnly);
     CPPUNIT_TEST(responseWithoutLengthEndsAtEof);
     CPPUNIT_TEST(truncatedResponseIsIncomplete);
     CPPUNIT_TEST_SUITE_END();
@@ -144,6 +148,64 @@
         }
     }
 
+    // Guards against reading bytes as a response whose status says that they are none.
+    void statusesWithoutResponseAreRejected()
+    {
+        for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+            for (const std::string rest : {"Content-Length: 2\r\n\r\nok", "\r\nok"}) {
+                const std::string text = "HTTP/1.1 " + status + " Status\r\n" + rest;
+                for (const std::size_t step : {std::size_t{1}, text.size()}) {
+                    const parsed result = feed(message_kind::Response, text, step);
+                    CPPUNIT_ASSERT_MESSAGE(text, result.failed);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(), result.body);
+                }
+            }
+        }
+    }
+
+    // Guards against rejecting a status because it is unusual.
+    void statusesOfResponsesAreAccepted()
+    {
+        for (const unsigned status : {100U, 102U, 103U, 199U, 200U, 299U, 399U, 499U, 599U}) {
+            const std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n\r\n";
+            const parsed result = feed(message_kind::Response, text, text.size());
+            CPPUNIT_ASSERT_MESSAGE(text, !result.failed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, status, result.head.status);
+        }
+    }
+
+    // Guards against a field that other recipients read as a field of another name.
+    void fieldNamesHoldTokenBytesOnly()
+    {
+        constexpr std::string_view tokenBytes
+            = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+              "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+        constexpr int byteValues = 256;
+        for (int value = 0; value < byteValues; ++value) {
+            const char byte = static_cast<char>(value);
+            // A colon ends the name.
+            if (byte == ':')
+                continue;
+            const bool isToken = tokenBytes.find(byte) != std::string_view::npos;
+            for (const std::string &name :
+                 {std::string(1, byte), byte + std::string("X"), std::string("X") + byte,
+                  std::string("X") + byte + "Y"}) {
+                const std::string field = name + ": 1\r\n";
+                for (const std::string &text :
+                     {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + field + "\r\n",
+                      "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n",
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + field
+                          + "\r\n"}) {
+                    for (const std::size_t step : {std::size_t{1}, text.size()}) {
+                        const parsed result = feed(message_kind::Response, text, step);
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, isToken, !result.failed);
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, isToken, result.complete);
+                    }
+                }
+            }
+        }
+    }
+
     // Guards against a body that is taken for a part of the header.
     void bodyThatLooksLikeAContinuedFieldIsAccepted()
     {
--- /dev/null
+++ b/tests/transport/http_broken_response_test.cpp
@@ -0,0 +1,172 @@
+#include "support/listening_socket.h"
+#include "support/loopback.h"
+#include "support/recorded_call.h"
+#include "transport/http_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace comfreypass;
+using namespace comfreypass::tests;
+using namespace comfreypass::transport;
+
+using error_kind = http_call_result::error_kind;
+
+namespace {
+
+const std::string lengthField = "Content-Length: 4\r\n";
+
+/** Status lines that start no final or interim response of HTTP/1. */
+const std::vector<std::string> brokenStatusLines = {
+    "HTTP/1.1 000 Status",
+    "HTTP/1.1 0 Status",
+    "HTTP/1.1 001 Status",
+    "HTTP/1.1 099 Status",
+    "HTTP/1.1 20 Status",
+    "HTTP/1.1 2 Status",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 600 Status",
+    "HTTP/1.1 999 Status",
+    "HTTP/1.1 -20 Status",
+    "HTTP/1.1 +20 Status",
+    "HTTP/1.1 2x0 Status",
+    "HTTP/1.1 200OK",
+    "HTTP/1.1  200 OK",
+    "HTTP/1.1\t200 OK",
+    "HTTP/1.1 200\tOK",
+    "HTTP/1.1 101 Status",
+    "HTTP/1.1 OK",
+    "HTTP/1.1",
+    "HTTP/1.2 200 OK",
+    "HTTP/2 200 OK",
+    "HTTP/2.0 200 OK",
+    "HTTP/3 200 OK",
+    "HTTP 200 OK",
+    "http/1.1 200 OK",
+    " HTTP/1.1 200 OK",
+    "HTTP/01.1 200 OK",
+    "ICY 200 OK",
+};
+
+enum class connection_end { Open, Closed };
+
+} // namespace
+
+class http_broken_response_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_broken_response_test);
+    CPPUNIT_TEST(brokenStatusLineIsNoResponse);
+    CPPUNIT_TEST(brokenStatusLineAfterInterimResponseIsNoResponse);
+    CPPUNIT_TEST(soundStatusLinesAreAccepted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a response, or a body without one, after a status line that is none.
+    void brokenStatusLineIsNoResponse()
+    {
+        for (const std::string &line : brokenStatusLines) {
+            checkNoResponse(line + "\r\n" + lengthField + "\r\nbody");
+            checkNoResponse(line + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+            checkNoResponse(line + "\r\n\r\nbody");
+        }
+    }
+
+    // Guards against a broken response that follows a sound interim one.
+    void brokenStatusLineAfterInterimResponseIsNoResponse()
+    {
+        for (const std::string &line : brokenStatusLines)
+            checkNoResponse("HTTP/1.1 103 Early Hints\r\n\r\n" + line + "\r\n" + lengthField
+                            + "\r\nbody");
+    }
+
+    // Guards against a failure for a response with an unusual status line.
+    void soundStatusLinesAreAccepted()
+    {
+        for (const std::string line :
+             {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200",
+              "HTTP/1.1 200 a\tb \x80\xff", "HTTP/1.1 299 Other", "HTTP/1.1 599 Other"}) {
+            const auto status = static_cast<unsigned>(std::stoul(std::string(line).substr(9)));
+            for (const bool afterInterim : {false, true}) {
+                const std::string interim
+                    = afterInterim ? "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Other\r\n\r\n" : "";
+                checkResponse(interim + line + "\r\n" + lengthField + "\r\nbody", status);
+            }
+        }
+    }
+
+private:
+    void checkNoResponse(const std::string &bytes)
+    {
+        for (const bool kept : {false, true}) {
+            for (const connection_end end : {connection_end::Open, connection_end::Closed}) {
+                const auto events = run(bytes, kept, end);
+                const std::string message = bytes + (kept ? " on a kept connection" : "");
+                CPPUNIT_ASSERT_MESSAGE(message, events->result().error == error_kind::Broken);
+                CPPUNIT_ASSERT_MESSAGE(message, !events->result().complete);
+                CPPUNIT_ASSERT_MESSAGE(message, events->result().requestBytesMayHaveLeft);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 0U, events->result().status);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::string(), events->body());
+            }
+        }
+    }
+
+    void checkResponse(const std::string &bytes, unsigned status)
+    {
+        for (const bool kept : {false, true}) {
+            const auto events = run(bytes, kept, connection_end::Open);
+            CPPUNIT_ASSERT_MESSAGE(bytes + events->result().detail, events->result().complete);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, status, events->result().status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::string("body"), events->body());
+        }
+    }
+
+    /** Sends bytes in response to a request on a new connection, or on one that served another. */
+    std::shared_ptr<recorded_call> run(const std::string &bytes, bool kept, connection_end end)
+    {
+        listening_socket upstream;
+        http_client client(m_loopback.reactor());
+        std::optional<raw_socket> connection;
+        if (kept) {
+            const auto first = start(client, upstream, "/first");
+            connection.emplace(accept(upstream));
+            connection->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            m_loopback.waitFor("the first response", [&] { return first->done(); });
+        }
+        const auto events = start(client, upstream, "/second");
+        if (!kept)
+            connection.emplace(accept(upstream));
+        m_loopback.waitFor("the request", [&] {
+            return connection->receive().find("GET /second ") != std::string::npos;
+        });
+        connection->send(bytes);
+        if (end == connection_end::Closed)
+            connection->close();
+        m_loopback.waitFor("the end of the call after " + bytes, [&] { return events->done(); });
+        return events;
+    }
+
+    std::shared_ptr<recorded_call> start(http_client &client, const listening_socket &upstream,
+                                         const std::string &path)
+    {
+        http_call call;
+        call.url = loopback::url(upstream.port(), path);
+        auto events = std::make_shared<recorded_call>();
+        client.start(std::move(call), events);
+        return events;
+    }
+
+    raw_socket accept(listening_socket &upstream)
+    {
+        m_loopback.waitFor("a connection", [&] { return upstream.pending(); });
+        return upstream.accept();
+    }
+
+    loopback m_loopback;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_broken_response_test);
