Treat a response with an invalid field name as a failure of the engine

Callers saw, serve, chat requests and bookings: a response whose head, interim response or trailer had a field with a blank, a control byte, 0x7f, 0xff, "@" or nothing as its name came through as 200 with the engine's body. In a stream, a broken trailer was followed by a last chunk. The gateway already rejected all of these (Beast checks names as tokens), on fresh and kept connections and in all three places, so it is unchanged.

Cause: libcurl passes on lines with any name, and curl_transfer split them at the colon without looking at the name; it did not look at trailers.

Change: transport::isFieldName accepts tokens of RFC 9110. Each line of an interim response, a head or a trailer must have such a name; a line without a colon has none. Otherwise the call ends with Broken, and the caller gets 502 with an unknown outcome, or a stream without its last chunk.

Why it works: libcurl passes each field line to the same callback before it uses the body behind it, and ends the transfer when the callback refuses one, so such a response never becomes complete.

Readers: curl_transfer serves the engines of serve, its load poller, the store client, fetches from peers, the configuration service and the instance list; the parser serves all engines of the gateway.

Measured: failed on and pass now: test_transport brokenFieldNameIsNoResponse, brokenFieldNameOfInterimResponseIsNoResponse, brokenFieldNameOfTrailerIsIncomplete; integration_broken_response_test test_broken_field_name_is_a_failure and test_broken_trailer_never_completes_a_stream.

Conclusion: no reader takes such a response for one.

--- a/src/transport/curl_transfer.cpp
+++ b/src/transport/curl_transfer.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/callback_guard.h"
 #include "transport/clock.h"
+#include "transport/field_name.h"
 #include "transport/message_framing.h"
 #include "transport/response_status.h"
 
@@ -178,9 +179,10 @@
 {
     if (m_cancelled)
         return false;
-    // Trailer fields after the last chunk are ignored.
+    const std::string_view text = trim(line);
+    // A trailer after the last chunk.
     if (m_headerComplete)
-        return true;
+        return text.empty() || processField(line);
     m_headerBytes += line.size();
     if (m_headerBytes > maxResponseHeaderBytes) {
         m_errorDetail = "response header is larger than 64 KiB";
@@ -191,16 +193,9 @@
         m_errorDetail = "a line of the response header is continued or not terminated by CRLF";
         return false;
     }
-    const std::string_view text = trim(line);
     if (m_headerStatus == 0)
         return processStatusLine(text);
-    if (text.empty())
-        return finishHeader();
-    const std::size_t colon = text.find(':');
-    if (colon != std::string_view::npos)
-        m_responseHeaders.add(std::string(text.substr(0, colon)),
-                              std::string(trim(text.substr(colon + 1))));
-    return true;
+    return text.empty() ? finishHeader() : processField(line);
 }
 
 bool curl_transfer::processStatusLine(std::string_view line)
@@ -216,6 +211,21 @@
     return true;
 }
 
+bool curl_transfer::processField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    // libcurl accepts any name; other recipients may read another one, or another field.
+    if (colon == std::string_view::npos || !isFieldName(line.substr(0, colon))) {
+        m_errorDetail = "a field of the response has no valid name";
+        return false;
+    }
+    // Trailer fields are discarded.
+    if (!m_headerComplete)
+        m_responseHeaders.add(std::string(line.substr(0, colon)),
+                              std::string(trim(line.substr(colon + 1))));
+    return true;
+}
+
 bool curl_transfer::finishHeader()
 {
     const unsigned status = std::exchange(m_headerStatus, 0);
--- a/src/transport/curl_transfer.h
+++ b/src/transport/curl_transfer.h
@@ -74,6 +74,7 @@
     bool maySendRequest();
     bool processHeaderLine(std::string_view line);
     bool processStatusLine(std::string_view line);
+    bool processField(std::string_view line);
     bool finishHeader();
     bool isResponseFramed() const;
     http_call_result::error_kind classify(CURLcode code) const;
--- a/src/transport/field_name.cpp
+++ b/src/transport/field_name.cpp
@@ -18,6 +18,14 @@
     return std::uint64_t{device()} << bitsOfADraw | device();
 }
 
+bool isTokenByte(char byte)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    const char lower = toLowerAscii(byte);
+    return (lower >= 'a' && lower <= 'z') || (byte >= '0' && byte <= '9')
+           || symbols.find(byte) != std::string_view::npos;
+}
+
 } // namespace
 
 bool equalIgnoringCase(std::string_view left, std::string_view right) noexcept
@@ -27,6 +35,11 @@
            });
 }
 
+bool isFieldName(std::string_view text) noexcept
+{
+    return !text.empty() && std::ranges::all_of(text, isTokenByte);
+}
+
 std::size_t field_name_hash::operator()(std::string_view text) const noexcept
 {
     static const std::uint64_t seed = drawSeed();
--- a/src/transport/field_name.h
+++ b/src/transport/field_name.h
@@ -20,6 +20,12 @@
  */
 bool equalIgnoringCase(std::string_view left, std::string_view right) noexcept;
 
+/**
+ * Returns true if a text may be the name of an HTTP field: one or more letters, digits and
+ * "!#$%&'*+-.^_`|~" (a token of RFC 9110). Thread-safe.
+ */
+bool isFieldName(std::string_view text) noexcept;
+
 /**
  * Hashes a text so that texts that are equal ignoring case have the same hash. The hash is seeded
  * at random in each process, so that callers cannot prepare names that collide. Thread-safe.
--- a/tests/integration/broken_response_test.py
+++ b/tests/integration/broken_response_test.py
@@ -9,8 +9,13 @@
 
 DEADLINE_MS = 5000
 BODY = b'{"choices": [{"message": {"content": "upstream"}}]}'
+EVENTS = b'data: {"choices": [{"delta": {"content": "upstream"}}]}\n\ndata: [DONE]\n\n'
 STATUSES = [b"000", b"001", b"099", b"101", b"600", b"999", b"20", b"2000"]
+BROKEN_NAMES = [b"X Name", b"X-Name ", b" X-Name", b"X-\x01Name", b"X-\x7fName", b"X-\xffName",
+                b"X@Name", b""]
+UNUSUAL_FIELD = b"!#$%&'*+-.^_`|~09azAZ: a\tb \x80\xff\"(),/;<=>?@[\\]{}~\r\n"
 JSON = b"Content-Type: application/json\r\n"
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
 
 
 def with_length(body, fields=JSON, status=b"200"):
@@ -18,9 +23,9 @@
             % (status, fields, len(body), body))
 
 
-def in_chunks(body, fields=JSON, status=b"200"):
-    return (b"HTTP/1.1 %s Status\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
-            % (status, fields, len(body), body))
+def in_chunks(body, fields=JSON, status=b"200", trailer=b""):
+    return (b"HTTP/1.1 %s Status\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n"
+            % (status, fields, len(body), body, trailer))
 
 
 class ScriptedUpstream:
@@ -110,12 +115,40 @@
             self.assert_problem(response, 502, "unknown", ["upstream_failed"])
             self.assertNotIn(b"upstream\"", response.body)
 
+    def assert_forwarded(self, response_bytes):
+        self.upstream.response = response_bytes
+        for response in (self.chat(), self.book()):
+            self.assertEqual((response.status, response.body), (200, BODY), response_bytes)
+
     def test_status_outside_of_http_is_a_failure(self):
         for status in STATUSES:
             self.assert_failure(with_length(BODY, status=status))
             self.assert_failure(in_chunks(BODY, status=status))
             self.assert_failure(with_length(b"", status=status) + with_length(BODY))
 
+    def test_broken_field_name_is_a_failure(self):
+        for name in BROKEN_NAMES:
+            field = name + b": 1\r\n"
+            self.assert_failure(with_length(BODY, JSON + field))
+            self.assert_failure(b"HTTP/1.1 103 Early\r\n" + field + b"\r\n" + with_length(BODY))
+            self.assert_failure(in_chunks(BODY, trailer=field))
+
+    def test_broken_trailer_never_completes_a_stream(self):
+        self.upstream.response = in_chunks(EVENTS, EVENT_STREAM, trailer=b"X Name: 1\r\n")
+        stream = caller.Stream(self.node.callers, "broken", 3)
+        stream.read_to_end()
+        self.assertFalse(stream.complete(), stream.received)
+        self.upstream.response = in_chunks(EVENTS, EVENT_STREAM, trailer=UNUSUAL_FIELD)
+        stream = caller.Stream(self.node.callers, "sound", 3)
+        stream.read_to_end()
+        self.assertTrue(stream.complete(), stream.received)
+
+    def test_unusual_fields_are_accepted(self):
+        interim = b"HTTP/1.1 103 Early\r\n" + UNUSUAL_FIELD + b"\r\n"
+        self.assert_forwarded(with_length(BODY, JSON + UNUSUAL_FIELD))
+        self.assert_forwarded(interim + with_length(BODY))
+        self.assert_forwarded(in_chunks(BODY, trailer=UNUSUAL_FIELD))
+
 
 if __name__ == "__main__":
     main()
--- a/tests/transport/http_broken_response_test.cpp
+++ b/tests/transport/http_broken_response_test.cpp
@@ -8,12 +8,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 using namespace comfreypass;
 using namespace comfreypass::tests;
 using namespace comfreypass::transport;
+using namespace std::string_view_literals;
 
 using error_kind = http_call_result::error_kind;
 
@@ -53,6 +55,21 @@
     "ICY 200 OK",
 };
 
+/** Field names with bytes that no name may hold. */
+std::vector<std::string> brokenNames()
+{
+    std::vector<std::string> names = {
+        "",         " X-Name",        "\tX-Name",      "X-Name ",
+        "X-Name\t", "HTTP/1.1 200 X", "no colon\r\nX", "HTTP/1.1 200 OK\r\nX",
+    };
+    for (const char byte : " \t\0\x01\b\v\f\x1f\"(),/;<=>?@[\\]{}\x7f\x80\xff"sv)
+        names.push_back(std::string("X") + byte + "Name");
+    return names;
+}
+
+const std::string unusualField
+    = "!#$%&'*+-.^_`|~0189abyzABYZ: a\tb \x80\xff\"(),/;<=>?@[\\]{}~\r\n";
+
 enum class connection_end { Open, Closed };
 
 } // namespace
@@ -63,6 +80,10 @@
     CPPUNIT_TEST(brokenStatusLineIsNoResponse);
     CPPUNIT_TEST(brokenStatusLineAfterInterimResponseIsNoResponse);
     CPPUNIT_TEST(soundStatusLinesAreAccepted);
+    CPPUNIT_TEST(brokenFieldNameIsNoResponse);
+    CPPUNIT_TEST(brokenFieldNameOfInterimResponseIsNoResponse);
+    CPPUNIT_TEST(brokenFieldNameOfTrailerIsIncomplete);
+    CPPUNIT_TEST(unusualFieldsAreAccepted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +120,51 @@
         }
     }
 
+    // Guards against a response whose fields recipients read differently.
+    void brokenFieldNameIsNoResponse()
+    {
+        for (const std::string &name : brokenNames()) {
+            checkNoResponse("HTTP/1.1 200 OK\r\n" + lengthField + name + ": 1\r\n\r\nbody");
+            checkNoResponse("HTTP/1.1 200 OK\r\n" + name + ": 1\r\n" + lengthField + "\r\nbody");
+        }
+    }
+
+    // Guards against an interim response that hides what no recipient can read.
+    void brokenFieldNameOfInterimResponseIsNoResponse()
+    {
+        for (const std::string &name : brokenNames())
+            checkNoResponse("HTTP/1.1 103 Early Hints\r\n" + name + ": 1\r\n\r\nHTTP/1.1 200 OK\r\n"
+                            + lengthField + "\r\nbody");
+    }
+
+    // Guards against a body that is taken for complete in spite of a broken trailer.
+    void brokenFieldNameOfTrailerIsIncomplete()
+    {
+        for (const std::string &name : brokenNames()) {
+            const std::string bytes
+                = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + name
+                  + ": 1\r\n\r\n";
+            for (const bool kept : {false, true}) {
+                const auto events = run(bytes, kept, connection_end::Closed);
+                CPPUNIT_ASSERT_MESSAGE(bytes, !events->result().complete);
+                CPPUNIT_ASSERT_MESSAGE(bytes, events->result().error == error_kind::Broken);
+            }
+        }
+    }
+
+    // Guards against a failure for a sound response that carries unusual fields.
+    void unusualFieldsAreAccepted()
+    {
+        checkResponse("HTTP/1.1 200 OK\r\n" + unusualField + lengthField + "\r\nbody", 200);
+        checkResponse("HTTP/1.1 103 Early Hints\r\n" + unusualField + "\r\nHTTP/1.1 200 OK\r\n"
+                          + lengthField + "\r\nbody",
+                      200);
+        checkResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+                          + unusualField + "X-Second: 2\r\n\r\n",
+                      200);
+        checkResponse("HTTP/1.1 200 OK\r\nX-Empty:\r\n" + lengthField + "\r\nbody", 200);
+    }
+
 private:
     void checkNoResponse(const std::string &bytes)
     {
