Take a response without a length for complete only after its request

Callers saw, gateway, all routes, fresh and kept connections: an engine answers a long upload at once with a 200 without a length, sends a part of the body, ends the connection and resets it while the upload is still being written. They got that part as a complete response; on a resumable stream, as its end. After a reset without an end before it, they already got 502, a retry, or a stream without its last chunk. serve was right in all cases: libcurl's responses without a length never count as complete.

Cause: byte_stream reported an orderly close whenever recv() returned 0. It does so for any end that precedes a reset, and the kernel of a process that has ended closes its connections in that way, if their input was read so far. EPIPE, which a send reports for a reset after an end, was passed over on purpose.

Change: after the end of the input, an error of a send or a pending one of the socket makes it a reset. Bytes that are not sent or not acknowledged make it stream_end::ClosedEarly, which completes no response. The server side does not look at how a connection ended.

Why it works: an engine that has read its whole request has acknowledged it by the time its end arrives, so a sound response that follows its request is not affected. With anything outstanding, the engine cannot have read the request, and nothing tells its response from a part.

Conclusion: a part of a response is never taken for complete.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -4,8 +4,10 @@
 #include "transport/callback_guard.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -42,6 +44,21 @@
     setSocketOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedTimeoutMs);
 }
 
+/** Returns the error that the kernel has not reported yet, and clears it; 0 if there is none. */
+int pendingError(int descriptor)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    return ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : errno;
+}
+
+/** Returns whether the peer has not acknowledged all bytes that the kernel accepted. */
+bool hasUnacknowledgedBytes(int descriptor)
+{
+    int bytes = 0;
+    return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 /** Frees the memory of an empty buffer that is not small; assignment would keep it. */
 void releaseIfLarge(std::string &buffer)
 {
@@ -186,9 +203,7 @@
             m_input.append(buffer.data(), static_cast<std::size_t>(count));
             m_events.onInput();
         } else if (count == 0) {
-            // EPIPE: the peer had closed in order before it reset the connection.
-            const bool wasReset = m_sendError != 0 && m_sendError != EPIPE;
-            closeAndReport(wasReset ? stream_end::Reset : stream_end::Closed);
+            closeAndReport(endOfInput());
         } else if (!wouldBlock(errno)) {
             closeAndReport(stream_end::Reset);
         }
@@ -209,10 +224,7 @@
 
 void byte_stream::finishConnect()
 {
-    int error = 0;
-    socklen_t size = sizeof error;
-    const int failed = ::getsockopt(m_socket.get(), SOL_SOCKET, SO_ERROR, &error, &size);
-    if (failed != 0 || error != 0) {
+    if (pendingError(m_socket.get()) != 0) {
         closeAndReport(stream_end::ConnectFailed);
         return;
     }
@@ -283,6 +295,15 @@
     updateMask();
 }
 
+// After the end of the input, recv() reports no reset, and neither does a send that failed before.
+stream_end byte_stream::endOfInput() const
+{
+    if (m_sendError != 0 || pendingError(m_socket.get()) != 0)
+        return stream_end::Reset;
+    const bool isEarly = unsentBytes() > 0 || hasUnacknowledgedBytes(m_socket.get());
+    return isEarly ? stream_end::ClosedEarly : stream_end::Closed;
+}
+
 void byte_stream::closeAndReport(stream_end reason)
 {
     close();
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -17,9 +17,17 @@
 
 /** How a connection ended. */
 enum class stream_end : std::uint8_t {
-    /** The peer closed its sending side in order; all received bytes have been read. */
+    /**
+     * The peer closed its sending side in order, after it had acknowledged all output; all received
+     * bytes have been read.
+     */
     Closed,
-    /** The connection was reset, or the kernel timed it out. */
+    /**
+     * The peer closed its sending side before it had acknowledged all output. The kernel does so,
+     * too, for a process that ends in the middle of its input, and resets the connection later.
+     */
+    ClosedEarly,
+    /** The connection was reset, also after the peer had closed it, or the kernel timed it out. */
     Reset,
     /** The connection was never established. */
     ConnectFailed,
@@ -114,6 +122,7 @@
     }
     void onBytesSent(std::size_t count);
     void onSendError(int error);
+    stream_end endOfInput() const;
     void closeAndReport(stream_end reason);
     void updateMask();
 
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -179,7 +179,7 @@
         fail(exchange_failure::NoResponse);
         return;
     }
-    // A response without a length is completed by a close, but not by a reset.
+    // A response without a length is completed by a close after the request, not by any other end.
     const bool complete
         = end == stream_end::Closed && m_parser->hasHead() && m_parser->finishAtEof();
     if (!complete) {
--- a/tests/support/listening_socket.cpp
+++ b/tests/support/listening_socket.cpp
@@ -27,6 +27,12 @@
     ::close(m_descriptor);
 }
 
+void listening_socket::limitReceiveBuffer(int bytes)
+{
+    CPPUNIT_ASSERT_EQUAL(0,
+                         ::setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)));
+}
+
 bool listening_socket::pending() const
 {
     pollfd pollEntry{m_descriptor, POLLIN, 0};
--- a/tests/support/listening_socket.h
+++ b/tests/support/listening_socket.h
@@ -17,6 +17,10 @@
 
     std::uint16_t port() const { return m_port; }
 
+    /** Limits the bytes that each connection accepted later keeps unread, for a full send buffer.
+     */
+    void limitReceiveBuffer(int bytes);
+
     /** Returns whether a connection is ready to be accepted. */
     bool pending() const;
 
