--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -295,7 +295,8 @@
     updateMask();
 }
 
-// After the end of the input, recv() reports no reset, and neither does a send that failed before.
+// recv() reports the end of the input even if a reset has followed it, or if a failed send has
+// already taken the error of a reset.
 stream_end byte_stream::endOfInput() const
 {
     if (m_sendError != 0 || pendingError(m_socket.get()) != 0)
--- a/src/transport/curl_transfer.cpp
+++ b/src/transport/curl_transfer.cpp
@@ -201,7 +201,7 @@
 
 bool curl_transfer::processStatusLine(std::string_view line)
 {
-    // libcurl accepts status lines that are malformed, and any status.
+    // libcurl also accepts statuses that no response of HTTP has.
     const auto status = parseStatusLine(line);
     if (!status) {
         m_errorDetail = "the response does not begin with a valid status line";
--- a/src/transport/response_status.h
+++ b/src/transport/response_status.h
@@ -5,7 +5,10 @@
 
 namespace comfreypass::transport {
 
-/** Returns true for the status of an interim response, which a final one follows. Thread-safe. */
+/**
+ * Returns true for the status of an interim response, which a final one follows. Precondition:
+ * isResponseStatus(status). Thread-safe.
+ */
 constexpr bool isInterimStatus(unsigned status) noexcept
 {
     constexpr unsigned firstFinalStatus = 200;
