Read nothing for a paused call while its request is sent

Callers saw nothing yet: reads input before output is sent, also if reading is paused because the caller takes the response slowly. libcurl then read 16 KiB with each part of the request that it sent, and kept them.

Cause: libcurl reads when it is told that a socket is readable, and was told so whether or not it waited for input.

Change: input is read first only if libcurl waits for input. That also saves a call while it connects.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -226,9 +226,12 @@
     if (watch == nullptr) {
         watch = std::make_unique<socket_watch>(
             m_reactor, socket, [this, socket](ACE_Reactor_Mask ready) {
-                // A failed send would end the call before it reads a response that has arrived.
-                performSocketAction(socket, CURL_CSELECT_IN);
-                if (ready == ACE_Event_Handler::WRITE_MASK)
+                const bool isWritable = ready == ACE_Event_Handler::WRITE_MASK;
+                // A failed send would end the call before it reads a response that has arrived. A
+                // paused call must not read.
+                if (!isWritable || m_watches.at(socket)->watchesInput())
+                    performSocketAction(socket, CURL_CSELECT_IN);
+                if (isWritable)
                     performSocketAction(socket, CURL_CSELECT_OUT);
             });
     }
--- a/src/transport/socket_watch.h
+++ b/src/transport/socket_watch.h
@@ -32,6 +32,9 @@
      */
     void watchFor(ACE_Reactor_Mask mask);
 
+    /** Returns whether the descriptor is watched for input. */
+    bool watchesInput() const noexcept { return (m_mask & READ_MASK) != 0; }
+
 private:
     int handle_input(ACE_HANDLE descriptor) override;
     int handle_output(ACE_HANDLE descriptor) override;
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(cancelClosesTheConnection);
     CPPUNIT_TEST(cancelWithinAnEventEndsTheCall);
     CPPUNIT_TEST(pausedCallStopsTheSender);
+    CPPUNIT_TEST(pausedCallStopsTheSenderBesideItsUpload);
     CPPUNIT_TEST(fieldWithLineBreakIsOmitted);
     CPPUNIT_TEST_SUITE_END();
 
@@ -262,6 +263,33 @@
         CPPUNIT_ASSERT(events->body() == body);
     }
 
+    // Guards against a buffer that grows with each part of the request that is sent meanwhile.
+    void pausedCallStopsTheSenderBesideItsUpload()
+    {
+        constexpr std::size_t uploadBytes = 134'217'728;
+        // More than the buffers of both kernels hold.
+        constexpr std::size_t maxSentBytes = 16'777'216;
+        listening_socket upstream;
+        http_call call = post(upstream.port());
+        call.body = std::string(uploadBytes, 'u');
+        const auto events = std::make_shared<recorded_call>();
+        events->keepReading = false;
+        const auto handle = m_client.start(std::move(call), events);
+        raw_socket connection = accept(upstream);
+        connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+                        "40000000\r\n");
+        m_loopback.waitFor("the first bytes", [&] { return !events->body().empty(); });
+        const std::string piece(65'536, 's');
+        std::size_t sent = 0;
+        m_loopback.waitFor("the upload", [&] {
+            sent += connection.send(piece);
+            return connection.receive(piece.size()).size() > uploadBytes;
+        });
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent <= maxSentBytes);
+        m_client.cancel(handle);
+        m_loopback.waitFor("the end", [&] { return events->done(); });
+    }
+
     // Guards against keeping a body without end of the store or of a peer.
     void oversizedResponseBodyIsBroken()
     {
