--- a/bench/dispatch/quarantine_bench.cpp
+++ b/bench/dispatch/quarantine_bench.cpp
@@ -66,7 +66,7 @@
     quarantine_report report;
     for (std::int64_t i = 0; i < state.range(0); ++i)
         report.quarantined.push_back(
-            {{feature_kind::Request, static_cast<std::uint64_t>(i)}, 60s, 3});
+            {{{feature_kind::Request, static_cast<std::uint64_t>(i)}}, 60s, 3});
     node.onPeerReport(report, now);
     const std::vector<request_feature> request = features(5);
     for (auto _ : state)
--- a/src/dispatch/quarantine_report.h
+++ b/src/dispatch/quarantine_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "dispatch/crash_signature.h"
 #include "dispatch/engine_registry.h"
 #include "dispatch/request_feature.h"
 
@@ -26,10 +27,10 @@
     std::uint64_t id = 0;
 };
 
-/** A feature whose requests are refused. */
-struct quarantined_feature
+/** A signature whose requests are refused. */
+struct quarantined_signature
 {
-    request_feature feature;
+    crash_signature signature;
     core::duration remaining{};
     /** Crashes that it explains. */
     std::size_t crashes = 0;
@@ -41,7 +42,7 @@
 struct quarantine_report
 {
     std::vector<crash_report> crashes;
-    std::vector<quarantined_feature> quarantined;
+    std::vector<quarantined_signature> quarantined;
     /** Suspected features that an engine has answered. */
     std::vector<request_feature> answered;
 
--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/request_quarantine.h"
 
 #include "core/hash.h"
+#include "dispatch/crash_explanation.h"
 
 #include <algorithm>
 #include <array>
@@ -21,7 +22,7 @@
 
 /** Limits of a summary, so that it fits two datagrams. */
 constexpr std::size_t maxReportedCrashes = 16;
-constexpr std::size_t maxReportedFeatures = 64;
+constexpr std::size_t maxReportedSignatures = 64;
 
 /** Engines that must crash, so that an engine which fails by itself proves nothing. */
 constexpr std::size_t requiredEngines = 2;
@@ -94,23 +95,12 @@
     return std::ranges::find(features, feature) != features.end();
 }
 
-/** Several crashes at the same time, with the requests or features that may have caused them. */
-struct crash_moment
-{
-    core::time_point first;
-    core::time_point last;
-    /** Requests that may have caused the crashes. */
-    std::set<request_feature> suspects;
-    /** Quarantined features that have caused some of them. */
-    std::set<request_feature> causes;
-};
-
 /**
  * Returns true if a crash belongs to the last moment. A request that was sent again after it had
  * crashed an engine has crashed another one, however soon.
  */
-template<typename Crash>
-bool isSameMoment(const crash_moment &last, const Crash &crash)
+template<typename Moment, typename Crash>
+bool isSameMoment(const Moment &last, const Crash &crash)
 {
     if (crash.at - last.last >= request_quarantine::sameMoment
         || crash.at - last.first >= maxMoment)
@@ -124,15 +114,20 @@
  * Returns the number of moments if each cause and each request explains a few of them at most.
  * Other requests do not count in a moment whose cause is known.
  */
-std::size_t countMoments(std::span<const crash_moment> moments, std::size_t maxPerCause)
+template<typename Moment>
+std::size_t countMoments(std::span<const Moment> moments, std::size_t maxPerCause)
 {
-    std::map<request_feature, std::size_t> counts;
-    const auto isExhausted = [&](const request_feature &each) {
+    std::map<crash_signature, std::size_t> counts;
+    const auto isExhausted = [&](const crash_signature &each) {
         return counts[each] >= maxPerCause;
     };
     std::size_t total = 0;
-    for (const crash_moment &each : moments) {
-        const std::set<request_feature> &causes = each.causes.empty() ? each.suspects : each.causes;
+    for (const Moment &each : moments) {
+        std::vector<crash_signature> causes(each.causes.begin(), each.causes.end());
+        if (causes.empty()) {
+            for (const request_feature &suspect : each.suspects)
+                causes.push_back({suspect});
+        }
         const bool isExplained = each.causes.empty()
                                      ? !causes.empty() && std::ranges::all_of(causes, isExhausted)
                                      : std::ranges::any_of(causes, isExhausted);
@@ -140,7 +135,7 @@
             continue;
         if (!causes.empty())
             ++counts[*std::ranges::min_element(
-                causes, {}, [&](const request_feature &cause) { return counts[cause]; })];
+                causes, {}, [&](const crash_signature &cause) { return counts[cause]; })];
         ++total;
     }
     return total;
@@ -151,22 +146,29 @@
 bool request_quarantine::onBroken(engine_key engine, std::span<const request_feature> features,
                                   bool isOnlyEngine, core::time_point now, core::duration ranFor)
 {
+    return addBroken(engine, {.features = {features.begin(), features.end()},
+                              .at = now,
+                              .isOnlyEngine = isOnlyEngine,
+                              .ranFor = ranFor});
+}
+
+bool request_quarantine::addBroken(engine_key engine, broken_request request)
+{
+    const core::time_point now = request.at;
     const auto down = m_downAt.find(engine);
     const bool isKnownDown = down != m_downAt.end() && now - down->second <= confirmationWindow;
-    if (features.empty())
+    if (request.features.empty())
         return isKnownDown;
-    for (const request_feature &each : features) {
-        const auto found = m_quarantined.find(each);
-        if (found != m_quarantined.end() && found->second.trialStartedAt)
-            onTrialFailed(found->second, now);
+    for (const auto &[signature, state] : m_quarantined) {
+        if (state.trialStartedAt && matches(signature, request.features))
+            onTrialFailed(signature, now);
     }
-    const std::vector<request_feature> copy(features.begin(), features.end());
     if (isKnownDown) {
         recordCrash({.engine = engine,
-                     .features = copy,
+                     .features = std::move(request.features),
                      .at = now,
-                     .isOnlyEngine = isOnlyEngine,
-                     .ranFor = ranFor},
+                     .isOnlyEngine = request.isOnlyEngine,
+                     .ranFor = request.ranFor},
                     now);
         return true;
     }
@@ -176,7 +178,7 @@
     std::erase_if(broken,
                   [now](const broken_request &each) { return now - each.at > confirmationWindow; });
     if (broken.size() < maxBrokenPerEngine)
-        broken.push_back({copy, now, isOnlyEngine, ranFor});
+        broken.push_back(std::move(request));
     return false;
 }
 
@@ -203,19 +205,16 @@
 
 void request_quarantine::onAttempt(std::span<const request_feature> features, core::time_point now)
 {
-    for (const request_feature &each : features) {
-        if (stateOf(each, now) != nullptr)
-            m_quarantined.at(each).trialStartedAt = now;
+    for (quarantine_state *state : statesOf(features)) {
+        if (isInForce(*state, now))
+            state->trialStartedAt = now;
     }
 }
 
 void request_quarantine::onNotRun(std::span<const request_feature> features)
 {
-    for (const request_feature &each : features) {
-        const auto found = m_quarantined.find(each);
-        if (found != m_quarantined.end())
-            found->second.trialStartedAt.reset();
-    }
+    for (quarantine_state *state : statesOf(features))
+        state->trialStartedAt.reset();
 }
 
 void request_quarantine::onAnswered(std::span<const request_feature> features, core::time_point now)
@@ -249,49 +248,90 @@
                        .id = each.id},
                       now))
             continue;
-        if (const auto quarantined = judge(each.features, now))
-            result.quarantined.push_back(*quarantined);
+        std::ranges::move(judge(each.features, now), std::back_inserter(result.quarantined));
     }
-    for (quarantined_feature each : report.quarantined) {
+    for (quarantined_signature each : report.quarantined) {
         const core::duration duration = durationAfter(each.failedTrials);
         each.remaining = std::min(each.remaining, duration);
-        const auto known = m_quarantined.find(each.feature);
-        if (answeredSince(each.feature, now - (duration - each.remaining))) {
-            result.answered.push_back(each.feature);
-        } else if (known == m_quarantined.end()) {
-            quarantine(each, now);
-            result.quarantined.push_back(each);
-        } else {
+        std::erase_if(each.signature, [&](const request_feature &feature) {
+            const bool isCleared = answeredSince(feature, now - (duration - each.remaining));
+            if (isCleared)
+                result.answered.push_back(feature);
+            return isCleared;
+        });
+        if (each.signature.empty())
+            continue;
+        const auto known = m_quarantined.find(each.signature);
+        if (known != m_quarantined.end()) {
             quarantine_state &state = known->second;
             state.failedTrials = std::max(state.failedTrials, each.failedTrials);
             extendQuarantine(state, now + each.remaining);
+        } else if (!isCovered(each.signature)) {
+            quarantine(each, now);
+            result.quarantined.push_back(each);
         }
     }
     return result;
 }
 
-std::optional<quarantined_feature>
+std::optional<quarantined_signature>
 request_quarantine::find(std::span<const request_feature> features, core::time_point now) const
 {
-    for (const request_feature &each : features) {
-        const quarantine_state *state = stateOf(each, now);
-        if (state == nullptr)
+    for (const auto &[signature, state] : m_quarantined) {
+        if (!isInForce(state, now) || !matches(signature, features))
             continue;
-        core::time_point end = state->trialAt;
-        if (state->trialStartedAt)
-            end = std::max(end, *state->trialStartedAt + trialTimeout);
+        core::time_point end = state.trialAt;
+        if (state.trialStartedAt)
+            end = std::max(end, *state.trialStartedAt + trialTimeout);
         if (end > now)
-            return quarantined_feature{each, end - now, state->crashes, state->failedTrials};
+            return quarantined_signature{signature, end - now, state.crashes, state.failedTrials};
+    }
+    return findForRepeat(features, now);
+}
+
+// Such a request is more likely to be at fault than a sound one that shares the suspected features.
+std::optional<quarantined_signature>
+request_quarantine::findForRepeat(std::span<const request_feature> features,
+                                  core::time_point now) const
+{
+    const bool isRequest = !features.empty() && features.back().kind == feature_kind::Request;
+    if (m_quarantined.empty() || !isRequest || !hasEndedEngine(features.back(), now))
+        return std::nullopt;
+    for (const auto &[signature, state] : m_quarantined) {
+        if (now < state.until && overlaps(signature, features))
+            return quarantined_signature{signature, state.until - now, state.crashes,
+                                         state.failedTrials};
     }
     return std::nullopt;
 }
 
-const request_quarantine::quarantine_state *
-request_quarantine::stateOf(const request_feature &feature, core::time_point now) const
+bool request_quarantine::hasEndedEngine(const request_feature &request, core::time_point now) const
 {
-    const auto found = m_quarantined.find(feature);
-    const bool isKnown = found != m_quarantined.end() && now < found->second.until + probationTime;
-    return isKnown ? &found->second : nullptr;
+    const auto isOfRequest = [&](const auto &each) {
+        return contains(each.features, request);
+    };
+    return std::ranges::any_of(m_crashes, isOfRequest)
+           || std::ranges::any_of(m_broken, [&](const auto &engine) {
+                  return std::ranges::any_of(engine.second, [&](const broken_request &each) {
+                      return now - each.at <= confirmationWindow && isOfRequest(each);
+                  });
+              });
+}
+
+std::vector<request_quarantine::quarantine_state *>
+request_quarantine::statesOf(std::span<const request_feature> features)
+{
+    std::vector<quarantine_state *> states;
+    for (auto &[signature, state] : m_quarantined) {
+        if (matches(signature, features))
+            states.push_back(&state);
+    }
+    return states;
+}
+
+bool request_quarantine::isInForce(const quarantine_state &state, core::time_point now)
+{
+    return now < state.until + probationTime;
 }
 
 quarantine_report request_quarantine::summary(core::time_point now, core::duration crashAge) const
@@ -304,10 +344,10 @@
                                       each->isOnlyEngine, each->ranFor, each->id});
     }
     std::ranges::reverse(report.crashes);
-    for (const auto &[feature, state] : m_quarantined) {
-        if (state.until > now && report.quarantined.size() < maxReportedFeatures)
+    for (const auto &[signature, state] : m_quarantined) {
+        if (state.until > now && report.quarantined.size() < maxReportedSignatures)
             report.quarantined.push_back(
-                {feature, state.until - now, state.crashes, state.failedTrials});
+                {signature, state.until - now, state.crashes, state.failedTrials});
     }
     return report;
 }
@@ -315,7 +355,7 @@
 std::size_t request_quarantine::quarantinedCount(feature_kind kind, core::time_point now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_quarantined, [&](const auto &entry) {
-        return entry.first.kind == kind && entry.second.until > now;
+        return entry.first.back().kind == kind && entry.second.until > now;
     }));
 }
 
@@ -327,8 +367,8 @@
     if (!addCrash(std::move(seen), now))
         return;
     m_news.crashes.push_back(std::move(report));
-    if (const auto quarantined = judge(m_news.crashes.back().features, now))
-        m_news.quarantined.push_back(*quarantined);
+    std::ranges::move(judge(m_news.crashes.back().features, now),
+                      std::back_inserter(m_news.quarantined));
 }
 
 // Numbers drawn from m_random would not do: its period is so short that the sequences of two nodes
@@ -347,25 +387,25 @@
     std::erase_if(added.features,
                   [&](const request_feature &each) { return answeredSince(each, added.at); });
     const auto quarantined = std::ranges::find_if(
-        added.features, [&](const request_feature &each) { return m_quarantined.contains(each); });
+        m_quarantined, [&](const auto &entry) { return matches(entry.first, added.features); });
     bool hasOtherCause = false;
     for (const explained_crash &each : m_explained) {
         if (!isSameCrash(each, added))
             continue;
-        if (contains(added.features, each.cause))
+        if (matches(each.cause, added.features))
             added.cause = each.cause;
         hasOtherCause = true;
     }
-    if (quarantined != added.features.end())
-        added.cause = *quarantined;
+    if (quarantined != m_quarantined.end())
+        added.cause = quarantined->first;
     else if (hasOtherCause && !added.cause)
         return false;
-    if (quarantined != added.features.end()) {
-        quarantine_state &state = m_quarantined.at(*quarantined);
+    if (quarantined != m_quarantined.end()) {
+        auto &[signature, state] = *quarantined;
         ++state.crashes;
         if (added.at >= state.until - maxTrialSpread)
-            onTrialFailed(state, added.at);
-        explain(added.engine, added.at, *quarantined, thresholdOf(quarantined->kind).moments);
+            onTrialFailed(signature, added.at);
+        explain(added.engine, added.at, signature, thresholdOf(signature.back().kind).moments);
     }
     if (m_crashes.size() >= maxCrashes)
         dropOne();
@@ -409,50 +449,50 @@
     });
 }
 
-std::optional<quarantined_feature>
+std::vector<quarantined_signature>
 request_quarantine::judge(std::span<const request_feature> features, core::time_point now)
 {
+    std::vector<quarantined_signature> found;
     for (const request_feature &each : features) {
-        const std::optional<request_feature> suspect = suspectFor(each);
-        if (!suspect || m_quarantined.contains(*suspect))
-            continue;
-        const quarantined_feature found{*suspect, durationAfter(0),
-                                        evidenceAgainst(*suspect).moments};
-        quarantine(found, now);
-        return found;
+        const std::size_t failedTrials = failedTrialsOf(features);
+        for (const crash_signature &signature : signaturesFor(each)) {
+            if (isCovered(signature))
+                continue;
+            found.push_back({signature, durationAfter(failedTrials), evidenceAgainst(each).moments,
+                             failedTrials});
+            quarantine(found.back(), now);
+        }
     }
-    return std::nullopt;
+    return found;
 }
 
-// Where a segment always occurs with a more specific one, fewer sound requests share the latter.
-std::optional<request_feature> request_quarantine::suspectFor(const request_feature &feature) const
+// A crash of a request that a narrower signature let pass has cost as much as a failed trial.
+std::size_t request_quarantine::failedTrialsOf(std::span<const request_feature> features) const
 {
-    const evidence against = evidenceAgainst(feature);
-    if (!isConvincing(feature, against))
-        return std::nullopt;
-    if (feature.kind == feature_kind::Request)
-        return feature;
-    std::set<request_feature> specific;
-    for (const crash *each : crashesOf(feature)) {
-        const auto found = std::ranges::find(each->features, feature);
-        std::copy_if(
-            found + 1, each->features.end(), std::inserter(specific, specific.end()),
-            [](const request_feature &other) { return other.kind == feature_kind::Segment; });
+    std::size_t failedTrials = 0;
+    for (const auto &[signature, state] : m_quarantined) {
+        if (overlaps(signature, features))
+            failedTrials = std::max(failedTrials, state.failedTrials + 1);
     }
-    for (const request_feature &candidate : specific) {
-        if (isRestOfOneRequest(candidate, crashesOf(feature)))
-            return std::nullopt;
-        const evidence other = evidenceAgainst(candidate);
-        if (other.moments >= against.moments) {
-            if (isConvincing(candidate, other))
-                return candidate;
-            return std::nullopt;
-        }
-        // Other reports of the last crash may still arrive.
-        if (other.moments + 1 == against.moments && other.last < against.lastMoment)
-            return std::nullopt;
+    return failedTrials;
+}
+
+std::vector<crash_signature> request_quarantine::signaturesFor(const request_feature &feature) const
+{
+    if (!isConvincing(feature, evidenceAgainst(feature)))
+        return {};
+    if (feature.kind == feature_kind::Request)
+        return {{feature}};
+    std::vector<crash_suspects> crashes;
+    for (const crash_moment &moment : momentsOf(feature)) {
+        crash_suspects &suspects = crashes.emplace_back();
+        for (const crash *each : moment.reports)
+            suspects.emplace_back(each->features);
     }
-    return feature;
+    const auto wasAnswered = [this](const request_feature &each) {
+        return lastAnswer(each).has_value();
+    };
+    return crash_explanation(crashes, wasAnswered).signaturesFor(feature);
 }
 
 std::vector<const request_quarantine::crash *>
@@ -466,36 +506,17 @@
     return own;
 }
 
-// Such a request probably crashes engines by itself, and proves nothing about its segments.
-bool request_quarantine::isRestOfOneRequest(const request_feature &candidate,
-                                            std::span<const crash *const> crashes)
-{
-    std::set<request_feature> requests;
-    std::size_t count = 0;
-    for (const crash *each : crashes) {
-        if (contains(each->features, candidate))
-            continue;
-        requests.insert(each->features.back());
-        ++count;
-    }
-    return requests.size() == 1 && count > 1;
-}
-
 // Several requests report one crash, and one cause may end several engines at about the same time.
-request_quarantine::evidence
-request_quarantine::evidenceAgainst(const request_feature &feature) const
+std::vector<request_quarantine::crash_moment>
+request_quarantine::momentsOf(const request_feature &feature) const
 {
     std::vector<const crash *> own = crashesOf(feature);
     const bool isRequest = feature.kind == feature_kind::Request;
     if (isRequest)
-        std::erase_if(own,
-                      [&](const crash *each) { return each->cause.value_or(feature) != feature; });
-    evidence result;
-    if (own.empty())
-        return result;
+        std::erase_if(own, [&](const crash *each) {
+            return each->cause && !contains(*each->cause, feature);
+        });
     std::ranges::sort(own, {}, &crash::at);
-    result.first = own.front()->at;
-    result.last = own.back()->at;
     struct engine_crash
     {
         core::time_point at;
@@ -509,23 +530,41 @@
             = known != lastOfEngine.end() && each->at - known->second.at <= confirmationWindow;
         if (!isKnownCrash) {
             if (moments.empty() || !isSameMoment(moments.back(), *each))
-                moments.push_back(
-                    {.first = each->at, .last = each->at, .suspects = {}, .causes = {}});
+                moments.push_back({.first = each->at, .last = each->at});
             moments.back().last = each->at;
             lastOfEngine[each->engine] = {each->at, moments.size() - 1};
         }
         crash_moment &moment = moments[lastOfEngine[each->engine].moment];
+        moment.reports.push_back(each);
         if (each->features.back() != feature || isRequest)
             moment.suspects.insert(each->features.back());
-        if (each->cause && *each->cause != feature)
+        if (each->cause && *each->cause != crash_signature{feature})
             moment.causes.insert(*each->cause);
     }
-    result.lastMoment = moments.back().first;
-    result.moments = isRequest ? moments.size() : countMoments(moments, maxMomentsOfOneCause);
-    result.concernsUpstream
-        = lastOfEngine.size() >= requiredEngines
-          || (isRequest && result.moments >= requiredMomentsAtOneEngine)
-          || std::ranges::all_of(own, [](const crash *each) { return each->isOnlyEngine; });
+    return moments;
+}
+
+request_quarantine::evidence
+request_quarantine::evidenceAgainst(const request_feature &feature) const
+{
+    const std::vector<crash_moment> moments = momentsOf(feature);
+    evidence result;
+    if (moments.empty())
+        return result;
+    const bool isRequest = feature.kind == feature_kind::Request;
+    std::set<engine_key> engines;
+    bool areOnlyEngines = true;
+    for (const crash_moment &moment : moments) {
+        for (const crash *each : moment.reports) {
+            engines.insert(each->engine);
+            areOnlyEngines = areOnlyEngines && each->isOnlyEngine;
+        }
+    }
+    result.first = moments.front().first;
+    result.moments
+        = isRequest ? moments.size() : countMoments(std::span(moments), maxMomentsOfOneCause);
+    result.concernsUpstream = engines.size() >= requiredEngines || areOnlyEngines
+                              || (isRequest && result.moments >= requiredMomentsAtOneEngine);
     return result;
 }
 
@@ -565,30 +604,55 @@
     });
 }
 
-void request_quarantine::quarantine(const quarantined_feature &quarantined, core::time_point now)
+void request_quarantine::quarantine(const quarantined_signature &quarantined, core::time_point now)
 {
     if (m_quarantined.size() >= maxQuarantined)
         m_quarantined.erase(std::ranges::min_element(
             m_quarantined, {}, [](const auto &entry) { return entry.second.until; }));
-    const request_feature &feature = quarantined.feature;
-    quarantine_state &state = m_quarantined[feature];
-    state = {.until = now + quarantined.remaining,
-             .trialAt = now + quarantined.remaining,
-             .crashes = quarantined.crashes,
-             .failedTrials = quarantined.failedTrials};
+    const crash_signature &signature = quarantined.signature;
+    quarantine_state state{.until = now + quarantined.remaining,
+                           .trialAt = now + quarantined.remaining,
+                           .crashes = quarantined.crashes,
+                           .failedTrials = quarantined.failedTrials};
     drawTrialTime(state);
+    insertQuarantined(signature, state);
     std::vector<std::pair<engine_key, core::time_point>> explained;
-    for (const crash *each : crashesOf(feature))
-        explained.emplace_back(each->engine, each->at);
+    for (const crash &each : m_crashes) {
+        if (matches(signature, each.features))
+            explained.emplace_back(each.engine, each.at);
+    }
     for (const auto &[engine, at] : explained)
-        explain(engine, at, feature,
-                std::max(quarantined.crashes, thresholdOf(feature.kind).moments));
+        explain(engine, at, signature,
+                std::max(quarantined.crashes, thresholdOf(signature.back().kind).moments));
+}
+
+bool request_quarantine::isCovered(const crash_signature &signature) const
+{
+    return std::ranges::any_of(m_quarantined,
+                               [&](const auto &entry) { return matches(entry.first, signature); });
 }
 
-void request_quarantine::onTrialFailed(quarantine_state &state, core::time_point at)
+void request_quarantine::insertQuarantined(const crash_signature &signature, quarantine_state state)
 {
-    ++state.failedTrials;
-    extendQuarantine(state, at + durationAfter(state.failedTrials));
+    std::erase_if(m_quarantined, [&](const auto &entry) {
+        if (!matches(signature, entry.first))
+            return false;
+        state.failedTrials = std::max(state.failedTrials, entry.second.failedTrials);
+        return true;
+    });
+    m_quarantined.emplace(signature, state);
+}
+
+// Signatures that share a suspected feature may have the same cause, which is tried once for all.
+void request_quarantine::onTrialFailed(const crash_signature &tried, core::time_point at)
+{
+    const std::size_t failedTrials = m_quarantined.at(tried).failedTrials + 1;
+    for (auto &[signature, state] : m_quarantined) {
+        if (!overlaps(signature, tried))
+            continue;
+        state.failedTrials = std::max(state.failedTrials, failedTrials);
+        extendQuarantine(state, at + durationAfter(state.failedTrials));
+    }
 }
 
 void request_quarantine::extendQuarantine(quarantine_state &state, core::time_point until)
@@ -619,7 +683,7 @@
 }
 
 void request_quarantine::explain(engine_key engine, core::time_point at,
-                                 const request_feature &cause, std::size_t moments)
+                                 const crash_signature &cause, std::size_t moments)
 {
     const explained_crash explained{engine, at, cause};
     if (m_explained.size() >= maxCrashes)
@@ -630,7 +694,7 @@
         crash &each = m_crashes[i];
         if (!isSameCrash(each, explained))
             continue;
-        if (contains(each.features, cause))
+        if (matches(cause, each.features))
             each.cause = cause;
         else
             isUnrelated[i] = !isSuspectedAsMuch(each, moments);
@@ -639,15 +703,21 @@
     std::erase_if(m_crashes, [&](const crash &) { return isUnrelated[index++]; });
 }
 
-bool request_quarantine::answeredSince(const request_feature &feature, core::time_point since) const
+std::optional<core::time_point> request_quarantine::lastAnswer(const request_feature &feature) const
 {
     const answer_memory &answers = m_answered.at(static_cast<std::size_t>(feature.kind));
     for (const auto *generation : {&answers.recent, &answers.before}) {
         const auto found = generation->find(feature);
         if (found != generation->end())
-            return found->second >= since;
+            return found->second;
     }
-    return false;
+    return std::nullopt;
+}
+
+bool request_quarantine::answeredSince(const request_feature &feature, core::time_point since) const
+{
+    const std::optional<core::time_point> last = lastAnswer(feature);
+    return last && *last >= since;
 }
 
 void request_quarantine::recordAnswer(const request_feature &feature, core::time_point now)
@@ -655,19 +725,34 @@
     answer_memory &answers = m_answered.at(static_cast<std::size_t>(feature.kind));
     if (answers.recent.size() >= maxAnsweredPerGeneration)
         answers.before = std::exchange(answers.recent, {});
-    answers.recent[feature] = now;
+    core::time_point &last = answers.recent[feature];
+    last = std::max(last, now);
 }
 
 bool request_quarantine::clear(const request_feature &feature)
 {
-    bool suspected = m_quarantined.erase(feature) > 0;
+    bool suspected = false;
     for (crash &each : m_crashes) {
         suspected = std::erase(each.features, feature) > 0 || suspected;
-        if (each.cause == feature)
+        if (each.cause && std::erase(*each.cause, feature) > 0 && each.cause->empty())
             each.cause.reset();
     }
-    std::erase_if(m_explained, [&](const explained_crash &each) { return each.cause == feature; });
-    return suspected;
+    for (explained_crash &each : m_explained)
+        std::erase(each.cause, feature);
+    std::erase_if(m_explained, [](const explained_crash &each) { return each.cause.empty(); });
+    std::vector<std::pair<crash_signature, quarantine_state>> cleared;
+    std::erase_if(m_quarantined, [&](const auto &entry) {
+        if (!contains(entry.first, feature))
+            return false;
+        cleared.emplace_back(entry);
+        return true;
+    });
+    for (auto &[signature, state] : cleared) {
+        std::erase(signature, feature);
+        if (!signature.empty() && !isCovered(signature))
+            insertQuarantined(signature, state);
+    }
+    return suspected || !cleared.empty();
 }
 
 } // namespace comfreypass::dispatch
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "dispatch/crash_signature.h"
 #include "dispatch/engine_registry.h"
 #include "dispatch/quarantine_report.h"
 #include "dispatch/request_feature.h"
@@ -12,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -21,23 +23,27 @@
 
 /**
  * Finds requests that crash each engine that begins to answer them, and quarantines what they have
- * in common: a segment of their prompts or, if one request is sent again and again, the request
+ * in common: segments of their prompts or, if one request is sent again and again, the request
  * itself.
  *
  * A crash counts against the features of a request if its response broke off before its second
- * event and the engine then refused connections; a response that is merely lost does not count. A
- * feature is quarantined after several crashes of several engines if it was not answered since the
- * first one and if a harmless feature would hardly ever be present in all of them, given how many
- * other requests were answered and how many ended in crashes without it. One fault that ends
- * several engines at once is one crash. Of segments that always occur together the most specific
- * one is taken.
+ * event and the engine then refused connections; a response that is merely lost does not count. An
+ * answer clears the features of its request. There is enough evidence against a feature after
+ * several crashes of several engines if it was not answered since the first one and if a harmless
+ * feature would hardly ever be present in all of them, given how many other requests were answered
+ * and how many ended in crashes without it. One fault that ends several engines at once is one
+ * crash.
  *
- * Each crash is explained once: what a quarantined feature explains no longer counts against the
- * other requests of the engine, and counts at most twice against the less specific features of its
- * own requests, as the crashes of one request do. Thus a request that is repeated does not
- * quarantine its segments, and a segment whose requests are repeated is still found.
+ * What is quarantined then is not the feature but a signature: all features that its crashes have
+ * in common (see crash_explanation). A sound request that shares some of them is served, and its
+ * answer removes these from the signature.
  *
- * At the end of a quarantine the feature is on probation: each node tries one request at a time,
+ * Each crash is explained once: what a quarantined signature explains no longer counts against the
+ * other requests of the engine, and counts at most twice against the features of its own requests,
+ * as the crashes of one request do. Thus a request that is repeated does not quarantine its
+ * segments, and a segment whose requests are repeated is still found.
+ *
+ * At the end of a quarantine the signature is on probation: each node tries one request at a time,
  * the nodes one after the other, and one more crash quarantines it again, for longer.
  *
  * Nodes share crashes, answers and quarantines, since each of them sees only some of the crashes.
@@ -58,11 +64,11 @@
     /** Crashes are forgotten after this time; rare requests crash an engine every few minutes. */
     static constexpr core::duration memory = std::chrono::minutes(30);
 
-    /** A quarantined feature is tried again after this time, which costs an engine. */
+    /** A quarantined signature is tried again after this time, which costs an engine. */
     static constexpr core::duration quarantineTime = std::chrono::minutes(2);
 
-    /** `seed` selects when this node tries a quarantined feature again, and the ids of its reports;
-     * differs between nodes. */
+    /** `seed` selects when this node tries a quarantined signature again, and the ids of its
+     * reports; differs between nodes. */
     explicit request_quarantine(std::uint32_t seed) : m_seed(seed), m_random(seed) { }
 
     /** Sets the number of nodes that share the requests of the fleet. Precondition: count > 0. */
@@ -97,9 +103,9 @@
      */
     quarantine_report onPeerReport(const quarantine_report &report, core::time_point now);
 
-    /** Returns the feature among these for which a request is refused, if any. */
-    std::optional<quarantined_feature> find(std::span<const request_feature> features,
-                                            core::time_point now) const;
+    /** Returns the signature for which a request with these features is refused, if any. */
+    std::optional<quarantined_signature> find(std::span<const request_feature> features,
+                                              core::time_point now) const;
 
     bool hasNews() const noexcept { return !m_news.empty(); }
 
@@ -110,7 +116,7 @@
      * have missed it. */
     quarantine_report summary(core::time_point now, core::duration crashAge = memory) const;
 
-    /** Returns the number of quarantined features of a kind. */
+    /** Returns the number of quarantined signatures whose most specific feature is of a kind. */
     std::size_t quarantinedCount(feature_kind kind, core::time_point now) const;
 
 private:
@@ -131,8 +137,8 @@
         core::duration ranFor{};
         /** See crash_report. */
         std::uint64_t id = 0;
-        /** The quarantined feature of this request that has caused the crash. */
-        std::optional<request_feature> cause = {};
+        /** The quarantined signature of this request that has caused the crash. */
+        std::optional<crash_signature> cause = {};
         /** Requests that this node had seen answered by then. */
         std::uint64_t answeredBefore = 0;
     };
@@ -142,7 +148,21 @@
     {
         engine_key engine = 0;
         core::time_point at;
-        request_feature cause;
+        crash_signature cause;
+    };
+
+    /** Several crashes at the same time, with the requests or signatures that may have caused them.
+     */
+    struct crash_moment
+    {
+        core::time_point first;
+        core::time_point last;
+        /** Reports of the crashes. */
+        std::vector<const crash *> reports = {};
+        /** Requests that may have caused the crashes. */
+        std::set<request_feature> suspects = {};
+        /** Quarantined signatures that have caused some of them. */
+        std::set<crash_signature> causes = {};
     };
 
     /** Crashes that count against a feature. */
@@ -152,21 +172,25 @@
         /** Several engines crashed, or the upstream has only one. */
         bool concernsUpstream = false;
         core::time_point first;
-        core::time_point last;
-        /** Start of the last moment. */
-        core::time_point lastMoment;
     };
 
     struct quarantine_state
     {
         core::time_point until;
-        /** When this node may try the feature again. */
+        /** When this node may try the signature again. */
         core::time_point trialAt;
         std::optional<core::time_point> trialStartedAt = {};
         std::size_t crashes = 0;
         std::size_t failedTrials = 0;
     };
 
+    /** Returns true if the engine is known to be down. */
+    bool addBroken(engine_key engine, broken_request request);
+    /** Returns a signature that shares a feature with a request that has ended an engine. */
+    std::optional<quarantined_signature> findForRepeat(std::span<const request_feature> features,
+                                                       core::time_point now) const;
+    /** Returns whether the request has crashed an engine, or may have done so just now. */
+    bool hasEndedEngine(const request_feature &request, core::time_point now) const;
     /** Adds a crash that this node has seen, and reports it. */
     void recordCrash(crash seen, core::time_point now);
     /** Returns an id that no other report of the fleet has. */
@@ -176,24 +200,30 @@
     /** Removes a crash to make room, one with a known cause first. */
     void dropOne();
     void dropExpired(core::time_point now);
-    /** Quarantines a feature if a crash of these features has completed the evidence. */
-    std::optional<quarantined_feature> judge(std::span<const request_feature> features,
+    /** Quarantines what a crash of these features has completed the evidence against. */
+    std::vector<quarantined_signature> judge(std::span<const request_feature> features,
                                              core::time_point now);
-    /** Returns the feature to be quarantined if there is enough evidence against this one. */
-    std::optional<request_feature> suspectFor(const request_feature &feature) const;
+    /** Returns the failed trials that a new signature of these features begins with. */
+    std::size_t failedTrialsOf(std::span<const request_feature> features) const;
+    /** Returns the signatures to be quarantined if there is enough evidence against the feature. */
+    std::vector<crash_signature> signaturesFor(const request_feature &feature) const;
     evidence evidenceAgainst(const request_feature &feature) const;
+    /** Returns the crashes that count against a feature, by time. */
+    std::vector<crash_moment> momentsOf(const request_feature &feature) const;
     bool isConvincing(const request_feature &feature, const evidence &against) const;
     /** Returns the share of all requests that ended in crashes without the feature. */
     double backgroundCrashRate(const request_feature &feature, core::time_point first) const;
     std::vector<const crash *> crashesOf(const request_feature &feature) const;
-    /** Returns true if the crashes without a feature are several of a single request. */
-    static bool isRestOfOneRequest(const request_feature &candidate,
-                                   std::span<const crash *const> crashes);
     bool isSuspectedAsMuch(const crash &candidate, std::size_t moments) const;
-    void quarantine(const quarantined_feature &quarantined, core::time_point now);
-    /** Returns the state of a feature that is quarantined or on probation; nullptr if it is not. */
-    const quarantine_state *stateOf(const request_feature &feature, core::time_point now) const;
-    void onTrialFailed(quarantine_state &state, core::time_point at);
+    void quarantine(const quarantined_signature &quarantined, core::time_point now);
+    /** Returns whether the requests of a signature are those of a quarantined one, too. */
+    bool isCovered(const crash_signature &signature) const;
+    /** Adds a state, in place of those of signatures with more features. */
+    void insertQuarantined(const crash_signature &signature, quarantine_state state);
+    /** Returns the quarantined signatures of a request, and those on probation. */
+    std::vector<quarantine_state *> statesOf(std::span<const request_feature> features);
+    static bool isInForce(const quarantine_state &state, core::time_point now);
+    void onTrialFailed(const crash_signature &tried, core::time_point at);
     void extendQuarantine(quarantine_state &state, core::time_point until);
     /** Returns the duration of a quarantine after some failed trials. */
     static core::duration durationAfter(std::size_t failedTrials);
@@ -201,8 +231,10 @@
     void drawTrialTime(quarantine_state &state);
     /** Records the cause of a crash; other requests of the engine are suspected no longer, unless
      * as many crashes count against them. */
-    void explain(engine_key engine, core::time_point at, const request_feature &cause,
+    void explain(engine_key engine, core::time_point at, const crash_signature &cause,
                  std::size_t moments);
+    /** Returns the last answer to a request with the feature, if any is known. */
+    std::optional<core::time_point> lastAnswer(const request_feature &feature) const;
     bool answeredSince(const request_feature &feature, core::time_point since) const;
     void recordAnswer(const request_feature &feature, core::time_point now);
     /** Returns true if the feature was suspected. */
@@ -220,7 +252,8 @@
     /** In the order of their arrival; without features if all of them have been answered. */
     std::vector<crash> m_crashes;
     std::vector<explained_crash> m_explained;
-    std::map<request_feature, quarantine_state> m_quarantined;
+    /** No signature contains another one. */
+    std::map<crash_signature, quarantine_state> m_quarantined;
     /** Last answers of one kind of features, in two generations, of which the older one is dropped.
      */
     struct answer_memory
--- a/src/gateway/flow_log.cpp
+++ b/src/gateway/flow_log.cpp
@@ -36,7 +36,7 @@
              {{"request", record.attemptId},
               {"outcome", toString(record.outcome)},
               {"reason", record.reason},
-              {"quarantined", record.quarantined ? featureText(*record.quarantined) : ""},
+              {"quarantined", signatureText(record.quarantined)},
               {"status", std::to_string(record.status)},
               {"route", record.route},
               {"upstream", record.upstream},
--- a/src/gateway/flow_record.h
+++ b/src/gateway/flow_record.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "dispatch/crash_signature.h"
 #include "dispatch/engine_registry.h"
-#include "dispatch/request_feature.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -48,8 +48,8 @@
     flow_outcome outcome = flow_outcome::Answered;
     /** Stable name of the cause of the outcome. */
     std::string reason;
-    /** The quarantined feature for which the request was refused. */
-    std::optional<dispatch::request_feature> quarantined;
+    /** The quarantined signature for which the request was refused; empty if it was not. */
+    dispatch::crash_signature quarantined;
     std::uint32_t attempts = 0;
     std::uint64_t configurationVersion = 0;
     /** Load of the engine when it was selected for the last attempt. */
--- a/src/gateway/quarantine_log.cpp
+++ b/src/gateway/quarantine_log.cpp
@@ -3,6 +3,7 @@
 #include "observe/log_setup.h"
 
 #include <chrono>
+#include <span>
 #include <sstream>
 
 namespace comfreypass::gateway {
@@ -11,6 +12,8 @@
 using observe::log_level;
 using observe::logEvent;
 
+namespace {
+
 std::string featureText(const dispatch::request_feature &feature)
 {
     std::ostringstream text;
@@ -18,27 +21,25 @@
     return text.str();
 }
 
-namespace {
-
-std::string featureTexts(const dispatch::crash_report &crash, feature_kind kind)
+std::string featureTexts(std::span<const dispatch::request_feature> features, feature_kind kind)
 {
     std::string texts;
-    for (const dispatch::request_feature &each : crash.features) {
+    for (const dispatch::request_feature &each : features) {
         if (each.kind == kind)
             texts += (texts.empty() ? "" : ",") + featureText(each);
     }
     return texts;
 }
 
-void logQuarantined(const dispatch::quarantined_feature &quarantined, std::string_view origin)
+void logQuarantined(const dispatch::quarantined_signature &quarantined, std::string_view origin)
 {
     const auto remaining
         = std::chrono::duration_cast<std::chrono::milliseconds>(quarantined.remaining);
-    const bool isRequest = quarantined.feature.kind == feature_kind::Request;
+    const bool isRequest = quarantined.signature.back().kind == feature_kind::Request;
     logEvent(log_level::Warning, isRequest ? "request_quarantined" : "segment_quarantined",
              isRequest ? "this request crashes engines and is refused"
-                       : "requests with this segment crash engines and are refused",
-             {{isRequest ? "digest" : "segment", featureText(quarantined.feature)},
+                       : "requests with all of these segments crash engines and are refused",
+             {{isRequest ? "digest" : "segment", signatureText(quarantined.signature)},
               {"crashes", std::to_string(quarantined.crashes)},
               {"remaining_ms", std::to_string(remaining.count())},
               {"peer", origin}});
@@ -55,15 +56,20 @@
 
 } // namespace
 
+std::string signatureText(const dispatch::crash_signature &signature)
+{
+    return signature.empty() ? "" : featureTexts(signature, signature.back().kind);
+}
+
 void logQuarantine(const dispatch::quarantine_report &report, std::string_view origin)
 {
     for (const dispatch::crash_report &each : report.crashes)
         logEvent(log_level::Warning, "engine_crash_suspected",
                  "an engine ended while it ran a request that had no answer yet",
                  {{"engine_key", std::to_string(each.engine)},
-                  {"segments", featureTexts(each, feature_kind::Segment)},
-                  {"digest", featureTexts(each, feature_kind::Request)}});
-    for (const dispatch::quarantined_feature &each : report.quarantined)
+                  {"segments", featureTexts(each.features, feature_kind::Segment)},
+                  {"digest", featureTexts(each.features, feature_kind::Request)}});
+    for (const dispatch::quarantined_signature &each : report.quarantined)
         logQuarantined(each, origin);
     for (const dispatch::request_feature &each : report.answered)
         logCleared(each, origin);
--- a/src/gateway/quarantine_log.h
+++ b/src/gateway/quarantine_log.h
@@ -1,15 +1,18 @@
 #pragma once
 
+#include "dispatch/crash_signature.h"
 #include "dispatch/quarantine_report.h"
-#include "dispatch/request_feature.h"
 
 #include <string>
 #include <string_view>
 
 namespace comfreypass::gateway {
 
-/** Returns the key of a feature as hexadecimal digits, as in logs. Thread-safe. */
-std::string featureText(const dispatch::request_feature &feature);
+/**
+ * Returns the keys of a signature as hexadecimal digits with commas, as in logs; empty if it has
+ * none. Thread-safe.
+ */
+std::string signatureText(const dispatch::crash_signature &signature);
 
 /**
  * Logs what a node has found or learned about requests that crash engines. `origin` is the address
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -335,8 +335,8 @@
     const auto found = m_context.quarantine.find(m_features, m_context.now());
     if (!found)
         return false;
-    m_record.quarantined = found->feature;
-    const std::string_view reason = found->feature.kind == dispatch::feature_kind::Request
+    m_record.quarantined = found->signature;
+    const std::string_view reason = found->signature.back().kind == dispatch::feature_kind::Request
                                         ? "quarantined_request"
                                         : "quarantined_prompt";
     if (responseStarted())
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -173,13 +173,16 @@
         result.report.crashes.push_back({entry.engine(), readFeatures(entry),
                                          milliseconds(entry.age_ms()), entry.only_engine(),
                                          milliseconds(entry.ran_ms()), entry.id()});
-    for (const fleet::QuarantinedSegment &entry : message.quarantined())
-        result.report.quarantined.push_back({{feature_kind::Segment, entry.segment()},
-                                             milliseconds(entry.remaining_ms()),
-                                             entry.crashes(),
+    for (const fleet::QuarantinedSegment &entry : message.quarantined()) {
+        dispatch::crash_signature signature{{feature_kind::Segment, entry.segment()}};
+        for (const std::uint64_t segment : entry.companions())
+            signature = dispatch::extended(std::move(signature), {feature_kind::Segment, segment});
+        result.report.quarantined.push_back({std::move(signature),
+                                             milliseconds(entry.remaining_ms()), entry.crashes(),
                                              entry.failed_trials()});
+    }
     for (const fleet::QuarantinedRequest &entry : message.quarantined_requests())
-        result.report.quarantined.push_back({{feature_kind::Request, entry.request()},
+        result.report.quarantined.push_back({{{feature_kind::Request, entry.request()}},
                                              milliseconds(entry.remaining_ms()),
                                              entry.crashes(),
                                              entry.failed_trials()});
@@ -206,7 +209,7 @@
 }
 
 template<typename Entry>
-void writeQuarantined(const dispatch::quarantined_feature &quarantined, Entry &entry)
+void writeQuarantined(const dispatch::quarantined_signature &quarantined, Entry &entry)
 {
     entry.set_remaining_ms(toMilliseconds(quarantined.remaining));
     entry.set_crashes(static_cast<std::uint32_t>(quarantined.crashes));
@@ -292,16 +295,20 @@
     message.set_address(report.address);
     for (const dispatch::crash_report &each : report.report.crashes)
         writeCrash(each, *message.add_crashes());
-    for (const dispatch::quarantined_feature &each : report.report.quarantined) {
-        if (each.feature.kind == dispatch::feature_kind::Request) {
+    for (const dispatch::quarantined_signature &each : report.report.quarantined) {
+        const dispatch::request_feature &mostSpecific = each.signature.back();
+        if (mostSpecific.kind == dispatch::feature_kind::Request) {
             fleet::QuarantinedRequest &entry = *message.add_quarantined_requests();
-            entry.set_request(each.feature.key);
-            writeQuarantined(each, entry);
-        } else {
-            fleet::QuarantinedSegment &entry = *message.add_quarantined();
-            entry.set_segment(each.feature.key);
+            entry.set_request(mostSpecific.key);
             writeQuarantined(each, entry);
+            continue;
         }
+        fleet::QuarantinedSegment &entry = *message.add_quarantined();
+        entry.set_segment(mostSpecific.key);
+        for (const dispatch::request_feature &companion :
+             std::span(each.signature).first(each.signature.size() - 1))
+            entry.add_companions(companion.key);
+        writeQuarantined(each, entry);
     }
     for (const dispatch::request_feature &each : report.report.answered) {
         if (each.kind == dispatch::feature_kind::Request)
--- a/tests/dispatch/crash_fleet.cpp
+++ b/tests/dispatch/crash_fleet.cpp
@@ -24,7 +24,6 @@
 constexpr request_feature firstSegment{feature_kind::Segment, 1};
 constexpr request_feature deadlySegment{feature_kind::Segment, 2};
 constexpr request_feature deadlyRequest{feature_kind::Request, 3};
-constexpr std::uint64_t soundSegments = 60;
 
 constexpr std::size_t crashesOfKnownRequest = 3;
 constexpr std::size_t crashesOfKnownSegment = 5;
@@ -75,7 +74,7 @@
 std::vector<request_feature> crash_fleet::soundFeatures()
 {
     return {firstSegment,
-            {feature_kind::Segment, 100 + m_random() % soundSegments},
+            {feature_kind::Segment, 100 + m_random() % m_load.subjects},
             {feature_kind::Request, ++m_lastDigest}};
 }
 
@@ -89,7 +88,11 @@
     request.features = soundFeatures();
     if (kind == load_kind::DeadlyRequest)
         request.features.back() = deadlyRequest;
-    if (kind == load_kind::DeadlySegment)
+    if (kind == load_kind::DeadlySegment && m_load.deadlyPosition)
+        request.features.insert(request.features.begin()
+                                    + static_cast<std::ptrdiff_t>(*m_load.deadlyPosition),
+                                deadlySegment);
+    else if (kind == load_kind::DeadlySegment)
         request.features[1] = deadlySegment;
     if (kind == load_kind::DeadlyRequest)
         request.features[1] = {feature_kind::Segment, 100};
--- a/tests/dispatch/crash_fleet.h
+++ b/tests/dispatch/crash_fleet.h
@@ -26,6 +26,11 @@
     double deadlyRequestsPerMinute = 0;
     /** Requests, no two alike, with one segment that crashes engines. */
     double deadlySegmentsPerMinute = 0;
+    /** Index of the deadly segment among those that its requests share with sound ones; if there is
+     * none, it stands in place of their subject. */
+    std::optional<std::size_t> deadlyPosition = {};
+    /** Segments of which each request has one. */
+    std::size_t subjects = 60;
     core::duration length = std::chrono::minutes(2);
 };
 
--- a/tests/dispatch/crash_fleet_test.cpp
+++ b/tests/dispatch/crash_fleet_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(mediumFleetStopsDeadlyRequests);
     CPPUNIT_TEST(largeFleetStopsDeadlyRequests);
     CPPUNIT_TEST(fleetInAQuietHourStopsDeadlyRequests);
+    CPPUNIT_TEST(fleetInAQuietHourServesRequestsBesideADeadlySegment);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,30 @@
         }
     }
 
+    // Guards against refusing sound requests that are too rare to clear the segments which they
+    // share with deadly requests, of one subject, two or many.
+    void fleetInAQuietHourServesRequestsBesideADeadlySegment()
+    {
+        for (const std::size_t engines : {1, 9}) {
+            for (const std::size_t subjects : {1, 2, 60}) {
+                for (std::size_t position = 0; position <= 2; ++position) {
+                    for (const double secondsBetweenSound : {3, 60}) {
+                        for (const double perMinute : {1, 30}) {
+                            play("segments among others",
+                                 {.engines = engines,
+                                  .soundPerSecond = 1 / secondsBetweenSound,
+                                  .deadlySegmentsPerMinute = perMinute,
+                                  .deadlyPosition = position,
+                                  .subjects = subjects,
+                                  .length = std::chrono::minutes(12)},
+                                 5);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
 private:
     /** Requests that may reach engines late by the rules of the callers' organisations. */
     static constexpr std::size_t allowedLate = 3;
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -64,6 +64,14 @@
     CPPUNIT_TEST(repeatedRequestAtOneEngineOfSeveralIsFound);
     CPPUNIT_TEST(reportDelayedAtOneNodeConvictsNothingAtOthers);
     CPPUNIT_TEST(trialThatDidNotRunDoesNotRefuseTheSegment);
+    CPPUNIT_TEST(soundRequestsAreServedWhereverTheDeadlySegmentStands);
+    CPPUNIT_TEST(deadlySegmentIsFoundAmongChangingCompanions);
+    CPPUNIT_TEST(requestsOfTwoKindsWithADeadlySegmentAreRefused);
+    CPPUNIT_TEST(otherCrashOfASoundRequestRefusesNoOther);
+    CPPUNIT_TEST(restartedNodeServesWhatSharesSegments);
+    CPPUNIT_TEST(segmentAnsweredAtAPeerLeavesTheSignature);
+    CPPUNIT_TEST(failedTrialRefusesNoSoundRequest);
+    CPPUNIT_TEST(onlyEngineServesSoundRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,9 +82,10 @@
             CPPUNIT_ASSERT(!isQuarantined(poison));
             crash(m_node, engine, request({shared, poison}));
         }
-        CPPUNIT_ASSERT(isQuarantined(poison));
         CPPUNIT_ASSERT(m_node.hasNews());
-        CPPUNIT_ASSERT_EQUAL(poison, m_node.takeNews().quarantined.at(0).feature.key);
+        CPPUNIT_ASSERT((crash_signature{segment(shared), segment(poison)})
+                       == m_node.takeNews().quarantined.at(0).signature);
+        checkPoisonIsFound();
     }
 
     // Guards against refusing sound requests that share other segments with those that crash.
@@ -86,7 +95,7 @@
             crash(m_node, engine, request({shared, poison}));
             CPPUNIT_ASSERT(!isQuarantined(shared));
         }
-        CPPUNIT_ASSERT(isQuarantined(poison));
+        checkPoisonIsFound();
     }
 
     // Guards against missing the segment while engines also crash for another reason.
@@ -124,7 +133,7 @@
             m_node.onBroken(engine, request({shared}), false, m_now);
             CPPUNIT_ASSERT(!isQuarantined(shared));
         }
-        CPPUNIT_ASSERT(isQuarantined(poison));
+        checkPoisonIsFound();
     }
 
     // Guards against an endless search if callers send the same segments in different orders.
@@ -133,7 +142,8 @@
         for (engine_key engine = 1; engine <= 6; ++engine)
             crash(m_node, engine,
                   engine % 2 == 0 ? request({shared, poison}) : request({poison, shared}));
-        CPPUNIT_ASSERT(isQuarantined(poison) || isQuarantined(shared));
+        CPPUNIT_ASSERT(isRefused({poison, shared}));
+        checkPoisonIsFound();
     }
 
     // Guards against taking lost responses and reset connections for crashes.
@@ -209,12 +219,14 @@
                     each.onPeerReport(news, m_now);
             }
         }
-        for (const request_quarantine &each : nodes) {
-            CPPUNIT_ASSERT(each.find(request({poison}), m_now));
+        for (request_quarantine &each : nodes) {
+            CPPUNIT_ASSERT(each.find(request({shared, poison}), m_now));
             // Only the witness of the last crash reports the quarantine.
             CPPUNIT_ASSERT(!each.hasNews());
+            CPPUNIT_ASSERT(!each.find(request({shared}), m_now));
+            each.onAnswered(request({shared}), m_now);
+            CPPUNIT_ASSERT(each.find(request({poison}), m_now));
         }
-        CPPUNIT_ASSERT(!nodes[0].find(request({shared}), m_now));
     }
 
     // Guards against crashes that begin again after a restart of a node.
@@ -225,7 +237,7 @@
         request_quarantine restarted(1);
         restarted.onPeerReport(m_node.summary(m_now), m_now);
         const auto found = restarted.find(request({shared, poison}), m_now);
-        CPPUNIT_ASSERT(found && found->feature == segment(poison));
+        CPPUNIT_ASSERT(found && found->signature == crash_signature{segment(poison)});
         CPPUNIT_ASSERT(found->remaining <= request_quarantine::quarantineTime - 10s);
         CPPUNIT_ASSERT(!restarted.hasNews());
     }
@@ -284,7 +296,7 @@
             crash(m_node, engine, deadly);
         }
         const auto found = m_node.find(deadly, m_now);
-        CPPUNIT_ASSERT(found && found->feature == deadly.back());
+        CPPUNIT_ASSERT(found && found->signature == crash_signature{deadly.back()});
         CPPUNIT_ASSERT(!m_node.find(request({}), m_now));
     }
 
@@ -641,7 +653,7 @@
     void reportOfAnImpossibleRemainderIsBounded()
     {
         quarantine_report wrong;
-        wrong.quarantined.push_back({segment(poison), 1'000h, 4});
+        wrong.quarantined.push_back({{segment(poison)}, 1'000h, 4});
         m_node.onPeerReport(wrong, m_now);
         CPPUNIT_ASSERT(!m_node.find(std::vector{segment(poison)},
                                     m_now + 2 * request_quarantine::quarantineTime));
@@ -721,9 +733,158 @@
             crash(m_node, engine, request({shared, poison}));
             CPPUNIT_ASSERT(!isQuarantined(shared));
         }
+        CPPUNIT_ASSERT(m_node.find(deadly, m_now));
+        checkPoisonIsFound();
+    }
+
+    // Guards against refusing all sound requests that share a segment with deadly ones, while too
+    // few are sent to clear it, wherever the deadly one stands and whatever was answered before.
+    void soundRequestsAreServedWhereverTheDeadlySegmentStands()
+    {
+        enum class history { Nothing, Companions, Everything };
+        for (const history before : {history::Nothing, history::Companions, history::Everything}) {
+            for (std::size_t position = 0; position < 3; ++position) {
+                m_node = request_quarantine(1);
+                m_now += 1h;
+                std::vector<std::uint64_t> deadly = {shared, subject};
+                deadly.insert(deadly.begin() + static_cast<std::ptrdiff_t>(position), poison);
+                if (before != history::Nothing)
+                    m_node.onAnswered(request({shared, subject}), m_now);
+                if (before == history::Everything)
+                    m_node.onAnswered(request({poison}), m_now);
+                m_now += 1min;
+                for (engine_key engine = 1; engine <= 5; engine += 2) {
+                    const features repeated = request(deadly);
+                    for (const engine_key each : {engine, engine + 1}) {
+                        if (!m_node.find(repeated, m_now))
+                            crash(m_node, each, repeated);
+                    }
+                    CPPUNIT_ASSERT(!isRefused({shared, subject}));
+                    CPPUNIT_ASSERT(!isRefused({shared}));
+                }
+                CPPUNIT_ASSERT(m_node.find(request(deadly), m_now));
+                m_node.onAnswered(request({shared, subject}), m_now);
+                CPPUNIT_ASSERT(isQuarantined(poison));
+            }
+        }
+    }
+
+    // Guards against more than three requests after the fifth crash of a segment whose companions
+    // are others from then on.
+    void deadlySegmentIsFoundAmongChangingCompanions()
+    {
+        constexpr engine_key crashesInTime = 5;
+        constexpr engine_key allowedLate = 3;
+        for (std::size_t kept = 1; kept <= 2; ++kept) {
+            m_node = request_quarantine(1);
+            m_now += 1h;
+            engine_key engine = 0;
+            for (std::uint64_t i = 0; i < 40; ++i) {
+                const std::uint64_t other = i < 4 ? subject : 100 + i;
+                const features deadly
+                    = kept == 2 ? request({shared, poison, other}) : request({other, poison});
+                for (int attempt = 0; attempt < 2 && !m_node.find(deadly, m_now); ++attempt)
+                    crash(m_node, ++engine, deadly);
+                CPPUNIT_ASSERT(!isRefused({shared, subject}));
+            }
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(engine), engine <= crashesInTime + allowedLate);
+        }
+    }
+
+    // Guards against a deadly segment that is not found since its requests are of two kinds.
+    void requestsOfTwoKindsWithADeadlySegmentAreRefused()
+    {
+        constexpr engine_key crashesInTime = 5;
+        constexpr engine_key allowedLate = 3;
+        engine_key engine = 0;
+        for (std::uint64_t i = 0; i < 40; ++i) {
+            const features deadly = request({shared, poison, subject + i % 2});
+            if (!m_node.find(deadly, m_now))
+                crash(m_node, ++engine, deadly);
+            CPPUNIT_ASSERT(!isRefused({shared, subject}) && !isRefused({shared, subject + 1}));
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(engine), engine <= crashesInTime + allowedLate);
+    }
+
+    // Guards against refusing all requests since an engine that crashed by itself ran a sound one.
+    void otherCrashOfASoundRequestRefusesNoOther()
+    {
+        for (engine_key engine = 1; engine <= 6; ++engine)
+            crash(m_node, engine, request({shared, poison, subject}));
+        crash(m_node, 7, request({shared, subject + 1}));
+        CPPUNIT_ASSERT(!isRefused({shared, subject}) && !isRefused({shared, subject + 2}));
+        CPPUNIT_ASSERT(isRefused({shared, poison, subject}));
+    }
+
+    // Guards against a node that refuses sound requests since it knows a quarantine but no answers.
+    void restartedNodeServesWhatSharesSegments()
+    {
+        for (engine_key engine = 1; engine <= 4; ++engine)
+            crash(m_node, engine, request({shared, poison, subject}));
+        m_now += 10s;
+        request_quarantine restarted(1);
+        restarted.onPeerReport(m_node.summary(m_now), m_now);
+        CPPUNIT_ASSERT(restarted.find(request({shared, poison, subject}), m_now));
+        CPPUNIT_ASSERT(!restarted.find(request({shared, subject}), m_now));
+        restarted.onAnswered(request({shared, subject}), m_now);
+        CPPUNIT_ASSERT(restarted.find(request({poison}), m_now));
+        m_node.onPeerReport(restarted.takeNews(), m_now);
         CPPUNIT_ASSERT(isQuarantined(poison));
     }
 
+    // Guards against a segment that returns to the signature with the report of a node that was cut
+    // off, and against a node that never learns of its answer.
+    void segmentAnsweredAtAPeerLeavesTheSignature()
+    {
+        request_quarantine cutOff(2);
+        for (engine_key engine = 1; engine <= 4; ++engine)
+            crash(m_node, engine, request({shared, poison, subject}));
+        cutOff.onPeerReport(m_node.takeNews(), m_now);
+        m_now += 1s;
+        m_node.onAnswered(request({shared, subject}), m_now);
+        const quarantine_report correction = m_node.onPeerReport(cutOff.summary(m_now), m_now);
+        CPPUNIT_ASSERT(isQuarantined(poison) && !isRefused({shared, subject}));
+        cutOff.onPeerReport(correction, m_now);
+        CPPUNIT_ASSERT(cutOff.find(request({poison}), m_now));
+    }
+
+    // Guards against a trial at the end of a quarantine that is blamed on all segments of its
+    // request.
+    void failedTrialRefusesNoSoundRequest()
+    {
+        for (engine_key engine = 1; engine <= 4; ++engine)
+            crash(m_node, engine, request({shared, poison, subject}));
+        core::duration wait = request_quarantine::quarantineTime;
+        for (engine_key engine = 5; engine <= 7; ++engine) {
+            m_now += wait;
+            wait *= 4;
+            const features trial = request({shared, poison, subject});
+            CPPUNIT_ASSERT(!m_node.find(trial, m_now));
+            m_node.onAttempt(trial, m_now);
+            CPPUNIT_ASSERT(!isRefused({shared, subject}));
+            crash(m_node, engine, trial);
+            CPPUNIT_ASSERT(isRefused({shared, poison, subject}));
+            CPPUNIT_ASSERT(!isRefused({shared, subject}));
+        }
+    }
+
+    // Guards against an upstream with one engine that refuses all its sound requests.
+    void onlyEngineServesSoundRequests()
+    {
+        int crashes = 0;
+        for (int i = 0; i < 40; ++i) {
+            m_now += 5s;
+            const features deadly = request({poison, shared, subject});
+            CPPUNIT_ASSERT(!isRefused({shared, subject}));
+            if (m_node.find(deadly, m_now))
+                continue;
+            m_node.onBroken(1, deadly, true, m_now);
+            m_node.onEngineDown(1, m_now);
+            ++crashes;
+        }
+        CPPUNIT_ASSERT(crashes <= 5);
+    }
+
     // Guards against one crash that is held as several, with more and with fewer features.
     void clearedSegmentDoesNotDuplicateTheCrash()
     {
@@ -742,6 +903,7 @@
 
     static constexpr std::uint64_t shared = 7;
     static constexpr std::uint64_t poison = 9;
+    static constexpr std::uint64_t subject = 60;
 
     void crash(request_quarantine &node, engine_key engine, const features &segments)
     {
@@ -760,6 +922,22 @@
         m_node.takeNews();
     }
 
+    /** Sound requests with the shared segment are served; their answer shows which one is deadly.
+     */
+    void checkPoisonIsFound()
+    {
+        CPPUNIT_ASSERT(isRefused({shared, poison}));
+        CPPUNIT_ASSERT(!isQuarantined(shared));
+        m_node.onAnswered(request({shared}), m_now);
+        CPPUNIT_ASSERT(isQuarantined(poison));
+    }
+
+    /** Returns whether a request with these segments that is like no other is refused. */
+    bool isRefused(std::initializer_list<std::uint64_t> segments)
+    {
+        return m_node.find(request(segments), m_now).has_value();
+    }
+
     bool isQuarantined(std::uint64_t key) const
     {
         return m_node.find(std::vector{segment(key)}, m_now).has_value();
@@ -769,6 +947,11 @@
 
     /** Returns the features of a request with these segments that is like no other. */
     features request(std::initializer_list<std::uint64_t> segments)
+    {
+        return request(std::vector<std::uint64_t>(segments));
+    }
+
+    features request(const std::vector<std::uint64_t> &segments)
     {
         features result;
         for (const std::uint64_t key : segments)
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(requestsThatCrashEnginesInAQuietHourAreRefused);
     CPPUNIT_TEST(repeatedRequestThatCrashesEnginesInAQuietHourIsRefused);
     CPPUNIT_TEST(lostResponsesOfARunningEngineAreNotTakenForCrashes);
+    CPPUNIT_TEST(soundRequestsBesideADeadlySegmentBeforeAnotherAreServed);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsBrokenOff);
     CPPUNIT_TEST(streamThatEndsWithItsConnectionIsComplete);
     CPPUNIT_TEST_SUITE_END();
@@ -711,6 +712,22 @@
         CPPUNIT_ASSERT(m_gateway.requestAt(engine).starts_with("POST /once/x"));
     }
 
+    // Guards against refusing the requests that share the segment behind a deadly one, in a quiet
+    // hour in which none of them is answered between the crashes.
+    void soundRequestsBesideADeadlySegmentBeforeAnotherAreServed()
+    {
+        m_gateway.configure(1);
+        for (int i = 1; i <= 4; ++i)
+            crashEngine("e" + std::to_string(i), "/fragile/x" + std::to_string(i),
+                        "Segments: 7 9 8\r\n");
+        listening_socket &listener = m_gateway.addEngine("e5");
+        const auto refused = m_gateway.call("/fragile/x", "5", "Segments: 7 9 8\r\n");
+        CPPUNIT_ASSERT(contains(m_gateway.responseOf(*refused), "quarantined_prompt"));
+        serve(listener, "6", "Segments: 7 8\r\n", streamOfTwoEvents("6"));
+        const auto alone = m_gateway.call("/fragile/x", "7", "Segments: 9\r\n");
+        CPPUNIT_ASSERT(contains(m_gateway.responseOf(*alone), "quarantined_prompt"));
+    }
+
     // Guards against passing on a stream as complete whose engine ended in the middle of an event,
     // or before the first one, and whose length is not known.
     void streamThatEndsInsideAnEventIsBrokenOff()
@@ -772,6 +789,23 @@
                                           ++m_gateway.revision);
     }
 
+    static std::string streamOfTwoEvents(const std::string &id)
+    {
+        return unframedStreamHead(id) + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    }
+
+    /** Lets an engine answer a request with a stream that ends with its connection. */
+    void serve(listening_socket &listener, const std::string &id, const std::string &fields,
+               const std::string &stream)
+    {
+        const auto caller = m_gateway.call("/fragile/x", id, fields);
+        raw_socket engine = m_gateway.acceptAt(listener);
+        m_gateway.requestAt(engine);
+        engine.send(stream);
+        engine.close();
+        m_gateway.waitFor("end", [&] { return caller->receive().ends_with("0\r\n\r\n"); });
+    }
+
     gateway_fixture m_gateway;
 };
 
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -182,8 +182,14 @@
                                 40ms,
                                 largest},
                                {4, {{feature_kind::Segment, 7}}, 10ms}};
-        sent.report.quarantined
-            = {{{feature_kind::Segment, 9}, 100s, 4, 1}, {{feature_kind::Request, 9}, 90s, 3, 2}};
+        sent.report.quarantined = {{{{feature_kind::Segment, 9}}, 100s, 4, 1},
+                                   {{{feature_kind::Segment, 2},
+                                     {feature_kind::Segment, 5},
+                                     {feature_kind::Segment, largest}},
+                                    80s,
+                                    5,
+                                    0},
+                                   {{{feature_kind::Request, 9}}, 90s, 3, 2}};
         sent.report.answered = {{feature_kind::Segment, 8}, {feature_kind::Request, 6}};
         const auto decoded = decodeMessage(encodeQuarantineReport(sent));
         CPPUNIT_ASSERT(decoded);
@@ -200,7 +206,7 @@
         for (std::size_t i = 0; i < sent.report.quarantined.size(); ++i) {
             const auto &expected = sent.report.quarantined[i];
             const auto &actual = received.report.quarantined.at(i);
-            CPPUNIT_ASSERT(expected.feature == actual.feature);
+            CPPUNIT_ASSERT(expected.signature == actual.signature);
             CPPUNIT_ASSERT(expected.remaining == actual.remaining);
             CPPUNIT_ASSERT_EQUAL(expected.crashes, actual.crashes);
             CPPUNIT_ASSERT_EQUAL(expected.failedTrials, actual.failedTrials);
