Tell the peers of a trial when it starts

Callers saw engines end again at the end of a quarantine, more often than one trial costs: each node tries a quarantined signature by itself, and learns of the crash of another node's trial 130 ms or more after it began.

Cause: the nodes' trials are spread over half a second for each node, but at two deadly requests a second the next node has one before the crash is confirmed. Signatures with the same cause were tried one by one. Found with fleetInAQuietHourServesRequestsBesideADeadlySegment at 120 deadly requests a minute.

Change: a report on trials, sent when the request starts; peers refuse the signature, and all that share a feature with it, until it is answered or for the time-out of a trial. A request that has ended an engine is not repeated while four crashes count against one of its segments, whether or not a signature was found; before, only signatures in force counted.

--- a/src/dispatch/quarantine_report.h
+++ b/src/dispatch/quarantine_report.h
@@ -45,10 +45,12 @@
     std::vector<quarantined_signature> quarantined;
     /** Suspected features that an engine has answered. */
     std::vector<request_feature> answered;
+    /** Signatures of which a request has just been sent to an engine, to try them again. */
+    std::vector<crash_signature> trials = {};
 
     bool empty() const noexcept
     {
-        return crashes.empty() && quarantined.empty() && answered.empty();
+        return crashes.empty() && quarantined.empty() && answered.empty() && trials.empty();
     }
 };
 
--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -205,16 +205,29 @@
 
 void request_quarantine::onAttempt(std::span<const request_feature> features, core::time_point now)
 {
-    for (quarantine_state *state : statesOf(features)) {
-        if (isInForce(*state, now))
-            state->trialStartedAt = now;
+    for (const auto &[signature, state] : m_quarantined) {
+        if (!isInForce(state, now) || !matches(signature, features))
+            continue;
+        startTrial(signature, now);
+        m_news.trials.push_back(signature);
+    }
+}
+
+// Signatures that share a suspected feature may have the same cause, which is tried once for all.
+void request_quarantine::startTrial(const crash_signature &tried, core::time_point now)
+{
+    for (auto &[signature, state] : m_quarantined) {
+        if (overlaps(signature, tried))
+            state.trialStartedAt = now;
     }
 }
 
 void request_quarantine::onNotRun(std::span<const request_feature> features)
 {
-    for (quarantine_state *state : statesOf(features))
-        state->trialStartedAt.reset();
+    for (auto &[signature, state] : m_quarantined) {
+        if (overlaps(signature, features))
+            state.trialStartedAt.reset();
+    }
 }
 
 void request_quarantine::onAnswered(std::span<const request_feature> features, core::time_point now)
@@ -250,6 +263,8 @@
             continue;
         std::ranges::move(judge(each.features, now), std::back_inserter(result.quarantined));
     }
+    for (const crash_signature &each : report.trials)
+        startTrial(each, now);
     for (quarantined_signature each : report.quarantined) {
         const core::duration duration = durationAfter(each.failedTrials);
         each.remaining = std::min(each.remaining, duration);
@@ -289,18 +304,18 @@
     return findForRepeat(features, now);
 }
 
-// Such a request is more likely to be at fault than a sound one that shares the suspected features.
+// Such a request is more likely to be at fault than a sound one that shares the suspected feature.
 std::optional<quarantined_signature>
 request_quarantine::findForRepeat(std::span<const request_feature> features,
                                   core::time_point now) const
 {
     const bool isRequest = !features.empty() && features.back().kind == feature_kind::Request;
-    if (m_quarantined.empty() || !isRequest || !hasEndedEngine(features.back(), now))
+    if (m_crashes.empty() || !isRequest || !hasEndedEngine(features.back(), now))
         return std::nullopt;
-    for (const auto &[signature, state] : m_quarantined) {
-        if (now < state.until && overlaps(signature, features))
-            return quarantined_signature{signature, state.until - now, state.crashes,
-                                         state.failedTrials};
+    for (const request_feature &each : features) {
+        const std::size_t crashes = momentsOf(each).size();
+        if (each.kind == feature_kind::Segment && crashes >= thresholdOf(each.kind).moments)
+            return quarantined_signature{{each}, confirmationWindow, crashes, 0};
     }
     return std::nullopt;
 }
@@ -318,17 +333,6 @@
               });
 }
 
-std::vector<request_quarantine::quarantine_state *>
-request_quarantine::statesOf(std::span<const request_feature> features)
-{
-    std::vector<quarantine_state *> states;
-    for (auto &[signature, state] : m_quarantined) {
-        if (matches(signature, features))
-            states.push_back(&state);
-    }
-    return states;
-}
-
 bool request_quarantine::isInForce(const quarantine_state &state, core::time_point now)
 {
     return now < state.until + probationTime;
@@ -643,7 +647,6 @@
     m_quarantined.emplace(signature, state);
 }
 
-// Signatures that share a suspected feature may have the same cause, which is tried once for all.
 void request_quarantine::onTrialFailed(const crash_signature &tried, core::time_point at)
 {
     const std::size_t failedTrials = m_quarantined.at(tried).failedTrials + 1;
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -43,8 +43,8 @@
  * as the crashes of one request do. Thus a request that is repeated does not quarantine its
  * segments, and a segment whose requests are repeated is still found.
  *
- * At the end of a quarantine the signature is on probation: each node tries one request at a time,
- * the nodes one after the other, and one more crash quarantines it again, for longer.
+ * At the end of a quarantine the signature is on probation: the fleet tries one request at a time,
+ * of all signatures that share a feature, and one more crash quarantines them again, for longer.
  *
  * Nodes share crashes, answers and quarantines, since each of them sees only some of the crashes.
  * Not thread-safe.
@@ -186,7 +186,7 @@
 
     /** Returns true if the engine is known to be down. */
     bool addBroken(engine_key engine, broken_request request);
-    /** Returns a signature that shares a feature with a request that has ended an engine. */
+    /** Returns the suspected segment of a request that has ended an engine itself. */
     std::optional<quarantined_signature> findForRepeat(std::span<const request_feature> features,
                                                        core::time_point now) const;
     /** Returns whether the request has crashed an engine, or may have done so just now. */
@@ -220,8 +220,8 @@
     bool isCovered(const crash_signature &signature) const;
     /** Adds a state, in place of those of signatures with more features. */
     void insertQuarantined(const crash_signature &signature, quarantine_state state);
-    /** Returns the quarantined signatures of a request, and those on probation. */
-    std::vector<quarantine_state *> statesOf(std::span<const request_feature> features);
+    /** Refuses the requests of signatures that share a feature with a tried one for a while. */
+    void startTrial(const crash_signature &tried, core::time_point now);
     static bool isInForce(const quarantine_state &state, core::time_point now);
     void onTrialFailed(const crash_signature &tried, core::time_point at);
     void extendQuarantine(quarantine_state &state, core::time_point until);
--- a/src/gateway/status_codec.cpp
+++ b/src/gateway/status_codec.cpp
@@ -164,6 +164,28 @@
     return features;
 }
 
+dispatch::crash_signature readSignature(const fleet::CrashSignature &message)
+{
+    using dispatch::feature_kind;
+    dispatch::crash_signature signature;
+    for (const std::uint64_t segment : message.segments())
+        signature = dispatch::extended(std::move(signature), {feature_kind::Segment, segment});
+    if (message.has_request())
+        signature
+            = dispatch::extended(std::move(signature), {feature_kind::Request, message.request()});
+    return signature;
+}
+
+void writeSignature(const dispatch::crash_signature &signature, fleet::CrashSignature &message)
+{
+    for (const dispatch::request_feature &each : signature) {
+        if (each.kind == dispatch::feature_kind::Request)
+            message.set_request(each.key);
+        else
+            message.add_segments(each.key);
+    }
+}
+
 peer_quarantine_report readQuarantineReport(const fleet::SegmentReport &message)
 {
     using dispatch::feature_kind;
@@ -186,6 +208,8 @@
                                              milliseconds(entry.remaining_ms()),
                                              entry.crashes(),
                                              entry.failed_trials()});
+    for (const fleet::CrashSignature &entry : message.trials())
+        result.report.trials.push_back(readSignature(entry));
     for (const std::uint64_t segment : message.answered())
         result.report.answered.push_back({feature_kind::Segment, segment});
     for (const std::uint64_t request : message.answered_requests())
@@ -310,6 +334,8 @@
             entry.add_companions(companion.key);
         writeQuarantined(each, entry);
     }
+    for (const dispatch::crash_signature &each : report.report.trials)
+        writeSignature(each, *message.add_trials());
     for (const dispatch::request_feature &each : report.report.answered) {
         if (each.kind == dispatch::feature_kind::Request)
             message.add_answered_requests(each.key);
--- a/tests/dispatch/crash_fleet_test.cpp
+++ b/tests/dispatch/crash_fleet_test.cpp
@@ -65,7 +65,7 @@
             for (const std::size_t subjects : {1, 2, 60}) {
                 for (std::size_t position = 0; position <= 2; ++position) {
                     for (const double secondsBetweenSound : {3, 60}) {
-                        for (const double perMinute : {1, 30}) {
+                        for (const double perMinute : {1, 30, 120}) {
                             play("segments among others",
                                  {.engines = engines,
                                   .soundPerSecond = 1 / secondsBetweenSound,
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(repeatedRequestAtOneEngineOfSeveralIsFound);
     CPPUNIT_TEST(reportDelayedAtOneNodeConvictsNothingAtOthers);
     CPPUNIT_TEST(trialThatDidNotRunDoesNotRefuseTheSegment);
+    CPPUNIT_TEST(trialIsKnownToTheFleet);
     CPPUNIT_TEST(soundRequestsAreServedWhereverTheDeadlySegmentStands);
     CPPUNIT_TEST(deadlySegmentIsFoundAmongChangingCompanions);
     CPPUNIT_TEST(requestsOfTwoKindsWithADeadlySegmentAreRefused);
@@ -737,6 +738,31 @@
         checkPoisonIsFound();
     }
 
+    // Guards against several nodes that try the same signature, or signatures with the same cause,
+    // before one of them knows the result.
+    void trialIsKnownToTheFleet()
+    {
+        for (engine_key engine = 1; engine <= 4; ++engine)
+            crash(m_node, engine, request({poison, subject}));
+        for (engine_key engine = 5; engine <= 6; ++engine)
+            crash(m_node, engine, request({poison, subject + 1}));
+        request_quarantine peer(2);
+        peer.onPeerReport(m_node.takeNews(), m_now);
+        m_now += 10min;
+        const features trial = request({poison, subject});
+        CPPUNIT_ASSERT(!m_node.find(trial, m_now) && !peer.find(trial, m_now));
+        m_node.onAttempt(trial, m_now);
+        peer.onPeerReport(m_node.takeNews(), m_now);
+        for (const std::uint64_t each : {subject, subject + 1}) {
+            CPPUNIT_ASSERT(isRefused({poison, each}));
+            CPPUNIT_ASSERT(peer.find(request({poison, each}), m_now));
+        }
+        CPPUNIT_ASSERT(!peer.find(request({subject}), m_now));
+        m_node.onAnswered(trial, m_now);
+        peer.onPeerReport(m_node.takeNews(), m_now);
+        CPPUNIT_ASSERT(!peer.find(trial, m_now));
+    }
+
     // Guards against refusing all sound requests that share a segment with deadly ones, while too
     // few are sent to clear it, wherever the deadly one stands and whatever was answered before.
     void soundRequestsAreServedWhereverTheDeadlySegmentStands()
--- a/tests/gateway/status_codec_test.cpp
+++ b/tests/gateway/status_codec_test.cpp
@@ -191,6 +191,8 @@
                                     0},
                                    {{{feature_kind::Request, 9}}, 90s, 3, 2}};
         sent.report.answered = {{feature_kind::Segment, 8}, {feature_kind::Request, 6}};
+        sent.report.trials = {{{feature_kind::Segment, 2}, {feature_kind::Segment, largest}},
+                              {{feature_kind::Request, 9}}};
         const auto decoded = decodeMessage(encodeQuarantineReport(sent));
         CPPUNIT_ASSERT(decoded);
         const auto &received = std::get<peer_quarantine_report>(decoded.value());
@@ -212,6 +214,7 @@
             CPPUNIT_ASSERT_EQUAL(expected.failedTrials, actual.failedTrials);
         }
         CPPUNIT_ASSERT(sent.report.answered == received.report.answered);
+        CPPUNIT_ASSERT(sent.report.trials == received.report.trials);
     }
 
     // Guards against a peer that compares revisions without their eras.
