Report no segments of a crash that were answered since

Callers of requests that share a segment were refused by other nodes than the one that had answered such a request between the crash and its confirmation.

Cause: a node learns 100 ms or more after a response broke off that the engine is down. What it has seen answered meanwhile was taken out of its own record of the crash, but not out of the report to the peers, and it told them nothing later, since nothing was suspected when the answer came.

Change: the report is made after the answered features were dropped.

Measured (x86-64): reportOmitsWhatWasAnsweredBeforeTheConfirmation fails before (the peer does not refuse the deadly segment alone) and passes now; 57 cases of request_quarantine_test pass.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -366,6 +366,8 @@
 void request_quarantine::recordCrash(crash seen, core::time_point now)
 {
     seen.id = nextCrashId();
+    // Peers do not know what this node has seen answered before it knew of the crash.
+    dropAnswered(seen);
     crash_report report{seen.engine,       seen.features, now - seen.at,
                         seen.isOnlyEngine, seen.ranFor,   seen.id};
     if (!addCrash(std::move(seen), now))
@@ -375,6 +377,12 @@
                       std::back_inserter(m_news.quarantined));
 }
 
+void request_quarantine::dropAnswered(crash &seen) const
+{
+    std::erase_if(seen.features,
+                  [&](const request_feature &each) { return answeredSince(each, seen.at); });
+}
+
 // Numbers drawn from m_random would not do: its period is so short that the sequences of two nodes
 // may overlap, and a crash with the id of another one is taken for a repeated report.
 std::uint64_t request_quarantine::nextCrashId()
@@ -388,8 +396,7 @@
     dropExpired(now);
     if (isKnown(added))
         return false;
-    std::erase_if(added.features,
-                  [&](const request_feature &each) { return answeredSince(each, added.at); });
+    dropAnswered(added);
     const auto quarantined = std::ranges::find_if(
         m_quarantined, [&](const auto &entry) { return matches(entry.first, added.features); });
     bool hasOtherCause = false;
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -193,6 +193,8 @@
     bool hasEndedEngine(const request_feature &request, core::time_point now) const;
     /** Adds a crash that this node has seen, and reports it. */
     void recordCrash(crash seen, core::time_point now);
+    /** Removes the features that an engine has answered since. */
+    void dropAnswered(crash &seen) const;
     /** Returns an id that no other report of the fleet has. */
     std::uint64_t nextCrashId();
     /** Returns false if the crash is known, or has another cause. */
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(repeatedRequestAtOneEngineOfSeveralIsFound);
     CPPUNIT_TEST(reportDelayedAtOneNodeConvictsNothingAtOthers);
     CPPUNIT_TEST(trialThatDidNotRunDoesNotRefuseTheSegment);
+    CPPUNIT_TEST(reportOmitsWhatWasAnsweredBeforeTheConfirmation);
     CPPUNIT_TEST(trialIsKnownToTheFleet);
     CPPUNIT_TEST(soundRequestsAreServedWhereverTheDeadlySegmentStands);
     CPPUNIT_TEST(deadlySegmentIsFoundAmongChangingCompanions);
@@ -738,6 +739,24 @@
         checkPoisonIsFound();
     }
 
+    // Guards against peers that go on suspecting a segment since it was answered after the crash,
+    // but before the node that saw both knew that the engine was down.
+    void reportOmitsWhatWasAnsweredBeforeTheConfirmation()
+    {
+        request_quarantine peer(2);
+        for (engine_key engine = 1; engine <= 4; ++engine) {
+            m_now += 1s;
+            m_node.onBroken(engine, request({shared, poison, subject}), false, m_now);
+            m_node.onAnswered(request({shared, subject}), m_now + 20ms);
+            m_node.onEngineDown(engine, m_now + 100ms);
+            m_now += 110ms;
+            quarantine_report news = m_node.takeNews();
+            news.quarantined.clear();
+            peer.onPeerReport(news, m_now);
+        }
+        CPPUNIT_ASSERT(peer.find(request({poison}), m_now));
+    }
+
     // Guards against several nodes that try the same signature, or signatures with the same cause,
     // before one of them knows the result.
     void trialIsKnownToTheFleet()
