Count a response without a length as an answer once its engine is alive

Cause: an engine that crashes closes its connections in order if it has read its input, which looks like the end of a response without a length. So such an end was never an answer, for plain responses not even evidence of a crash, and no number of answers could clear a feature.

Change: the end is probed like a broken response. The probe's connection is used by the next request, which needs a new one anyway, since such responses end theirs.

Conclusion: one rule: what looks like an answer or a crash is decided by whether the engine lives.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -152,6 +152,16 @@
                               .ranFor = ranFor});
 }
 
+bool request_quarantine::onEnded(engine_key engine, std::span<const request_feature> features,
+                                 bool isOnlyEngine, core::time_point now, core::duration ranFor)
+{
+    return addBroken(engine, {.features = {features.begin(), features.end()},
+                              .at = now,
+                              .isOnlyEngine = isOnlyEngine,
+                              .ranFor = ranFor,
+                              .seemsComplete = true});
+}
+
 bool request_quarantine::addBroken(engine_key engine, broken_request request)
 {
     const core::time_point now = request.at;
@@ -159,9 +169,11 @@
     const bool isKnownDown = down != m_downAt.end() && now - down->second <= confirmationWindow;
     if (request.features.empty())
         return isKnownDown;
-    for (const auto &[signature, state] : m_quarantined) {
-        if (state.trialStartedAt && matches(signature, request.features))
-            onTrialFailed(signature, now);
+    if (isKnownDown || !request.seemsComplete) {
+        for (const auto &[signature, state] : m_quarantined) {
+            if (state.trialStartedAt && matches(signature, request.features))
+                onTrialFailed(signature, now);
+        }
     }
     if (isKnownDown) {
         recordCrash({.engine = engine,
@@ -182,6 +194,21 @@
     return false;
 }
 
+void request_quarantine::onEngineAlive(engine_key engine, core::time_point time)
+{
+    const auto found = m_broken.find(engine);
+    if (found == m_broken.end())
+        return;
+    const auto isComplete = [time](const broken_request &each) {
+        return each.seemsComplete && each.at <= time;
+    };
+    std::vector<broken_request> complete;
+    std::ranges::copy_if(found->second, std::back_inserter(complete), isComplete);
+    std::erase_if(found->second, isComplete);
+    for (const broken_request &each : complete)
+        onAnswered(each.features, each.at);
+}
+
 void request_quarantine::onEngineDown(engine_key engine, core::time_point now)
 {
     if (m_downAt.size() >= maxEngines)
@@ -328,7 +355,8 @@
     return std::ranges::any_of(m_crashes, isOfRequest)
            || std::ranges::any_of(m_broken, [&](const auto &engine) {
                   return std::ranges::any_of(engine.second, [&](const broken_request &each) {
-                      return now - each.at <= confirmationWindow && isOfRequest(each);
+                      return !each.seemsComplete && now - each.at <= confirmationWindow
+                             && isOfRequest(each);
                   });
               });
 }
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -93,6 +93,16 @@
     /** The attempt that onAttempt() announced did not run. */
     void onNotRun(std::span<const request_feature> features);
 
+    /**
+     * Like onBroken(), for a response without a length that ended in order before its second event:
+     * the end of an engine's process looks the same. onEngineAlive() shows that it was complete.
+     */
+    bool onEnded(engine_key engine, std::span<const request_feature> features, bool isOnlyEngine,
+                 core::time_point now, core::duration ranFor = {});
+
+    /** The engine was still running at `time`; what onEnded() reported until then was complete. */
+    void onEngineAlive(engine_key engine, core::time_point time);
+
     /** An engine answered a request with these features. */
     void onAnswered(std::span<const request_feature> features, core::time_point now);
 
@@ -126,6 +136,8 @@
         core::time_point at;
         bool isOnlyEngine = false;
         core::duration ranFor{};
+        /** The response may have been complete. */
+        bool seemsComplete = false;
     };
 
     struct crash
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -198,10 +198,15 @@
       m_admission(m_registry, m_fleet, static_cast<std::uint32_t>(m_random())),
       m_retries({m_settings.retryRatio, m_settings.retryExtra, m_settings.retryWindow}),
       m_quarantine(static_cast<std::uint32_t>(m_random())), m_engineConnections(reactor, m_deleter),
-      m_engineProber(m_engineConnections, m_registry,
-                     [this](const dispatch::engine_entry &engine, core::time_point now) {
-                         onEngineRefused(engine, now);
-                     }),
+      m_engineProber(
+          m_engineConnections, m_registry,
+          [this](const dispatch::engine_entry &engine, core::time_point now) {
+              onEngineRefused(engine, now);
+          },
+          [this](const dispatch::engine_entry &engine, core::time_point endedAt) {
+              m_quarantine.onEngineAlive(dispatch::engine_registry::keyOf(engine.id), endedAt);
+              sendEngineUpdatesSoon();
+          }),
       m_catalogue(decoder, m_registry, [this] { onCatalogueChanged(); }),
       m_context{.reactor = reactor,
                 .callerProtocol = callerProtocol,
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -367,6 +367,17 @@
         m_context.engineProber.onBroken(*m_engine, now);
 }
 
+// Without a length, an engine that crashes after its first event seems to end the response.
+void request_flow::onEndedWithConnection()
+{
+    const core::time_point now = m_context.now();
+    const bool isKnownDown = m_context.quarantine.onEnded(
+        dispatch::engine_registry::keyOf(m_engine->id), m_features,
+        m_context.registry.engineCount(m_upstream) == 1, now, now - m_attemptStartedAt);
+    if (!isKnownDown)
+        m_context.engineProber.onEnded(*m_engine, now);
+}
+
 void request_flow::onAnswered()
 {
     m_context.quarantine.onAnswered(m_features, m_context.now());
@@ -813,14 +824,10 @@
         return;
     }
     if (m_mode == relay_mode::Events) {
-        // Without a length, an engine that crashes after its first event seems to end the stream.
-        const bool provesNothing
-            = endsWithConnection()
-              && m_attemptEvents < dispatch::request_quarantine::harmlessEvents;
-        if (provesNothing)
-            onBrokenOff();
-        else
+        if (!endsWithConnection())
             onAnswered();
+        else if (m_attemptEvents < dispatch::request_quarantine::harmlessEvents)
+            onEndedWithConnection();
         m_record.status = m_responseHead.status;
         endAttempt(dispatch::attempt_result::Served, reusable);
         completeStream();
@@ -900,7 +907,9 @@
         return;
     }
     // An engine that completes an answer, of any status, has not been crashed by the request.
-    if (m_response.isSigned && !endsWithConnection())
+    if (m_response.isSigned && endsWithConnection())
+        onEndedWithConnection();
+    else if (m_response.isSigned)
         onAnswered();
     const bool retry = status >= firstServerErrorStatus && m_route->retryable() && canRetry();
     if (retry && consumeRetryBudget()) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -97,6 +97,7 @@
     bool refuseQuarantined();
     void refuseAfterWaiting();
     void onBrokenOff();
+    void onEndedWithConnection();
     void onAnswered();
     void startAttempt(const dispatch::engine_entry &engine,
                       const dispatch::engine_selection &basis);
--- a/tests/dispatch/request_quarantine_test.cpp
+++ b/tests/dispatch/request_quarantine_test.cpp
@@ -74,6 +74,8 @@
     CPPUNIT_TEST(segmentAnsweredAtAPeerLeavesTheSignature);
     CPPUNIT_TEST(failedTrialRefusesNoSoundRequest);
     CPPUNIT_TEST(onlyEngineServesSoundRequests);
+    CPPUNIT_TEST(endedResponseOfARunningEngineClears);
+    CPPUNIT_TEST(endedResponseOfACrashedEngineCounts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -930,6 +932,32 @@
         CPPUNIT_ASSERT(crashes <= 5);
     }
 
+    // Guards against a segment that no answer clears since none has a length or a second event.
+    void endedResponseOfARunningEngineClears()
+    {
+        for (engine_key engine = 1; engine <= 4; ++engine)
+            crash(m_node, engine, request({shared, poison}));
+        m_node.onEnded(9, request({shared}), false, m_now);
+        CPPUNIT_ASSERT(!isQuarantined(poison));
+        m_node.onEngineAlive(9, m_now - 1ms);
+        CPPUNIT_ASSERT(!isQuarantined(poison));
+        m_node.onEngineAlive(9, m_now);
+        CPPUNIT_ASSERT(isQuarantined(poison));
+    }
+
+    // Guards against a deadly request that is cleared since its engine closed all connections in
+    // order when it crashed.
+    void endedResponseOfACrashedEngineCounts()
+    {
+        for (engine_key engine = 1; engine <= 4; ++engine) {
+            m_now += 1s;
+            m_node.onEnded(engine, request({poison}), false, m_now);
+            m_node.onEngineDown(engine, m_now + 10ms);
+            m_node.onEngineAlive(engine, m_now + 20ms);
+        }
+        CPPUNIT_ASSERT(isQuarantined(poison));
+    }
+
     // Guards against one crash that is held as several, with more and with fewer features.
     void clearedSegmentDoesNotDuplicateTheCrash()
     {
--- a/tests/gateway/engine_prober_test.cpp
+++ b/tests/gateway/engine_prober_test.cpp
@@ -24,6 +24,11 @@
     CPPUNIT_TEST(engineIsProbedOnceAtATime);
     CPPUNIT_TEST(engineWithoutAnAddressIsIgnored);
     CPPUNIT_TEST(lackOfDescriptorsIsNoRefusal);
+    CPPUNIT_TEST(engineThatAcceptsAfterAnEndIsAlive);
+    CPPUNIT_TEST(engineThatSendsLongAfterAnEndIsAlive);
+    CPPUNIT_TEST(bytesOnTheWayAtTheEndProveNothing);
+    CPPUNIT_TEST(engineThatRefusesAfterAnEndIsNotAlive);
+    CPPUNIT_TEST(laterEndIsProbedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +102,60 @@
         CPPUNIT_ASSERT(m_refused.empty());
     }
 
+    // Guards against complete responses without a length that never count as answers.
+    void engineThatAcceptsAfterAnEndIsAlive()
+    {
+        const core::time_point endedAt = m_now;
+        m_prober.onEnded(m_engine, m_now);
+        advanceUntilIdle();
+        CPPUNIT_ASSERT(m_aliveSince == std::vector<core::time_point>{endedAt});
+        CPPUNIT_ASSERT(m_refused.empty());
+    }
+
+    // Guards against a connection for each of many responses without a length.
+    void engineThatSendsLongAfterAnEndIsAlive()
+    {
+        m_prober.onEnded(m_engine, m_now);
+        m_registry.onBytes("e1", m_now + engine_prober::maxBytesDelay + 1ms);
+        advanceUntilIdle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_aliveSince.size());
+        CPPUNIT_ASSERT(!m_listener->pending());
+    }
+
+    // Guards against clearing a deadly request since its engine had sent something on another
+    // connection right before it crashed.
+    void bytesOnTheWayAtTheEndProveNothing()
+    {
+        m_listener.reset();
+        m_prober.onEnded(m_engine, m_now);
+        m_registry.onBytes("e1", m_now + 10ms);
+        advanceUntilIdle();
+        CPPUNIT_ASSERT(m_aliveSince.empty());
+        CPPUNIT_ASSERT(m_refused == std::vector<std::string>{"e1"});
+    }
+
+    // Guards against clearing a deadly request since its engine ended the response in order.
+    void engineThatRefusesAfterAnEndIsNotAlive()
+    {
+        m_listener.reset();
+        m_prober.onEnded(m_engine, m_now);
+        advanceUntilIdle();
+        CPPUNIT_ASSERT(m_aliveSince.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_refused.size());
+    }
+
+    // Guards against a proof that is older than the end of a response.
+    void laterEndIsProbedAgain()
+    {
+        const core::time_point first = m_now;
+        m_prober.onEnded(m_engine, m_now);
+        m_now += 50ms;
+        const core::time_point last = m_now;
+        m_prober.onEnded(m_engine, m_now);
+        advanceUntilIdle();
+        CPPUNIT_ASSERT((m_aliveSince == std::vector<core::time_point>{first, last}));
+    }
+
 private:
     http1::endpoint address() const { return http1::endpoint::parse(m_engine.address).value(); }
 
@@ -119,12 +178,16 @@
                                     .slots = 4};
     core::time_point m_now{1h};
     std::vector<std::string> m_refused;
+    std::vector<core::time_point> m_aliveSince;
     http1::deferred_deleter m_deleter;
     engine_connection_pool m_pool{m_loop.reactor(), m_deleter};
     dispatch::engine_registry m_registry{"d1", 1};
     engine_prober m_prober{m_pool, m_registry,
                            [this](const dispatch::engine_entry &engine, core::time_point) {
                                m_refused.push_back(engine.id);
+                           },
+                           [this](const dispatch::engine_entry &, core::time_point endedAt) {
+                               m_aliveSince.push_back(endedAt);
                            }};
 };
 
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -82,6 +82,9 @@
     CPPUNIT_TEST(repeatedRequestThatCrashesEnginesInAQuietHourIsRefused);
     CPPUNIT_TEST(lostResponsesOfARunningEngineAreNotTakenForCrashes);
     CPPUNIT_TEST(soundRequestsBesideADeadlySegmentBeforeAnotherAreServed);
+    CPPUNIT_TEST(shortStreamsWithoutALengthClearTheirSegments);
+    CPPUNIT_TEST(responsesWithoutALengthClearTheirRequest);
+    CPPUNIT_TEST(shortStreamsOfCrashedEnginesClearNothing);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsBrokenOff);
     CPPUNIT_TEST(streamThatEndsWithItsConnectionIsComplete);
     CPPUNIT_TEST_SUITE_END();
@@ -728,6 +731,66 @@
         CPPUNIT_ASSERT(contains(m_gateway.responseOf(*alone), "quarantined_prompt"));
     }
 
+    // Guards against segments that no answer clears since each is a stream of one event that ends
+    // with its connection.
+    void shortStreamsWithoutALengthClearTheirSegments()
+    {
+        m_gateway.configure(1);
+        for (int i = 1; i <= 4; ++i)
+            crashEngine("e" + std::to_string(i), "/fragile/x" + std::to_string(i),
+                        "Segments: 7 9\r\n");
+        listening_socket &listener = m_gateway.addEngine("e5");
+        serve(listener, "5", "Segments: 7\r\n", unframedStreamHead("5") + "id: 1\ndata: a\n\n");
+        m_gateway.waitFor("probe", [&] { return listener.pending(); });
+        m_gateway.loop.runFor(50ms);
+        const auto alone = m_gateway.call("/fragile/x", "6", "Segments: 9\r\n");
+        CPPUNIT_ASSERT(contains(m_gateway.responseOf(*alone), "quarantined_prompt"));
+    }
+
+    // Guards against refusing equal requests whose answers have no length, after three crashes of
+    // engines by themselves.
+    void responsesWithoutALengthClearTheirRequest()
+    {
+        m_gateway.configure(1);
+        for (int i = 1; i <= 3; ++i) {
+            crashEngine("e" + std::to_string(2 * i), "/once/x", "");
+            const std::string id = "e" + std::to_string(2 * i + 1);
+            listening_socket &listener = m_gateway.addEngine(id);
+            const auto caller = m_gateway.call("/once/x", id.substr(1));
+            raw_socket engine = m_gateway.acceptAt(listener);
+            m_gateway.requestAt(engine);
+            engine.send("HTTP/1.1 200 OK\r\nId: " + id.substr(1) + "\r\nSigned: s\r\n\r\nbody");
+            engine.close();
+            CPPUNIT_ASSERT(m_gateway.responseOf(*caller).ends_with("body"));
+            m_gateway.waitFor("probe", [&] { return listener.pending(); });
+            m_gateway.loop.runFor(50ms);
+            m_gateway.node.events().onRemoved(gateway::collection_id::Engines, "engine/" + id,
+                                              ++m_gateway.revision);
+        }
+    }
+
+    // Guards against taking the end of a crashed engine's connection for that of its answer.
+    void shortStreamsOfCrashedEnginesClearNothing()
+    {
+        m_gateway.configure(1);
+        for (int i = 1; i <= 4; ++i) {
+            const std::string id = std::to_string(i);
+            listening_socket &listener = m_gateway.addEngine("e" + id);
+            const auto caller = m_gateway.call("/fragile/x" + id, id, "Segments: 9\r\n");
+            raw_socket engine = m_gateway.acceptAt(listener);
+            m_gateway.requestAt(engine);
+            m_gateway.stopEngine(listener);
+            engine.send(unframedStreamHead(id) + "id: 1\ndata: a\n\n");
+            engine.close();
+            m_gateway.loop.runFor(400ms);
+            m_gateway.node.events().onRemoved(gateway::collection_id::Engines, "engine/e" + id,
+                                              ++m_gateway.revision);
+        }
+        m_gateway.addEngine("e5");
+        const auto refused = m_gateway.call("/fragile/x", "5", "Segments: 9\r\n");
+        CPPUNIT_ASSERT(contains(m_gateway.responseOf(*refused), "quarantined_prompt"));
+    }
+
     // Guards against passing on a stream as complete whose engine ended in the middle of an event,
     // or before the first one, and whose length is not known.
     void streamThatEndsInsideAnEventIsBrokenOff()
