Hold back repeats only on enough evidence against a segment

Callers of sound requests that were broken off could get 502 in place of a repeat while engines crash all the time for other reasons.

Cause: since a request that has ended an engine is not repeated while four crashes count against one of its segments. With a crash each 300 ms four of them hit the same segment by chance.

Change: the same bound as for a quarantine decides, with the crashes that other causes explain: how likely a harmless segment is present in all.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -340,9 +340,13 @@
     if (m_crashes.empty() || !isRequest || !hasEndedEngine(features.back(), now))
         return std::nullopt;
     for (const request_feature &each : features) {
-        const std::size_t crashes = momentsOf(each).size();
-        if (each.kind == feature_kind::Segment && crashes >= thresholdOf(each.kind).moments)
-            return quarantined_signature{{each}, confirmationWindow, crashes, 0};
+        if (each.kind == feature_kind::Request)
+            continue;
+        evidence against = evidenceAgainst(each);
+        // Crashes that other causes explain may have this one all the same.
+        against.moments = momentsOf(each).size();
+        if (isConvincing(each, against))
+            return quarantined_signature{{each}, confirmationWindow, against.moments, 0};
     }
     return std::nullopt;
 }
