--- a/review/standin-3/lab.py
+++ b/review/standin-3/lab.py
@@ -284,16 +284,21 @@
         self.net = "127.%d.%d." % (16 + os.getpid() % 200, 1 + os.getpid() // 200 % 250)
         self.nodes, self.engines, self.others = [], [], []
 
-    async def start(self, zones, engine_count=4, document=None):
-        self.store = Store()
-        store_address = await self.store.listen()
-        for number in range(engine_count):
+    async def start_engines(self, zones, count):
+        """Starts engines of the plain service."""
+        for number in range(count):
             engine = Engine("i-%d" % number, self.record)
             self.engines.append(engine)
             await self.store.put("servers/" + engine.name, {
                 "Service": "balcao", "Address": await engine.listen(),
                 "Zone": zones[number % len(zones)], "Version": "v1", "Slots": 6,
                 "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1_790_000_000_000 + number})
+
+    async def start(self, zones, start_engines=None, document=None):
+        """Starts store, engines and one node for each zone in the list, and waits until all are ready."""
+        self.store = Store()
+        store_address = await self.store.listen()
+        await (start_engines() if start_engines else self.start_engines(zones, 4))
         await self.store.put("op/config", document or configuration())
         addresses = [self.net + str(number + 1) for number in range(len(zones))]
         for number, (ip, zone) in enumerate(zip(addresses, zones)):
