--- a/review/standin-3/deadly.py
+++ b/review/standin-3/deadly.py
@@ -59,8 +59,9 @@
     return status
 
 
-async def scenario(lab, sound_prompt, deadly_prompt):
-    """`sound_prompt` and `deadly_prompt` return the prompt of the request with a number."""
+async def scenario(lab, sound_prompt, deadly_prompt, at_once=1, interval=DEADLY_INTERVAL):
+    """`sound_prompt` and `deadly_prompt` return the prompt of the request with a number; so many of the
+    deadly ones come at once in each interval, in seconds."""
     draw = random.Random(1)
     engines = []
 
@@ -76,20 +77,21 @@
     tasks = []
     statuses = {"sound": [], "deadly": []}
 
-    async def send_all(kind, prompt, interval):
+    async def send_all(kind, prompt, at_once, interval):
         async def keep(number):
             statuses[kind].append(await send(lab, draw.choice(lab.nodes),
                                              "%s-%d" % (kind, number), prompt(number)))
         number = 0
         while time.monotonic() - started < SECONDS:
-            number += 1
-            tasks.append(asyncio.ensure_future(keep(number)))
+            for _ in range(at_once):
+                number += 1
+                tasks.append(asyncio.ensure_future(keep(number)))
             await asyncio.sleep(interval)
 
     async def send_deadly():
         await asyncio.sleep(DEADLY_STARTS_AFTER)
-        await send_all("deadly", deadly_prompt, DEADLY_INTERVAL)
-    await asyncio.gather(send_all("sound", sound_prompt, SOUND_INTERVAL), send_deadly())
+        await send_all("deadly", deadly_prompt, at_once, interval)
+    await asyncio.gather(send_all("sound", sound_prompt, 1, SOUND_INTERVAL), send_deadly())
     await asyncio.gather(*tasks)
     crashes = sorted(at for engine in engines for at in engine.crashes)
     arrivals = [at for engine in engines for attempt, at in engine.arrivals
--- a/review/standin-3/model_engine.py
+++ b/review/standin-3/model_engine.py
@@ -21,6 +21,7 @@
         self.number, self.zone, self.service = number, zone, service
         self.store, self.record, self.deadly = store, record, deadly
         self.boot = 0
+        self.is_down = False
         self.writers = set()
         self.running = {}
         # Attempt id and time of each request that reached the engine, crash times, and ids that a crash cut.
@@ -29,6 +30,7 @@
 
     async def start(self, port=0):
         self.boot += 1
+        self.is_down = False
         self.name = "i-%d-%d" % (self.number, self.boot)
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
@@ -97,6 +99,10 @@
                 self.running.pop(attempt, None)
 
     def _crash(self, cause):
+        if self.is_down:
+            # Another request has crashed this boot at the same moment.
+            return
+        self.is_down = True
         self.crashes.append(time.monotonic())
         others = [attempt for attempt in self.running if attempt != cause]
         self.cut += others
