--- a/review/standin-3/lab.py
+++ b/review/standin-3/lab.py
@@ -11,6 +11,7 @@
 import re
 import resource
 import shutil
+import socket
 import subprocess
 import sys
 import tempfile
@@ -28,14 +29,33 @@
 # Places of a machine, as in the settings of a small deployment.
 MEMORY_MEGABYTES, DESCRIPTORS = 260, 4100
 READY_SECONDS = 15
-FRONT, READY, DIRECTORY, CONTROL = 8221, 8224, 8220, 8229
-PORT_RANGE = [7600, 7615]
 
 
 class CannotRun(Exception):
     """The case cannot be tried on this machine."""
 
 
+def free_ports(count):
+    """Returns ports, in rising order, that are free for TCP and UDP on all addresses."""
+    held, ports = [], []
+    while len(ports) < count:
+        tcp, udp = socket.socket(), socket.socket(type=socket.SOCK_DGRAM)
+        held += [tcp, udp]
+        tcp.bind(("", 0))
+        try:
+            udp.bind(("", tcp.getsockname()[1]))
+            ports.append(tcp.getsockname()[1])
+        except OSError:
+            pass
+    for each in held:
+        each.close()
+    return sorted(ports)
+
+
+# Ports are the same on all machines; the last two stand for the range between nodes.
+FRONT, READY, DIRECTORY, CONTROL, *PORT_RANGE = free_ports(6)
+
+
 class Record:
     """What was sent, answered and run, with the seconds since the start."""
 
